--- /dev/null
+++ b/src/call/headers.ts
@@ -0,0 +1,271 @@
+/**
+ * Header codec for the call context and the guard's report.
+ *
+ * Context headers are believed on the peer port only; the entry strips them from callers.
+ */
+import {type IncomingHttpHeaders, type OutgoingHttpHeaders} from 'node:http';
+import {err, ok, type Result} from 'neverthrow';
+import {CallHeaderError} from './errors.ts';
+import {
+	importance,
+	type CallContext,
+	type GuardReport,
+	type GuardState,
+	type Importance,
+	type NotRunReason,
+	type OnceTicket,
+	type Outcome,
+	notRunReasons,
+} from './types.ts';
+
+/** Prefix of every header that belongs to the control layer. */
+export const headerPrefix = 'primrosevalve-';
+
+export const headerNames = {
+	request: 'primrosevalve-request',
+	attempt: 'primrosevalve-attempt',
+	call: 'primrosevalve-call',
+	caller: 'primrosevalve-caller',
+	importance: 'primrosevalve-importance',
+	deadline: 'primrosevalve-deadline',
+	allowance: 'primrosevalve-allowance',
+	allowanceLeft: 'primrosevalve-allowance-left',
+	size: 'primrosevalve-size',
+	idempotent: 'primrosevalve-idempotent',
+	version: 'primrosevalve-version',
+	onceKey: 'primrosevalve-once-key',
+	onceNonce: 'primrosevalve-once-nonce',
+	/** The one opaque header that a backend server echoes on its outgoing calls. */
+	context: 'primrosevalve-context',
+	outcome: 'primrosevalve-outcome',
+	reason: 'primrosevalve-reason',
+	server: 'primrosevalve-server',
+	instance: 'primrosevalve-instance',
+	level: 'primrosevalve-level',
+	slotsInUse: 'primrosevalve-slots-in-use',
+	slotLimit: 'primrosevalve-slot-limit',
+	queued: 'primrosevalve-queued',
+	state: 'primrosevalve-state',
+	peerKey: 'primrosevalve-peer-key',
+} as const;
+
+const maxDeadlineMs = 3_600_000;
+const maxAllowance = 1000;
+const guardStates: readonly GuardState[] = ['cold', 'serving', 'draining'];
+const reasonTexts: ReadonlySet<string> = new Set(Object.values(notRunReasons));
+
+/** Reads one header as text; a repeated header counts as absent. */
+function readText(headers: IncomingHttpHeaders, name: string): string | undefined {
+	const value = headers[name];
+	return typeof value === 'string' && value.length > 0 ? value : undefined;
+}
+
+/** Reads one header as a whole number from 0 to `max`. */
+function readCount(headers: IncomingHttpHeaders, name: string, max: number): number | undefined {
+	const text = readText(headers, name);
+	if (text === undefined || !/^\d{1,10}$/v.test(text)) {
+		return undefined;
+	}
+
+	const value = Number(text);
+	return value <= max ? value : undefined;
+}
+
+/** Reads an importance level. */
+function readImportance(headers: IncomingHttpHeaders, name: string): Importance | undefined {
+	const value = readCount(headers, name, importance.critical);
+	return value as Importance | undefined;
+}
+
+/** Reads the once claim, if the call has one. */
+function readOnceTicket(headers: IncomingHttpHeaders): OnceTicket | undefined {
+	const key = readText(headers, headerNames.onceKey);
+	const nonce = readText(headers, headerNames.onceNonce);
+	if (key === undefined || nonce === undefined) {
+		return undefined;
+	}
+
+	return {key: decodeURIComponent(key), nonce};
+}
+
+/**
+ * Writes a call context as request headers for the peer port.
+ *
+ * @example
+ * const headers = encodeContext(context);
+ */
+export function encodeContext(context: CallContext): OutgoingHttpHeaders {
+	const headers: OutgoingHttpHeaders = {
+		[headerNames.request]: context.requestId,
+		[headerNames.attempt]: context.attemptId,
+		[headerNames.call]: `${context.service}/${context.callName}`,
+		[headerNames.caller]: encodeURIComponent(context.caller),
+		[headerNames.importance]: String(context.importance),
+		[headerNames.deadline]: String(Math.max(0, Math.floor(context.deadlineMs))),
+		[headerNames.allowance]: String(context.retryAllowance),
+		[headerNames.size]: context.sizeClass,
+		[headerNames.idempotent]: context.idempotent ? '1' : '0',
+		[headerNames.version]: String(context.policyVersion),
+	};
+	if (context.once !== undefined) {
+		headers[headerNames.onceKey] = encodeURIComponent(context.once.key);
+		headers[headerNames.onceNonce] = context.once.nonce;
+	}
+
+	return headers;
+}
+
+/**
+ * Reads a call context from peer request headers.
+ *
+ * @returns the context, or the name and value of the first header that is missing or malformed
+ * @example
+ * const context = decodeContext(request.headers);
+ */
+export function decodeContext(headers: IncomingHttpHeaders): Result<CallContext, CallHeaderError> {
+	const requestId = readText(headers, headerNames.request);
+	if (requestId === undefined) {
+		return err(CallHeaderError.create(headerNames.request, headers[headerNames.request]));
+	}
+
+	const attemptId = readText(headers, headerNames.attempt);
+	if (attemptId === undefined) {
+		return err(CallHeaderError.create(headerNames.attempt, headers[headerNames.attempt]));
+	}
+
+	const call = readText(headers, headerNames.call);
+	const separator = call?.indexOf('/') ?? -1;
+	if (call === undefined || separator < 1) {
+		return err(CallHeaderError.create(headerNames.call, headers[headerNames.call]));
+	}
+
+	const level = readImportance(headers, headerNames.importance);
+	if (level === undefined) {
+		return err(CallHeaderError.create(headerNames.importance, headers[headerNames.importance]));
+	}
+
+	const deadlineMs = readCount(headers, headerNames.deadline, maxDeadlineMs);
+	if (deadlineMs === undefined) {
+		return err(CallHeaderError.create(headerNames.deadline, headers[headerNames.deadline]));
+	}
+
+	const retryAllowance = readCount(headers, headerNames.allowance, maxAllowance);
+	if (retryAllowance === undefined) {
+		return err(CallHeaderError.create(headerNames.allowance, headers[headerNames.allowance]));
+	}
+
+	const once = readOnceTicket(headers);
+	return ok({
+		requestId,
+		attemptId,
+		service: call.slice(0, separator),
+		callName: call.slice(separator + 1),
+		caller: decodeURIComponent(readText(headers, headerNames.caller) ?? 'anonymous'),
+		importance: level,
+		deadlineMs,
+		retryAllowance,
+		sizeClass: headers[headerNames.size] === 'long' ? 'long' : 'short',
+		idempotent: headers[headerNames.idempotent] === '1',
+		policyVersion: readCount(headers, headerNames.version, Number.MAX_SAFE_INTEGER) ?? 0,
+		...(once === undefined ? {} : {once}),
+	});
+}
+
+/**
+ * Writes a guard's report as answer headers.
+ *
+ * @example
+ * response.writeHead(200, encodeReport(report));
+ */
+export function encodeReport(report: GuardReport): OutgoingHttpHeaders {
+	return {
+		[headerNames.server]: report.server,
+		[headerNames.instance]: report.instanceId,
+		[headerNames.level]: String(report.admissionLevel),
+		[headerNames.slotsInUse]: String(report.slotsInUse),
+		[headerNames.slotLimit]: String(report.slotLimit),
+		[headerNames.queued]: String(report.queued),
+		[headerNames.state]: report.state,
+	};
+}
+
+/**
+ * Reads a guard's report from answer headers.
+ *
+ * @returns undefined when the answer carries none, for example from a bare relay
+ * @example
+ * const report = decodeReport(answer.headers);
+ */
+export function decodeReport(headers: IncomingHttpHeaders): GuardReport | undefined {
+	const server = readText(headers, headerNames.server);
+	const instanceId = readText(headers, headerNames.instance);
+	const admissionLevel = readImportance(headers, headerNames.level);
+	const state = guardStates.find(candidate => candidate === headers[headerNames.state]);
+	if (
+		server === undefined ||
+		instanceId === undefined ||
+		admissionLevel === undefined ||
+		state === undefined
+	) {
+		return undefined;
+	}
+
+	return {
+		server,
+		instanceId,
+		admissionLevel,
+		slotsInUse: readCount(headers, headerNames.slotsInUse, maxDeadlineMs) ?? 0,
+		slotLimit: readCount(headers, headerNames.slotLimit, maxDeadlineMs) ?? 0,
+		queued: readCount(headers, headerNames.queued, maxDeadlineMs) ?? 0,
+		state,
+	};
+}
+
+/**
+ * Reads the outcome that a guard or an entry stated.
+ *
+ * @param status - HTTP status of the answer
+ * @returns `answered` where the headers state nothing else
+ * @example
+ * const outcome = decodeOutcome(answer.headers, answer.statusCode);
+ */
+export function decodeOutcome(headers: IncomingHttpHeaders, status: number): Outcome {
+	const kind = readText(headers, headerNames.outcome);
+	const reason = readText(headers, headerNames.reason) ?? '';
+	switch (kind) {
+		case 'notRun': {
+			// An unreadable reason can't prove that nothing ran.
+			return reasonTexts.has(reason)
+				? {kind, reason: reason as NotRunReason}
+				: {kind: 'unknown', reason: `unreadable reason "${reason}"`};
+		}
+
+		case 'unknown':
+		case 'failed': {
+			return {kind, reason};
+		}
+
+		default: {
+			return {kind: 'answered', status};
+		}
+	}
+}
+
+/**
+ * Removes every header of the control layer from a message of a caller or of a backend server.
+ *
+ * @example
+ * const clean = stripControlHeaders(request.headers);
+ */
+export function stripControlHeaders(headers: IncomingHttpHeaders): OutgoingHttpHeaders {
+	const clean: OutgoingHttpHeaders = {};
+	for (const [name, value] of Object.entries(headers)) {
+		if (name.startsWith(headerPrefix) || value === undefined) {
+			continue;
+		}
+
+		clean[name] = value;
+	}
+
+	return clean;
+}
