--- a/src/call/headers.test.ts
+++ b/src/call/headers.test.ts
@@ -30,8 +30,10 @@
 });
 
 test('a malformed deadline is refused by name and value', t => {
-	const headers = {...(encodeContext(context) as Record<string, string>)};
-	headers['primrosevalve-deadline'] = 'soon';
+	const headers = {
+		...(encodeContext(context) as Record<string, string>),
+		'primrosevalve-deadline': 'soon',
+	};
 	const error = decodeContext(headers)._unsafeUnwrapErr();
 	t.regex(error.message, /primrosevalve-deadline.*soon/v);
 });
