Add admission control of the kinds adaptive, fixed and none

The adaptive kind runs on p-queue with a queue class of its own: importance, then deadline, long requests in a line of their own. Limit, size classes and admission level are first versions; their weighing follows.

Contract: AdmissionReport gains shedShare, the share of the calls of exactly the admission level that entries shed early; types.ts gains MonotonicClock.

Planted faults, each seen to fail in admission.test.ts and then removed: victim of the highest importance, deadline order reversed, slot not returned on release, long line never started, queue bound off by one.

--- /dev/null
+++ b/src/admission/admission-queue.ts
@@ -0,0 +1,161 @@
+/**
+ * Queue class for p-queue: importance, then deadline, with long requests in a line of their own.
+ */
+import {type Queue, type QueueAddOptions} from 'p-queue';
+import {type Importance} from '../call/types.ts';
+import {assertInvariant} from './errors.ts';
+import {type LongLane} from './long-lane.ts';
+import {RequestLine} from './request-line.ts';
+import {type AdmissionRequest} from './types.ts';
+import {type WaitingRequest} from './waiting-request.ts';
+
+type RunFunction = () => Promise<unknown>;
+
+/** Options that a request is added to p-queue with. */
+export type AdmissionQueueOptions = QueueAddOptions & {readonly waiting?: WaitingRequest};
+
+/**
+ * Orders waiting requests and hides those from p-queue that may not start at present.
+ *
+ * p-queue constructs it, which is why the constructor is public.
+ */
+export class AdmissionQueue implements Queue<RunFunction, AdmissionQueueOptions> {
+	readonly #short = RequestLine.create();
+	readonly #long = RequestLine.create();
+	readonly #runs = new Map<WaitingRequest, RunFunction>();
+
+	readonly #lane: LongLane;
+
+	constructor(lane: LongLane) {
+		this.#lane = lane;
+	}
+
+	/** Number of requests that may start now; p-queue starts none while it is 0. */
+	get size(): number {
+		return this.#lane.canStart ? this.#runs.size : this.#short.size;
+	}
+
+	get waitingShort(): number {
+		return this.#short.size;
+	}
+
+	get waitingLong(): number {
+		return this.#long.size;
+	}
+
+	/** Number of all waiting requests. */
+	get waiting(): number {
+		return this.#runs.size;
+	}
+
+	enqueue(run: RunFunction, options?: Partial<AdmissionQueueOptions>): void {
+		const waiting = options?.waiting;
+		assertInvariant(waiting !== undefined, () => 'a job without its request was queued');
+		this.#findLine(waiting).add(waiting);
+		this.#runs.set(waiting, run);
+	}
+
+	dequeue(): RunFunction | undefined {
+		const waiting = this.#findNext();
+		if (waiting === undefined) {
+			return undefined;
+		}
+
+		const run = this.#runs.get(waiting);
+		this.remove(waiting);
+		return run;
+	}
+
+	/** Takes a request out; false when it does not wait. */
+	remove(waiting: WaitingRequest): boolean {
+		this.#runs.delete(waiting);
+		return this.#findLine(waiting).remove(waiting);
+	}
+
+	/** Finds the request to shed first: the newest of the least important, of `line` where both have some. */
+	findVictim(line: 'short' | 'long'): WaitingRequest | undefined {
+		const least = this.findLeastImportance();
+		if (least === undefined) {
+			return undefined;
+		}
+
+		const [first, second] =
+			line === 'short' ? [this.#short, this.#long] : [this.#long, this.#short];
+		return first.findNewest(least) ?? second.findNewest(least);
+	}
+
+	/** Finds the least importance that waits. */
+	findLeastImportance(): Importance | undefined {
+		const short = this.#short.findLeastImportance();
+		const long = this.#long.findLeastImportance();
+		if (short === undefined || long === undefined) {
+			return short ?? long;
+		}
+
+		return Math.min(short, long) as Importance;
+	}
+
+	/** Finds a request that is next of its importance and size class and that `isLate` holds for. */
+	findLate(isLate: (request: AdmissionRequest) => boolean): WaitingRequest | undefined {
+		return this.#short.findLate(isLate) ?? this.#long.findLate(isLate);
+	}
+
+	/** Finds the least importance among the long requests that wait. */
+	findLeastLongImportance(): Importance | undefined {
+		return this.#long.findLeastImportance();
+	}
+
+	filter(): RunFunction[] {
+		return [...this.#runs.values()];
+	}
+
+	setPriority(id: string): void {
+		assertInvariant(false, () => `priority of "${id}" is fixed by its importance and deadline`);
+	}
+
+	#findLine(waiting: WaitingRequest): RequestLine {
+		switch (waiting.sizeClass) {
+			case 'short': {
+				return this.#short;
+			}
+
+			case 'long': {
+				return this.#long;
+			}
+		}
+	}
+
+	/** Finds the next to start; a long request goes before an equally important short one below its floor only. */
+	#findNext(): WaitingRequest | undefined {
+		const short = this.#short.findFirst();
+		const long = this.#lane.canStart ? this.#long.findFirst() : undefined;
+		if (short === undefined || long === undefined) {
+			return short ?? long;
+		}
+
+		if (short.request.importance !== long.request.importance) {
+			return short.request.importance > long.request.importance ? short : long;
+		}
+
+		return this.#lane.isBelowFloor ? long : short;
+	}
+}
+
+/**
+ * Makes a class that p-queue can construct without arguments.
+ *
+ * @param onCreate - receives the one queue that p-queue constructs
+ * @example
+ * new PQueue({queueClass: createQueueClass(lane, queue => { waiting = queue; })});
+ */
+export function createQueueClass(
+	lane: LongLane,
+	onCreate: (queue: AdmissionQueue) => void,
+): new () => AdmissionQueue {
+	return class extends AdmissionQueue {
+		constructor() {
+			super(lane);
+			onCreate(this);
+		}
+	};
+}
--- a/src/admission/types.ts
+++ b/src/admission/types.ts
@@ -4,6 +4,11 @@
 import {type Importance, type SizeClass} from '../call/types.ts';
 import {type ServicePolicy} from '../policy/schema.ts';
 
+/** Source of monotonic time. */
+export type MonotonicClock = {
+	readNowMs(): number;
+};
+
 /** A request that asks for a slot. Times are milliseconds of the monotonic clock. */
 export type AdmissionRequest = {
 	readonly attemptId: string;
@@ -25,7 +30,10 @@
 };
 
 export type AdmissionReport = {
+	/** Least importance that is admitted at present. */
 	readonly admissionLevel: Importance;
+	/** Share, from 0 to 1, of the calls of just that importance which entries shed early. */
+	readonly shedShare: number;
 	readonly slotsInUse: number;
 	readonly slotLimit: number;
 	readonly queued: number;
