--- /dev/null
+++ b/src/daemon/errors.ts
@@ -0,0 +1,54 @@
+/**
+ * Errors of the daemon layer.
+ */
+
+/** A request body that can't be used. */
+export class RequestBodyError extends Error {
+	/**
+	 * @param maxBytes - limit that was in force
+	 * @example
+	 * RequestBodyError.create('tooLarge', 1_048_576);
+	 */
+	static create(kind: 'tooLarge' | 'aborted', maxBytes: number): RequestBodyError {
+		const detail =
+			kind === 'tooLarge'
+				? `body is larger than ${maxBytes} bytes`
+				: 'connection closed before the body was whole';
+		return new RequestBodyError(kind, detail);
+	}
+
+	override readonly name = 'RequestBodyError';
+
+	private constructor(
+		readonly kind: 'tooLarge' | 'aborted',
+		message: string,
+	) {
+		super(message);
+	}
+}
+
+/** A listener that could not be opened. */
+export class ListenError extends Error {
+	/**
+	 * @example
+	 * ListenError.create('peer', '127.0.0.1', 7001, 'EADDRINUSE');
+	 */
+	static create(listener: string, address: string, port: number, detail: string): ListenError {
+		return new ListenError(`can't listen on ${address}:${port} (${listener} port): ${detail}`);
+	}
+
+	override readonly name = 'ListenError';
+}
+
+/** A broken invariant; the program must not go on. */
+export class InvariantError extends Error {
+	/**
+	 * @example
+	 * InvariantError.create('call ended twice', 'a-1');
+	 */
+	static create(rule: string, value: string): InvariantError {
+		return new InvariantError(`invariant "${rule}" is broken for ${value}`);
+	}
+
+	override readonly name = 'InvariantError';
+}
--- /dev/null
+++ b/src/daemon/guard/guard-task.ts
@@ -0,0 +1,249 @@
+/**
+ * The guard: admits calls of peers to the local backend server.
+ */
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {Pool} from 'undici';
+import {type Admission} from '../../admission/types.ts';
+import {decodeContext, encodeReport, headerNames} from '../../call/headers.ts';
+import {type CallContext, type GuardReport, type GuardState} from '../../call/types.ts';
+import {type Policy, type ServicePolicy} from '../../policy/schema.ts';
+import {type Logger} from '../../reporting/logger.ts';
+import {type Metrics} from '../../reporting/metrics.ts';
+import {Listener, type ListenerOptions} from '../http/listener.ts';
+import {answerProblem} from '../http/problem.ts';
+import {SecretKey} from '../http/secret.ts';
+import {type Identity} from '../identity.ts';
+import {type Task, type TaskMessage} from '../messages.ts';
+import {GuardedCall} from './guarded-call.ts';
+import {RunningCalls} from './running-calls.ts';
+
+export type GuardOptions = {
+	readonly identity: Identity;
+	readonly backendPort: number;
+	readonly peerKey: string;
+	readonly logger: Logger;
+	readonly metrics: Metrics;
+	readonly createAdmission: (policy: ServicePolicy) => Admission;
+};
+
+/** Handles a control request that arrives on the peer port. */
+export type ControlHandler = (request: IncomingMessage, response: ServerResponse) => void;
+
+const coldStartMs = 5000;
+
+/** Owns the peer listener, the admission control and the connections to the backend server. */
+export class GuardTask implements Task {
+	/**
+	 * @example
+	 * const guard = GuardTask.create(options, policy);
+	 */
+	static create(options: GuardOptions, policy: Policy): GuardTask {
+		return new GuardTask(options, policy);
+	}
+
+	/** Calls that run on the local backend server. */
+	readonly running = RunningCalls.create();
+	readonly admission: Admission;
+	readonly pool: Pool;
+	readonly metrics: Metrics;
+	readonly logger: Logger;
+	readonly #identity: Identity;
+	readonly #peerKey: SecretKey;
+	#policy: Policy;
+	#state: GuardState = 'cold';
+	#listener: Listener | undefined;
+	#controlHandler: ControlHandler | undefined;
+	#inFlight = 0;
+
+	private constructor(options: GuardOptions, policy: Policy) {
+		this.#identity = options.identity;
+		this.#peerKey = SecretKey.create(options.peerKey);
+		this.#policy = policy;
+		this.logger = options.logger;
+		this.metrics = options.metrics;
+		const service = this.#findServicePolicy();
+		this.admission = options.createAdmission(service);
+		this.pool = new Pool(`http://127.0.0.1:${options.backendPort}`, {
+			connections: service.connectionsPerServer,
+			pipelining: 1,
+			connectTimeout: 1000,
+		});
+		setTimeout(() => {
+			this.#endColdStart();
+		}, coldStartMs).unref();
+	}
+
+	/** Calls that wait for a slot or run. */
+	get inFlight(): number {
+		return this.#inFlight;
+	}
+
+	get port(): number {
+		return this.#listener?.port ?? 0;
+	}
+
+	get state(): GuardState {
+		return this.#state;
+	}
+
+	get policy(): Policy {
+		return this.#policy;
+	}
+
+	/** Opens the peer port. */
+	async open(options: ListenerOptions): Promise<void> {
+		this.#listener = await Listener.open(options, (request, response) => {
+			this.#handleRequest(request, response);
+		});
+	}
+
+	async close(): Promise<void> {
+		await this.#listener?.close();
+		await this.pool.close();
+	}
+
+	/** Sets the handler of control requests between daemons. */
+	setControlHandler(handler: ControlHandler): void {
+		this.#controlHandler = handler;
+	}
+
+	receive(message: TaskMessage): void {
+		switch (message.kind) {
+			case 'policy': {
+				this.#policy = message.policy.document;
+				this.admission.applyPolicy(this.#findServicePolicy());
+				break;
+			}
+
+			case 'refuse': {
+				this.#state = 'draining';
+				break;
+			}
+
+			case 'members':
+			case 'leave': {
+				break;
+			}
+		}
+	}
+
+	/** Reads the load facts that ride on every answer. */
+	readReport(): GuardReport {
+		const load = this.admission.readReport();
+		return {
+			server: this.#identity.server,
+			instanceId: this.#identity.instanceId,
+			state: this.#state,
+			...load,
+		};
+	}
+
+	/** Ends the cold state, unless the daemon is already draining. */
+	#endColdStart(): void {
+		if (this.#state === 'cold') {
+			this.#state = 'serving';
+		}
+	}
+
+	#handleRequest(request: IncomingMessage, response: ServerResponse): void {
+		if (!this.#peerKey.isEqual(request.headers[headerNames.peerKey])) {
+			answerProblem(response, {
+				status: 401,
+				title: 'Unauthorized',
+				detail: 'the peer key is missing or wrong',
+				outcome: {kind: 'notRun', reason: 'bad-request'},
+			});
+			return;
+		}
+
+		if (request.url?.startsWith('/primrosevalve/') && this.#controlHandler !== undefined) {
+			this.#controlHandler(request, response);
+			return;
+		}
+
+		const decoded = decodeContext(request.headers);
+		if (decoded.isErr()) {
+			answerProblem(response, {
+				status: 400,
+				title: 'Bad Request',
+				detail: decoded.error.message,
+				outcome: {kind: 'notRun', reason: 'bad-request'},
+			});
+			return;
+		}
+
+		this.#handleCall(decoded.value, request, response);
+	}
+
+	/** Refuses a call while draining, and otherwise runs it to its end. */
+	#handleCall(context: CallContext, request: IncomingMessage, response: ServerResponse): void {
+		if (this.#state === 'draining') {
+			answerProblem(
+				response,
+				{
+					status: 503,
+					title: 'Service Unavailable',
+					detail: `server "${this.#identity.server}" is leaving`,
+					outcome: {kind: 'notRun', reason: 'draining'},
+					requestId: context.requestId,
+				},
+				this.encodeAnswerHeaders(context, context.retryAllowance),
+			);
+			return;
+		}
+
+		this.#inFlight++;
+		void this.#runCall(context, request, response);
+	}
+
+	async #runCall(
+		context: CallContext,
+		request: IncomingMessage,
+		response: ServerResponse,
+	): Promise<void> {
+		try {
+			await GuardedCall.create(this, context, request, response).run();
+		} catch (error) {
+			this.logger.error(
+				{requestId: context.requestId, error: (error as Error).stack},
+				'guarded call failed',
+			);
+			response.destroy();
+			throw error;
+		} finally {
+			this.#inFlight--;
+		}
+	}
+
+	/** Encodes the headers that every answer of the guard carries. */
+	encodeAnswerHeaders(context: CallContext, allowanceLeft: number) {
+		return {
+			...encodeReport(this.readReport()),
+			[headerNames.attempt]: context.attemptId,
+			[headerNames.allowanceLeft]: String(allowanceLeft),
+		};
+	}
+
+	#findServicePolicy(): ServicePolicy {
+		const found = this.#policy.services.find(service => service.name === this.#identity.service);
+		return found ?? createDefaultServicePolicy(this.#identity.service);
+	}
+}
+
+/** A policy for a service that the document does not name. */
+function createDefaultServicePolicy(name: string): ServicePolicy {
+	return {
+		name,
+		slotsPerServer: 20,
+		connectionsPerServer: 200,
+		admission: {
+			kind: 'adaptive',
+			maxQueued: 100,
+			targetDelayMs: 20,
+			longShare: 0.5,
+		},
+		otherRegion: false,
+		maxEjectedShare: 0.3,
+		calls: [],
+	};
+}
--- /dev/null
+++ b/src/daemon/guard/guarded-call.ts
@@ -0,0 +1,262 @@
+/**
+ * One call of a peer, from admission to the last byte of its answer.
+ */
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type SlotResult} from '../../admission/types.ts';
+import {headerNames} from '../../call/headers.ts';
+import {type CallContext, type NotRunReason, type Outcome} from '../../call/types.ts';
+import {Allowance} from '../../retry/allowance.ts';
+import {type RetryAllowance} from '../../retry/types.ts';
+import {readMonotonicMs} from '../clock.ts';
+import {Exchange, type ExchangeHead} from '../http/exchange.ts';
+import {answerProblem} from '../http/problem.ts';
+import {relayBody} from '../http/relay.ts';
+import {readRequestBody, type RequestBody} from '../http/request-body.ts';
+import {convertToEndToEnd} from '../http/request-headers.ts';
+import {type GuardTask} from './guard-task.ts';
+import {RunningCall} from './running-calls.ts';
+
+type Refusal = Exclude<Outcome, {kind: 'answered'}>;
+
+const maxGuardBodyBytes = 1_073_741_824;
+
+/** Runs one call on the local backend server. */
+export class GuardedCall {
+	/**
+	 * @example
+	 * await GuardedCall.create(guard, context, request, response).run();
+	 */
+	static create(
+		guard: GuardTask,
+		context: CallContext,
+		request: IncomingMessage,
+		response: ServerResponse,
+	): GuardedCall {
+		return new GuardedCall(guard, context, request, response);
+	}
+
+	readonly #guard: GuardTask;
+	readonly #context: CallContext;
+	readonly #request: IncomingMessage;
+	readonly #response: ServerResponse;
+	readonly #allowance: RetryAllowance;
+	readonly #deadlineAtMs: number;
+	#exchange: Exchange | undefined;
+	#running: RunningCall | undefined;
+	#ended: 'no' | 'deadline' | 'cancelled' = 'no';
+
+	private constructor(
+		guard: GuardTask,
+		context: CallContext,
+		request: IncomingMessage,
+		response: ServerResponse,
+	) {
+		this.#guard = guard;
+		this.#context = context;
+		this.#request = request;
+		this.#response = response;
+		this.#allowance = Allowance.create(context.retryAllowance);
+		this.#deadlineAtMs = readMonotonicMs() + context.deadlineMs;
+	}
+
+	/** Runs the call; resolves when its answer has ended, and never rejects for a fault of the call. */
+	async run(): Promise<void> {
+		const timer = setTimeout(() => {
+			this.#stop('deadline');
+		}, this.#context.deadlineMs);
+		this.#response.once('close', () => {
+			if (!this.#response.writableFinished) {
+				this.#stop('cancelled');
+			}
+		});
+		try {
+			await this.#admitAndForward();
+		} finally {
+			clearTimeout(timer);
+		}
+	}
+
+	/** Ends the call early: takes it out of the queue, or cancels it and all its child calls. */
+	#stop(why: 'deadline' | 'cancelled'): void {
+		if (this.#ended !== 'no') {
+			return;
+		}
+
+		this.#ended = why;
+		this.#guard.admission.cancel(this.#context.attemptId);
+		this.#exchange?.cancel();
+		this.#running?.cancelChildren();
+	}
+
+	async #admitAndForward(): Promise<void> {
+		const body = await readRequestBody(this.#request, maxGuardBodyBytes);
+		if (body.isErr()) {
+			this.#refuse({kind: 'notRun', reason: 'cancelled'}, body.error.message);
+			return;
+		}
+
+		const verdict = await this.#guard.admission.admit({
+			attemptId: this.#context.attemptId,
+			callName: this.#context.callName,
+			importance: this.#context.importance,
+			sizeClass: this.#context.sizeClass,
+			deadlineAtMs: this.#deadlineAtMs,
+		});
+		switch (verdict.kind) {
+			case 'shed': {
+				const reason = this.#ended === 'deadline' ? 'deadline' : verdict.reason;
+				this.#refuse(
+					{kind: 'notRun', reason},
+					`server "${this.#guard.readReport().server}" shed it`,
+				);
+				break;
+			}
+
+			case 'admitted': {
+				await this.#runInSlot(body.value);
+				break;
+			}
+		}
+	}
+
+	/** Sends the call to the backend server; the slot is given back whatever happens. */
+	async #runInSlot(body: RequestBody): Promise<void> {
+		const startedAtMs = readMonotonicMs();
+		let kind: SlotResult['kind'] = 'failed';
+		try {
+			kind = await this.#forward(body);
+		} finally {
+			this.#guard.admission.release(this.#context.attemptId, {
+				kind,
+				serviceMs: readMonotonicMs() - startedAtMs,
+			});
+		}
+	}
+
+	async #forward(body: RequestBody): Promise<SlotResult['kind']> {
+		const obstacle = this.#findObstacle();
+		if (obstacle !== undefined) {
+			this.#refuse({kind: 'notRun', reason: obstacle}, 'ended before it was sent to the server');
+			return 'cancelled';
+		}
+
+		const running = RunningCall.create(this.#context, this.#allowance, this.#deadlineAtMs);
+		this.#running = running;
+		this.#guard.running.add(running);
+		try {
+			this.#exchange = this.#send(body, running);
+			const result = await this.#exchange.head;
+			switch (result.kind) {
+				case 'head': {
+					return await this.#relay(this.#exchange, result.head);
+				}
+
+				case 'notSent': {
+					this.#refuse({kind: 'notRun', reason: 'connect'}, result.detail);
+					return 'cancelled';
+				}
+
+				case 'lost': {
+					const reason = this.#ended === 'no' ? 'no answer of the server' : this.#ended;
+					this.#refuse({kind: 'unknown', reason}, result.detail);
+					return this.#ended === 'cancelled' ? 'cancelled' : 'failed';
+				}
+			}
+		} finally {
+			this.#guard.running.remove(running);
+			running.cancelChildren();
+		}
+	}
+
+	/** Checks the deadline and the caller once more, right before the call is sent. */
+	#findObstacle(): NotRunReason | undefined {
+		if (this.#ended !== 'no') {
+			return this.#ended;
+		}
+
+		return readMonotonicMs() >= this.#deadlineAtMs ? 'deadline' : undefined;
+	}
+
+	#send(body: RequestBody, running: RunningCall): Exchange {
+		const headers = convertToEndToEnd(this.#request.headers);
+		headers[headerNames.context] = running.token;
+		headers[headerNames.deadline] = String(
+			Math.max(1, Math.floor(this.#deadlineAtMs - readMonotonicMs())),
+		);
+		return Exchange.start(this.#guard.pool, {
+			method: this.#request.method ?? 'GET',
+			path: this.#request.url ?? '/',
+			headers,
+			body: chooseBody(body),
+		});
+	}
+
+	async #relay(exchange: Exchange, head: ExchangeHead): Promise<SlotResult['kind']> {
+		const allowanceLeft = this.#allowance.close();
+		if (this.#response.destroyed) {
+			exchange.cancel();
+			return 'cancelled';
+		}
+
+		this.#response.writeHead(head.status, {
+			...convertToEndToEnd(head.headers),
+			...this.#guard.encodeAnswerHeaders(this.#context, allowanceLeft),
+		});
+		const end = await relayBody(exchange, this.#response);
+		if (end.kind === 'truncated') {
+			return this.#ended === 'cancelled' ? 'cancelled' : 'failed';
+		}
+
+		return head.status >= 500 ? 'failed' : 'answered';
+	}
+
+	#refuse(outcome: Refusal, detail: string): void {
+		this.#guard.metrics.countShed(this.#context.callName, outcome.reason);
+		const allowanceLeft = this.#allowance.close();
+		answerProblem(
+			this.#response,
+			{
+				status: chooseStatus(outcome),
+				title: outcome.kind === 'notRun' ? 'Not run' : 'No answer',
+				detail,
+				outcome,
+				requestId: this.#context.requestId,
+			},
+			this.#guard.encodeAnswerHeaders(this.#context, allowanceLeft),
+		);
+	}
+}
+
+/** Chooses what undici sends as the body. */
+function chooseBody(body: RequestBody) {
+	switch (body.kind) {
+		case 'empty': {
+			return undefined;
+		}
+
+		case 'whole': {
+			return body.bytes;
+		}
+
+		case 'stream': {
+			return body.stream;
+		}
+	}
+}
+
+/** Chooses the status of a refusal. */
+function chooseStatus(outcome: Refusal): number {
+	switch (outcome.kind) {
+		case 'notRun': {
+			return 503;
+		}
+
+		case 'unknown': {
+			return outcome.reason === 'deadline' ? 504 : 502;
+		}
+
+		case 'failed': {
+			return 502;
+		}
+	}
+}
--- /dev/null
+++ b/src/daemon/http/problem.ts
@@ -0,0 +1,62 @@
+/**
+ * Problem answers (application/problem+json) with the outcome of the call.
+ */
+import {Buffer} from 'node:buffer';
+import {type OutgoingHttpHeaders, type ServerResponse} from 'node:http';
+import {headerNames} from '../../call/headers.ts';
+import {type Outcome} from '../../call/types.ts';
+
+export type Problem = {
+	readonly status: number;
+	readonly title: string;
+	readonly detail: string;
+	readonly outcome: Exclude<Outcome, {kind: 'answered'}>;
+	readonly requestId?: string;
+	/** Seconds after which a refused call may be sent again. */
+	readonly retryAfterSeconds?: number;
+};
+
+/**
+ * Answers with a problem document.
+ *
+ * @param extraHeaders - headers besides those of the problem, for example a guard's report
+ * @example
+ * answerProblem(response, {status: 400, title: 'Bad request', detail: 'path is empty', outcome});
+ */
+export function answerProblem(
+	response: ServerResponse,
+	problem: Problem,
+	extraHeaders: OutgoingHttpHeaders = {},
+): void {
+	if (response.headersSent || response.destroyed) {
+		response.destroy();
+		return;
+	}
+
+	const body = JSON.stringify({
+		type: 'about:blank',
+		title: problem.title,
+		status: problem.status,
+		detail: problem.detail,
+		outcome: problem.outcome.kind,
+		reason: problem.outcome.reason,
+		requestId: problem.requestId,
+	});
+	response.writeHead(problem.status, {
+		...extraHeaders,
+		'content-type': 'application/problem+json',
+		'content-length': Buffer.byteLength(body),
+		[headerNames.outcome]: problem.outcome.kind,
+		[headerNames.reason]: formatReason(problem.outcome.reason),
+		...(problem.requestId === undefined ? {} : {[headerNames.request]: problem.requestId}),
+		...(problem.retryAfterSeconds === undefined
+			? {}
+			: {'retry-after': String(problem.retryAfterSeconds)}),
+	});
+	response.end(body);
+}
+
+/** Keeps a reason within what a header value may hold. */
+function formatReason(reason: string): string {
+	return reason.replaceAll(/[^\u0020-\u007E]/gv, '?').slice(0, 200);
+}
--- /dev/null
+++ b/src/daemon/identity.ts
@@ -0,0 +1,33 @@
+/**
+ * Who a daemon is: the names of its settings and an id that is new with every start.
+ */
+import {randomUUID} from 'node:crypto';
+import {type DaemonSettings} from '../settings/daemon-settings.ts';
+
+export type Identity = {
+	readonly server: string;
+	readonly service: string;
+	readonly dataCentre: string;
+	readonly region: string;
+	readonly address: string;
+	readonly instanceId: string;
+	readonly startedAtMs: number;
+};
+
+/**
+ * Makes the identity of this start.
+ *
+ * @example
+ * const identity = createIdentity(settings);
+ */
+export function createIdentity(settings: DaemonSettings): Identity {
+	return {
+		server: settings.daemon.server,
+		service: settings.daemon.service,
+		dataCentre: settings.daemon.data_centre,
+		region: settings.daemon.region,
+		address: settings.daemon.address,
+		instanceId: randomUUID(),
+		startedAtMs: Date.now(),
+	};
+}
--- /dev/null
+++ b/src/reporting/metrics.ts
@@ -0,0 +1,104 @@
+/**
+ * Metrics of a daemon in the Prometheus text format.
+ */
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+
+const latencyBucketsSeconds = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
+
+/** How one call of an entry ended, as the metrics count it. */
+export type CallSample = {
+	readonly service: string;
+	readonly caller: string;
+	readonly outcome: string;
+	/** A whole answer below status 500 within the latency objective. */
+	readonly good: boolean;
+	readonly latencyMs: number;
+};
+
+/** Owns the registry; one for each daemon. */
+export class Metrics {
+	/**
+	 * @example
+	 * const metrics = Metrics.create({server: 'catalogue-1', service: 'catalogue'});
+	 */
+	static create(labels: Readonly<Record<string, string>>): Metrics {
+		const registry = new Registry();
+		registry.setDefaultLabels(labels);
+		return new Metrics(registry);
+	}
+
+	readonly registry: Registry;
+	readonly #calls: Counter<'service' | 'caller' | 'outcome'>;
+	readonly #goodCalls: Counter<'service' | 'caller'>;
+	readonly #latency: Histogram<'service'>;
+	readonly #sheds: Counter<'call' | 'reason'>;
+	readonly #retries: Counter<'service'>;
+	readonly #gauge: Gauge<'name'>;
+
+	private constructor(registry: Registry) {
+		const registers = [registry];
+		this.registry = registry;
+		this.#calls = new Counter({
+			name: 'primrosevalve_calls_total',
+			help: 'Calls that ended at this entry',
+			labelNames: ['service', 'caller', 'outcome'],
+			registers,
+		});
+		this.#goodCalls = new Counter({
+			name: 'primrosevalve_good_calls_total',
+			help: 'Calls with a whole answer within the latency objective',
+			labelNames: ['service', 'caller'],
+			registers,
+		});
+		this.#latency = new Histogram({
+			name: 'primrosevalve_call_seconds',
+			help: 'Time from a call to the last byte of its answer',
+			labelNames: ['service'],
+			buckets: latencyBucketsSeconds,
+			registers,
+		});
+		this.#sheds = new Counter({
+			name: 'primrosevalve_shed_total',
+			help: 'Calls that this guard refused or could not answer',
+			labelNames: ['call', 'reason'],
+			registers,
+		});
+		this.#retries = new Counter({
+			name: 'primrosevalve_retries_total',
+			help: 'Retries and hedges that this entry sent',
+			labelNames: ['service'],
+			registers,
+		});
+		this.#gauge = new Gauge({
+			name: 'primrosevalve_state',
+			help: 'Named facts: policy version, members, slots, limits',
+			labelNames: ['name'],
+			registers,
+		});
+	}
+
+	countCall(sample: CallSample): void {
+		this.#calls.inc({service: sample.service, caller: sample.caller, outcome: sample.outcome});
+		this.#latency.observe({service: sample.service}, sample.latencyMs / 1000);
+		if (sample.good) {
+			this.#goodCalls.inc({service: sample.service, caller: sample.caller});
+		}
+	}
+
+	countShed(call: string, reason: string): void {
+		this.#sheds.inc({call, reason});
+	}
+
+	countRetry(service: string): void {
+		this.#retries.inc({service});
+	}
+
+	setState(name: string, value: number): void {
+		this.#gauge.set({name}, value);
+	}
+
+	/** Renders every metric as text. */
+	async renderText(): Promise<string> {
+		return this.registry.metrics();
+	}
+}
