--- /dev/null
+++ b/src/retry/decisions.test.ts
@@ -0,0 +1,109 @@
+import test from 'ava';
+import fc from 'fast-check';
+import {notRunReasons, type Outcome} from '../call/types.ts';
+import {chooseHedge, type HedgeQuestion} from './hedge-decision.ts';
+import {chooseRetry, computeBackoffMs, type RetryQuestion} from './retry-decision.ts';
+
+const question: RetryQuestion = {
+	outcome: {kind: 'notRun', reason: 'connect'},
+	idempotent: false,
+	attempts: 1,
+	deadlineLeftMs: 1000,
+	available: 3,
+	untriedServers: 2,
+	isOverloaded: false,
+	expectedMs: 20,
+};
+const half = () => 0.5;
+
+test('a proved notRun goes elsewhere at once, also when not idempotent', t => {
+	t.deepEqual(chooseRetry(question, half), {kind: 'elsewhere', delayMs: 0});
+});
+
+test('a call that may have run is sent again only when idempotent', t => {
+	const unknown: Outcome = {kind: 'unknown', reason: 'reset'};
+	t.deepEqual(chooseRetry({...question, outcome: unknown}, half), {
+		kind: 'stop',
+		reason: 'may-have-run',
+	});
+	t.is(chooseRetry({...question, outcome: unknown, idempotent: true}, half).kind, 'elsewhere');
+});
+
+test('overload is not retried once every server refused or most refuse', t => {
+	const outcome: Outcome = {kind: 'notRun', reason: 'overload'};
+	t.deepEqual(chooseRetry({...question, outcome, untriedServers: 0}, half), {
+		kind: 'stop',
+		reason: 'no-server',
+	});
+	t.deepEqual(chooseRetry({...question, outcome, isOverloaded: true}, half), {
+		kind: 'stop',
+		reason: 'overloaded',
+	});
+});
+
+test('a backoff that does not fit the deadline ends the call', t => {
+	const late = {...question, attempts: 3, deadlineLeftMs: 30};
+	t.deepEqual(chooseRetry(late, half), {kind: 'stop', reason: 'deadline'});
+});
+
+test('a backoff is capped', t => {
+	t.true(computeBackoffMs(50, () => 0.999) <= 250);
+});
+
+const outcomeArbitrary: fc.Arbitrary<Outcome> = fc.oneof(
+	fc.integer({min: 200, max: 599}).map(status => ({kind: 'answered' as const, status})),
+	fc
+		.constantFrom(...Object.values(notRunReasons))
+		.map(reason => ({kind: 'notRun' as const, reason})),
+	fc.constantFrom('unknown' as const, 'failed' as const).map(kind => ({kind, reason: 'x'})),
+);
+
+test('no decision spends what is not there, outlives the deadline or risks a second run', t => {
+	t.notThrows(() => {
+		fc.assert(
+			fc.property(
+				outcomeArbitrary,
+				fc.boolean(),
+				fc.record({
+					attempts: fc.integer({min: 1, max: 20}),
+					deadlineLeftMs: fc.integer({min: -10, max: 500}),
+					available: fc.integer({min: 0, max: 3}),
+					untriedServers: fc.integer({min: 0, max: 3}),
+					isOverloaded: fc.boolean(),
+					expectedMs: fc.integer({min: 0, max: 100}),
+				}),
+				fc.double({min: 0, max: 1, maxExcluded: true, noNaN: true}),
+				(outcome, idempotent, rest, drawn) => {
+					const decision = chooseRetry({outcome, idempotent, ...rest}, () => drawn);
+					if (decision.kind === 'stop') {
+						return true;
+					}
+
+					const isSafe = idempotent || outcome.kind === 'notRun';
+					const isAffordable = rest.available > 0 && !rest.isOverloaded;
+					return isSafe && isAffordable && decision.delayMs + rest.expectedMs < rest.deadlineLeftMs;
+				},
+			),
+			{seed: 43, numRuns: 2000},
+		);
+	});
+});
+
+const hedge: HedgeQuestion = {
+	isWanted: true,
+	idempotent: true,
+	available: 1,
+	deadlineLeftMs: 500,
+	isOverloaded: false,
+	lateAfterMs: 40,
+};
+
+test('a hedge is sent late, and only where it is safe, paid for and useful', t => {
+	t.deepEqual(chooseHedge(hedge), {kind: 'hedge', delayMs: 40});
+	t.is(chooseHedge({...hedge, idempotent: false}).kind, 'none');
+	t.is(chooseHedge({...hedge, isWanted: false}).kind, 'none');
+	t.is(chooseHedge({...hedge, available: 0}).kind, 'none');
+	t.is(chooseHedge({...hedge, isOverloaded: true}).kind, 'none');
+	t.is(chooseHedge({...hedge, lateAfterMs: undefined}).kind, 'none');
+	t.is(chooseHedge({...hedge, deadlineLeftMs: 40}).kind, 'none');
+});
