--- /dev/null
+++ b/src/daemon/entry/classify-call.ts
@@ -0,0 +1,194 @@
+/**
+ * Turns a request into a call: service, rule, importance, deadline and retry allowance.
+ */
+import {randomUUID} from 'node:crypto';
+import {type IncomingMessage} from 'node:http';
+import {err, ok, type Result} from 'neverthrow';
+import {
+	importance,
+	type CallContext,
+	type Importance,
+	type ImportanceName,
+	type NotRunReason,
+} from '../../call/types.ts';
+import {type PolicyMatcher} from '../../policy/match.ts';
+import {type CallRule} from '../../policy/schema.ts';
+import {readMonotonicMs} from '../clock.ts';
+import {type CallOrigin} from './call-origin.ts';
+
+/** A call before its first attempt. */
+export type ClassifiedCall = {
+	/** Context of the call; each attempt gets its own attempt id, deadline and loan. */
+	readonly context: CallContext;
+	readonly rule: CallRule;
+	/** Path that the backend server sees. */
+	readonly path: string;
+	readonly deadlineAtMs: number;
+};
+
+/** A call that policy does not let through. */
+export type CallRefusal = {
+	readonly status: number;
+	readonly title: string;
+	readonly detail: string;
+	readonly reason: NotRunReason;
+};
+
+export type ClassifyInput = {
+	readonly matcher: PolicyMatcher;
+	readonly policyVersion: number;
+	readonly origin: CallOrigin;
+};
+
+type Target = {readonly service: string; readonly path: string};
+
+/**
+ * Classifies a request by the policy in force.
+ *
+ * @returns the call, or a refusal with its status and reason
+ * @example
+ * const call = classifyCall(request, {matcher, policyVersion: 3, origin});
+ */
+export function classifyCall(
+	request: IncomingMessage,
+	input: ClassifyInput,
+): Result<ClassifiedCall, CallRefusal> {
+	const target = parseTarget(request.url ?? '/');
+	if (target === undefined) {
+		return err(
+			createRefusal(400, `path "${request.url}" has no service; use /SERVICE/PATH`, 'bad-request'),
+		);
+	}
+
+	const {matcher, origin} = input;
+	if (!matcher.hasService(target.service)) {
+		return err(createRefusal(404, `service "${target.service}" is not known`, 'unknown-call'));
+	}
+
+	const forbidden = findForbidden(matcher, origin, target.service);
+	if (forbidden !== undefined) {
+		return err(forbidden);
+	}
+
+	const rule = matcher.findCallRule(target.service, request.method ?? 'GET', target.path);
+	return ok(createCall(input, target, rule, request.method ?? 'GET'));
+}
+
+function createRefusal(status: number, detail: string, reason: NotRunReason): CallRefusal {
+	return {status, title: titles.get(status) ?? 'Refused', detail, reason};
+}
+
+const titles: ReadonlyMap<number, string> = new Map([
+	[400, 'Bad Request'],
+	[401, 'Unauthorized'],
+	[403, 'Forbidden'],
+	[404, 'Not Found'],
+]);
+
+/** Splits `/SERVICE/PATH`. */
+function parseTarget(url: string): Target | undefined {
+	const match = /^\/([a-z\d][a-z\d\-]{0,62})(\/.*)?$/v.exec(url);
+	if (match?.[1] === undefined) {
+		return undefined;
+	}
+
+	return {service: match[1], path: match[2] ?? '/'};
+}
+
+/** Finds the rule of the policy that forbids the origin to call the service. */
+function findForbidden(
+	matcher: PolicyMatcher,
+	origin: CallOrigin,
+	service: string,
+): CallRefusal | undefined {
+	if (origin.kind !== 'caller') {
+		return undefined;
+	}
+
+	if (origin.policy === undefined) {
+		return matcher.policy.anonymous.allowed
+			? undefined
+			: createRefusal(401, 'a bearer token is needed', 'bad-request');
+	}
+
+	const {services, name} = origin.policy;
+	if (services.length > 0 && !services.includes(service)) {
+		return createRefusal(403, `caller "${name}" may not call service "${service}"`, 'bad-request');
+	}
+
+	return undefined;
+}
+
+function createCall(
+	input: ClassifyInput,
+	target: Target,
+	rule: CallRule,
+	method: string,
+): ClassifiedCall {
+	const {origin} = input;
+	const nowMs = readMonotonicMs();
+	const parent = origin.kind === 'server' ? origin.parent : undefined;
+	const deadlineAtMs = Math.min(
+		nowMs + rule.deadlineMs,
+		parent?.deadlineAtMs ?? Number.POSITIVE_INFINITY,
+	);
+	return {
+		rule,
+		path: target.path,
+		deadlineAtMs,
+		context: {
+			requestId: parent?.context.requestId ?? randomUUID(),
+			attemptId: '',
+			service: target.service,
+			callName: rule.name,
+			caller: findCallerName(origin),
+			importance: computeImportance(input, rule),
+			deadlineMs: deadlineAtMs - nowMs,
+			retryAllowance: parent?.allowance.available ?? input.matcher.policy.retries.perRequest,
+			sizeClass: rule.sizeClass === 'long' ? 'long' : 'short',
+			idempotent: !rule.once && (rule.idempotent || isSafeMethod(method)),
+			policyVersion: input.policyVersion,
+		},
+	};
+}
+
+function findCallerName(origin: CallOrigin): string {
+	switch (origin.kind) {
+		case 'caller': {
+			return origin.policy?.name ?? 'anonymous';
+		}
+
+		case 'server': {
+			return origin.parent.context.caller;
+		}
+
+		case 'serverOwn': {
+			return `service:${origin.service}`;
+		}
+	}
+}
+
+/** Importance is set at the origin and only kept or lowered further down. */
+function computeImportance(input: ClassifyInput, rule: CallRule): Importance {
+	const wanted = importance[rule.importance];
+	switch (input.origin.kind) {
+		case 'caller': {
+			const ceiling: ImportanceName =
+				input.origin.policy?.maxImportance ?? input.matcher.policy.anonymous.maxImportance;
+			return Math.min(wanted, importance[ceiling]) as Importance;
+		}
+
+		case 'server': {
+			return input.origin.parent.context.importance;
+		}
+
+		case 'serverOwn': {
+			return Math.min(wanted, importance.low) as Importance;
+		}
+	}
+}
+
+/** Methods that HTTP defines as safe to repeat. */
+function isSafeMethod(method: string): boolean {
+	return method === 'GET' || method === 'HEAD' || method === 'OPTIONS';
+}
--- /dev/null
+++ b/src/daemon/entry/entry-task.ts
@@ -0,0 +1,274 @@
+/**
+ * The entry: takes calls of callers and of the local backend server and sends them to guards.
+ */
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {headerNames} from '../../call/headers.ts';
+import {type Outcome} from '../../call/types.ts';
+import {PolicyMatcher} from '../../policy/match.ts';
+import {type PolicyVersion} from '../../policy/types.ts';
+import {type Logger} from '../../reporting/logger.ts';
+import {type Metrics} from '../../reporting/metrics.ts';
+import {type RouteChoice, type Router} from '../../routing/types.ts';
+import {readMonotonicMs} from '../clock.ts';
+import {type RunningCalls} from '../guard/running-calls.ts';
+import {Listener, type ListenerOptions} from '../http/listener.ts';
+import {answerProblem} from '../http/problem.ts';
+import {readRequestBody} from '../http/request-body.ts';
+import {type Identity} from '../identity.ts';
+import {type Task, type TaskMessage} from '../messages.ts';
+import {type CallOrigin} from './call-origin.ts';
+import {classifyCall, type CallRefusal, type ClassifiedCall} from './classify-call.ts';
+import {EntryCall} from './entry-call.ts';
+import {PeerPools} from './peer-pools.ts';
+
+export type EntryOptions = {
+	readonly identity: Identity;
+	readonly peerKey: string;
+	readonly logger: Logger;
+	readonly metrics: Metrics;
+	readonly router: Router;
+	/** Calls that run on the local backend server; their tokens name the parents of child calls. */
+	readonly running: RunningCalls;
+};
+
+const pruneIntervalMs = 10_000;
+
+/** Owns the caller and the local listener, the router and the connections to peers. */
+export class EntryTask implements Task {
+	/**
+	 * @example
+	 * const entry = EntryTask.create(options, policy);
+	 */
+	static create(options: EntryOptions, policy: PolicyVersion): EntryTask {
+		return new EntryTask(options, policy);
+	}
+
+	readonly router: Router;
+	readonly pools = PeerPools.create();
+	readonly metrics: Metrics;
+	readonly peerKey: string;
+	readonly #options: EntryOptions;
+	#matcher: PolicyMatcher;
+	#policyVersion: number;
+	#callerListener: Listener | undefined;
+	#localListener: Listener | undefined;
+	#inFlight = 0;
+	#isRefusing = false;
+
+	private constructor(options: EntryOptions, policy: PolicyVersion) {
+		this.#options = options;
+		this.router = options.router;
+		this.metrics = options.metrics;
+		this.peerKey = options.peerKey;
+		this.#matcher = PolicyMatcher.create(policy.document);
+		this.#policyVersion = policy.version;
+		this.router.applyPolicy(policy.document);
+		setInterval(() => {
+			this.pools.prune(readMonotonicMs());
+		}, pruneIntervalMs).unref();
+	}
+
+	/** Calls that have not ended. */
+	get inFlight(): number {
+		return this.#inFlight;
+	}
+
+	get callerPort(): number {
+		return this.#callerListener?.port ?? 0;
+	}
+
+	get localPort(): number {
+		return this.#localListener?.port ?? 0;
+	}
+
+	/** Opens the caller port and the local port. */
+	async open(caller: ListenerOptions, local: ListenerOptions): Promise<void> {
+		this.#callerListener = await Listener.open(caller, (request, response) => {
+			void this.#handleRequest(request, response, this.#findCaller(request));
+		});
+		this.#localListener = await Listener.open(local, (request, response) => {
+			this.#handleLocal(request, response);
+		});
+	}
+
+	/** Closes the caller port once its last call has ended. */
+	async closeCallers(): Promise<void> {
+		await this.#callerListener?.close();
+	}
+
+	/** Closes the local port and the connections to peers. */
+	async close(): Promise<void> {
+		await this.#localListener?.close();
+		await this.pools.close();
+	}
+
+	receive(message: TaskMessage): void {
+		switch (message.kind) {
+			case 'members': {
+				this.router.setMembers(message.members, readMonotonicMs());
+				break;
+			}
+
+			case 'policy': {
+				this.#matcher = PolicyMatcher.create(message.policy.document);
+				this.#policyVersion = message.policy.version;
+				this.router.applyPolicy(message.policy.document);
+				break;
+			}
+
+			case 'refuse': {
+				this.#isRefusing = true;
+				break;
+			}
+
+			case 'leave': {
+				break;
+			}
+		}
+	}
+
+	/** Chooses a server that this call has not tried. */
+	chooseServer(call: ClassifiedCall, excluded: ReadonlySet<string>): RouteChoice {
+		return this.router.choose(
+			{
+				service: call.context.service,
+				importance: call.context.importance,
+				needs: call.rule.needs,
+				expectedBytes: 0,
+				excluded,
+			},
+			readMonotonicMs(),
+		);
+	}
+
+	#findCaller(request: IncomingMessage): CallOrigin | 'badToken' {
+		const {authorization} = request.headers;
+		if (authorization === undefined) {
+			return {kind: 'caller', policy: undefined};
+		}
+
+		const token = /^Bearer (\S{1,512})$/v.exec(authorization)?.[1];
+		const policy = token === undefined ? undefined : this.#matcher.findCallerByToken(token);
+		return policy === undefined ? 'badToken' : {kind: 'caller', policy};
+	}
+
+	/** A child call needs the token of a call that still runs; without one it is the server's own. */
+	#handleLocal(request: IncomingMessage, response: ServerResponse): void {
+		const token = request.headers[headerNames.context];
+		if (typeof token !== 'string') {
+			const origin = {kind: 'serverOwn', service: this.#options.identity.service} as const;
+			void this.#handleRequest(request, response, origin);
+			return;
+		}
+
+		const parent = this.#options.running.find(token);
+		if (parent === undefined) {
+			this.#refuse(response, {
+				status: 409,
+				title: 'Conflict',
+				detail: 'the call that this context names has ended',
+				reason: 'parent-ended',
+			});
+			return;
+		}
+
+		void this.#handleRequest(request, response, {kind: 'server', parent});
+	}
+
+	async #handleRequest(
+		request: IncomingMessage,
+		response: ServerResponse,
+		origin: CallOrigin | 'badToken',
+	): Promise<void> {
+		const startedAtMs = readMonotonicMs();
+		if (origin === 'badToken') {
+			this.#refuse(response, {
+				status: 401,
+				title: 'Unauthorized',
+				detail: 'the bearer token is not known',
+				reason: 'bad-request',
+			});
+			return;
+		}
+
+		if (this.#isRefusing && origin.kind === 'caller') {
+			response.setHeader('connection', 'close');
+			this.#refuse(response, {
+				status: 503,
+				title: 'Service Unavailable',
+				detail: 'this entry is leaving',
+				reason: 'draining',
+			});
+			return;
+		}
+
+		const call = classifyCall(request, {
+			matcher: this.#matcher,
+			policyVersion: this.#policyVersion,
+			origin,
+		});
+		if (call.isErr()) {
+			this.#refuse(response, call.error);
+			return;
+		}
+
+		this.#inFlight++;
+		try {
+			const outcome = await this.#runCall(call.value, origin, request, response);
+			this.#countCall(call.value, outcome, readMonotonicMs() - startedAtMs);
+		} finally {
+			this.#inFlight--;
+		}
+	}
+
+	async #runCall(
+		call: ClassifiedCall,
+		origin: CallOrigin,
+		request: IncomingMessage,
+		response: ServerResponse,
+	): Promise<Outcome> {
+		const body = await readRequestBody(request, call.rule.maxBodyBytes);
+		if (body.isErr()) {
+			response.setHeader('connection', 'close');
+			this.#refuse(response, {
+				status: body.error.kind === 'tooLarge' ? 413 : 400,
+				title: body.error.kind === 'tooLarge' ? 'Content Too Large' : 'Bad Request',
+				detail: body.error.message,
+				reason: 'bad-request',
+			});
+			return {kind: 'notRun', reason: 'bad-request'};
+		}
+
+		return EntryCall.create(this, {call, origin, body: body.value, request, response}).run();
+	}
+
+	#countCall(call: ClassifiedCall, outcome: Outcome, latencyMs: number): void {
+		const {service, caller} = call.context;
+		const isGood = outcome.kind === 'answered' && outcome.status < 500;
+		this.metrics.countCall({service, caller, outcome: outcome.kind, good: isGood, latencyMs});
+		if (isGood) {
+			return;
+		}
+
+		this.#options.logger.debug(
+			{
+				requestId: call.context.requestId,
+				service,
+				call: call.context.callName,
+				outcome: outcome.kind,
+				reason: 'reason' in outcome ? outcome.reason : String(outcome.status),
+				version: call.context.policyVersion,
+			},
+			'call ended without a whole answer',
+		);
+	}
+
+	#refuse(response: ServerResponse, refusal: CallRefusal): void {
+		answerProblem(response, {
+			status: refusal.status,
+			title: refusal.title,
+			detail: refusal.detail,
+			outcome: {kind: 'notRun', reason: refusal.reason},
+		});
+	}
+}
--- a/src/daemon/guard/guard-task.ts
+++ b/src/daemon/guard/guard-task.ts
@@ -138,6 +138,15 @@
 		};
 	}
 
+	/** Encodes the headers that every answer of the guard carries. */
+	encodeAnswerHeaders(context: CallContext, allowanceLeft: number) {
+		return {
+			...encodeReport(this.readReport()),
+			[headerNames.attempt]: context.attemptId,
+			[headerNames.allowanceLeft]: String(allowanceLeft),
+		};
+	}
+
 	/** Ends the cold state, unless the daemon is already draining. */
 	#endColdStart(): void {
 		if (this.#state === 'cold') {
@@ -215,15 +224,6 @@
 		}
 	}
 
-	/** Encodes the headers that every answer of the guard carries. */
-	encodeAnswerHeaders(context: CallContext, allowanceLeft: number) {
-		return {
-			...encodeReport(this.readReport()),
-			[headerNames.attempt]: context.attemptId,
-			[headerNames.allowanceLeft]: String(allowanceLeft),
-		};
-	}
-
 	#findServicePolicy(): ServicePolicy {
 		const found = this.#policy.services.find(service => service.name === this.#identity.service);
 		return found ?? createDefaultServicePolicy(this.#identity.service);
--- a/src/daemon/guard/guarded-call.ts
+++ b/src/daemon/guard/guarded-call.ts
@@ -5,7 +5,7 @@
 import {type SlotResult} from '../../admission/types.ts';
 import {headerNames} from '../../call/headers.ts';
 import {type CallContext, type NotRunReason, type Outcome} from '../../call/types.ts';
-import {Allowance} from '../../retry/allowance.ts';
+import {CallAllowance} from '../../retry/allowance.ts';
 import {type RetryAllowance} from '../../retry/types.ts';
 import {readMonotonicMs} from '../clock.ts';
 import {Exchange, type ExchangeHead} from '../http/exchange.ts';
@@ -55,7 +55,7 @@
 		this.#context = context;
 		this.#request = request;
 		this.#response = response;
-		this.#allowance = Allowance.create(context.retryAllowance);
+		this.#allowance = CallAllowance.create(context.retryAllowance);
 		this.#deadlineAtMs = readMonotonicMs() + context.deadlineMs;
 	}
 
--- a/src/daemon/http/exchange.ts
+++ b/src/daemon/http/exchange.ts
@@ -71,8 +71,7 @@
 
 	/** Resolves with the head, or with how the exchange ended before it. */
 	readonly head: Promise<HeadResult>;
-	readonly #settle: (result: HeadResult) => void = () => {
-};
+	readonly #settle: (result: HeadResult) => void;
 
 	#controller: Dispatcher.DispatchController | undefined;
 	#sink: BodySink | undefined;
