--- /dev/null
+++ b/src/platform/settings.ts
@@ -0,0 +1,17 @@
+/**
+ * Settings of the platform adapters.
+ */
+
+export type PlatformSettings = {
+	/** Base URL of the table service, which speaks the DynamoDB JSON API. */
+	readonly tableUrl: string;
+	/** Base URL of the object store, which speaks the S3 API with path-style addresses. */
+	readonly objectsUrl: string;
+	readonly tableName: string;
+	readonly bucket: string;
+	readonly awsRegion: string;
+	readonly accessKeyId: string;
+	readonly secretAccessKey: string;
+	/** Milliseconds for one attempt, from connecting to the last byte of the answer. */
+	readonly timeoutMs: number;
+};
--- a/xo.config.js
+++ b/xo.config.js
@@ -9,6 +9,8 @@
 			// Customary short names (ctx, req, args, env) are welcome here.
 			'unicorn/prevent-abbreviations': 'off',
 			'unicorn/name-replacements': 'off',
+			// The formatter decides the layout of empty constructor bodies.
+			'@stylistic/curly-newline': 'off',
 			// Each task writes its own exhaustive switch; the default branch would hide a missing case.
 			'default-case': 'off',
 			'@typescript-eslint/switch-exhaustiveness-check': [
