--- /dev/null
+++ b/src/policy/cross-field-rules.ts
@@ -0,0 +1,188 @@
+/**
+ * Rules between the fields of a policy document, which its schema can't state.
+ */
+import {type PolicyProblem} from './errors.ts';
+import {type CallRule, type Policy, type ServicePolicy} from './schema.ts';
+
+/**
+ * Lists what a document that fits the schema still gets wrong.
+ *
+ * @example
+ * const problems = listRuleProblems(policy);
+ */
+export function listRuleProblems(policy: Policy): PolicyProblem[] {
+	return [
+		...listDuplicateNames(policy.services, 'services', 'a service name stands once'),
+		...listDuplicateNames(policy.callers, 'callers', 'a caller name stands once'),
+		...listDuplicateTokens(policy),
+		...listCallProblems(policy),
+		...listCycles(policy),
+		...listUnknownReferences(policy),
+	];
+}
+
+function createProblem(path: string, value: unknown, rule: string): PolicyProblem {
+	return {path, value: JSON.stringify(value), rule};
+}
+
+function listDuplicateNames(
+	items: ReadonlyArray<{readonly name: string}>,
+	path: string,
+	rule: string,
+): PolicyProblem[] {
+	const problems: PolicyProblem[] = [];
+	const seen = new Set<string>();
+	for (const [index, {name}] of items.entries()) {
+		if (seen.has(name)) {
+			problems.push(createProblem(`${path}[${index}].name`, name, rule));
+		}
+
+		seen.add(name);
+	}
+
+	return problems;
+}
+
+function listDuplicateTokens(policy: Policy): PolicyProblem[] {
+	const problems: PolicyProblem[] = [];
+	const seen = new Set<string>();
+	for (const [index, {tokenSha256}] of policy.callers.entries()) {
+		if (seen.has(tokenSha256)) {
+			const path = `callers[${index}].tokenSha256`;
+			problems.push(createProblem(path, tokenSha256, 'two callers have different tokens'));
+		}
+
+		seen.add(tokenSha256);
+	}
+
+	return problems;
+}
+
+function listCallProblems(policy: Policy): PolicyProblem[] {
+	const problems: PolicyProblem[] = [];
+	for (const [index, service] of policy.services.entries()) {
+		const path = `services[${index}].calls`;
+		problems.push(
+			...listDuplicateNames(service.calls, path, 'a call name stands once in its service'),
+			...listShadowedCalls(service, path),
+		);
+		for (const [callIndex, call] of service.calls.entries()) {
+			problems.push(...listContradictions(call, `${path}[${callIndex}]`));
+		}
+	}
+
+	return problems;
+}
+
+function listShadowedCalls(service: ServicePolicy, path: string): PolicyProblem[] {
+	const problems: PolicyProblem[] = [];
+	const seen = new Set<string>();
+	for (const [index, {method, path: template}] of service.calls.entries()) {
+		const pattern = `${method} ${template}`;
+		if (seen.has(pattern)) {
+			const rule = 'an earlier rule has the same method and path';
+			problems.push(createProblem(`${path}[${index}].path`, pattern, rule));
+		}
+
+		seen.add(pattern);
+	}
+
+	return problems;
+}
+
+function listContradictions(call: CallRule, path: string): PolicyProblem[] {
+	const problems: PolicyProblem[] = [];
+	if (call.once && call.idempotent) {
+		problems.push(createProblem(`${path}.idempotent`, true, 'a once call is not idempotent'));
+	}
+
+	if (call.hedge && !call.idempotent) {
+		problems.push(createProblem(`${path}.hedge`, true, 'only an idempotent call is hedged'));
+	}
+
+	return problems;
+}
+
+function listUnknownReferences(policy: Policy): PolicyProblem[] {
+	const services = new Set(policy.services.map(({name}) => name));
+	const callers = new Set(['*', 'anonymous', ...policy.callers.map(({name}) => name)]);
+	const problems: PolicyProblem[] = [];
+	const addUnknownService = (name: string, path: string): void => {
+		if (!services.has(name)) {
+			problems.push(createProblem(path, name, 'no service has this name'));
+		}
+	};
+
+	for (const [index, service] of policy.services.entries()) {
+		for (const [callIndex, call] of service.calls.entries()) {
+			for (const [needIndex, name] of call.needs.entries()) {
+				addUnknownService(name, `services[${index}].calls[${callIndex}].needs[${needIndex}]`);
+			}
+		}
+	}
+
+	for (const [index, caller] of policy.callers.entries()) {
+		for (const [serviceIndex, name] of caller.services.entries()) {
+			addUnknownService(name, `callers[${index}].services[${serviceIndex}]`);
+		}
+	}
+
+	for (const [index, objective] of policy.objectives.entries()) {
+		addUnknownService(objective.service, `objectives[${index}].service`);
+		if (!callers.has(objective.caller)) {
+			const path = `objectives[${index}].caller`;
+			problems.push(createProblem(path, objective.caller, 'no caller has this name'));
+		}
+	}
+
+	return problems;
+}
+
+/** Lists services that need themselves, directly or through others. */
+function listCycles(policy: Policy): PolicyProblem[] {
+	const needs = new Map<string, Set<string>>();
+	for (const service of policy.services) {
+		needs.set(service.name, new Set(service.calls.flatMap(call => call.needs)));
+	}
+
+	const problems: PolicyProblem[] = [];
+	for (const [index, service] of policy.services.entries()) {
+		const cycle = findCycle(service.name, needs);
+		if (cycle) {
+			problems.push(
+				createProblem(
+					`services[${index}].calls`,
+					cycle.join(' > '),
+					'services need one another in a cycle',
+				),
+			);
+			// One cycle names all of its services; another one is reported after this is mended.
+			break;
+		}
+	}
+
+	return problems;
+}
+
+function findCycle(
+	start: string,
+	needs: ReadonlyMap<string, ReadonlySet<string>>,
+): string[] | undefined {
+	const seen = new Set<string>();
+	const waiting: Array<readonly string[]> = [[start]];
+	for (const path of waiting) {
+		const last = path.at(-1) ?? start;
+		for (const next of needs.get(last) ?? []) {
+			if (next === start) {
+				return [...path, start];
+			}
+
+			if (!seen.has(next)) {
+				seen.add(next);
+				waiting.push([...path, next]);
+			}
+		}
+	}
+
+	return undefined;
+}
--- a/src/policy/types.ts
+++ b/src/policy/types.ts
@@ -18,3 +18,17 @@
 	readonly appliedAtMs: number;
 	readonly document: Policy;
 };
+
+/** The version in force; version 0 with an empty digest before the first apply. */
+export type PolicyHead = {readonly version: number; readonly digest: string};
+
+/** A change that an operator asks for. */
+export type ApplyRequest = {
+	/** A document that passed validation. */
+	readonly document: Policy;
+	/** Version that the operator started from; 0 before the first apply. */
+	readonly baseVersion: number;
+	/** Names the change; the same id sent twice is applied once. */
+	readonly changeId: string;
+	readonly author: string;
+};
