Compute and render the service-level burn report

Objectives come from the policy document; burn rates from the counters that daemons keep, in the window pairs of the SRE workbook (5m/1h, 30m/6h, 6h/3d) with thresholds scaled to the objective's window.

Weighed: parsing the Prometheus text of each daemon against reading the counters as JSON; the store takes typed samples either way, so no text parser of our own is needed.

--- /dev/null
+++ b/src/reporting/burn/format-text.ts
@@ -0,0 +1,129 @@
+/**
+ * Formats a burn report as text for a terminal.
+ */
+import {
+	type BudgetReport,
+	type BurnReport,
+	type ObjectiveReport,
+	type PairReport,
+	type PairState,
+	type WindowBurn,
+} from './types.ts';
+
+const minuteMs = 60_000;
+const hourMs = 60 * minuteMs;
+const dayMs = 24 * hourMs;
+
+/**
+ * Formats a share as a percentage.
+ *
+ * @example
+ * formatShare(0.125); // '12.5 %'
+ */
+export function formatShare(share: number): string {
+	return `${(share * 100).toFixed(1)} %`;
+}
+
+/**
+ * Formats the length of a window in its largest whole unit.
+ *
+ * @example
+ * formatWindow(300_000); // '5m'
+ */
+export function formatWindow(windowMs: number): string {
+	if (windowMs % dayMs === 0) {
+		return `${windowMs / dayMs}d`;
+	}
+
+	return windowMs % hourMs === 0 ? `${windowMs / hourMs}h` : `${windowMs / minuteMs}m`;
+}
+
+/**
+ * Formats the burn of one window; a gap and a window without calls are said so.
+ *
+ * @example
+ * formatBurn(pair.long); // '1h 2.50x'
+ */
+export function formatBurn(burn: WindowBurn): string {
+	const name = formatWindow(burn.windowMs);
+	return burn.burnRate === undefined
+		? `${name} ${burn.counts.kind === 'gap' ? 'no data' : 'no calls'}`
+		: `${name} ${burn.burnRate.toFixed(2)}x`;
+}
+
+/**
+ * Formats the error budget that is left.
+ *
+ * @example
+ * formatBudget(objective.budget); // '87.0 % left (13 of 100000 failed, 99.0 % of the time covered)'
+ */
+export function formatBudget(budget: BudgetReport): string {
+	switch (budget.kind) {
+		case 'gap': {
+			return 'no data';
+		}
+
+		case 'measured': {
+			const failed = `${Math.round(budget.failed)} of ${Math.round(budget.total)} failed`;
+			const covered = `${formatShare(budget.coveredShare)} of the time covered`;
+			return `${formatShare(budget.leftShare)} left (${failed}, ${covered})`;
+		}
+	}
+}
+
+/**
+ * Formats the state of a pair of windows.
+ *
+ * @example
+ * formatPairState({kind: 'gap'}, 'page'); // 'no data'
+ */
+export function formatPairState(state: PairState, severity: string): string {
+	switch (state.kind) {
+		case 'firing': {
+			return `FIRING (${severity})`;
+		}
+
+		case 'quiet': {
+			return 'ok';
+		}
+
+		case 'gap': {
+			return 'no data';
+		}
+
+		case 'unsuited': {
+			return 'window too long for this objective';
+		}
+	}
+}
+
+function formatPair(pair: PairReport): string {
+	const windows = `${formatBurn(pair.short)}, ${formatBurn(pair.long)}`;
+	const state = formatPairState(pair.state, pair.severity);
+	return `  ${pair.name.padEnd(6)} ${windows.padEnd(28)} over ${pair.threshold.toFixed(1)}x  ${state}`;
+}
+
+function formatObjective(objective: ObjectiveReport): string {
+	const target = `${(objective.target * 100).toFixed(3)} % in ${objective.windowDays} days`;
+	const lines = [
+		`${objective.service}, caller ${objective.caller}: ${target}`,
+		`  budget ${formatBudget(objective.budget)}`,
+		...objective.pairs.map(pair => formatPair(pair)),
+	];
+	return lines.join('\n');
+}
+
+/**
+ * Formats a burn report as text.
+ *
+ * @example
+ * process.stdout.write(formatBurnText(report));
+ */
+export function formatBurnText(report: BurnReport): string {
+	const head = `Service-level burn at ${new Date(report.atMs).toISOString()}, policy version ${report.policyVersion}`;
+	if (report.objectives.length === 0) {
+		return `${head}\n\nThe policy has no objectives; add some under "objectives" and apply it.\n`;
+	}
+
+	return `${head}\n\n${report.objectives.map(objective => formatObjective(objective)).join('\n\n')}\n`;
+}
--- /dev/null
+++ b/src/reporting/burn/render-page.ts
@@ -0,0 +1,76 @@
+/**
+ * Renders a burn report as one HTML page that loads nothing else.
+ */
+import {convertToHtml} from '../../html/escape.ts';
+import {formatBudget, formatBurn, formatPairState} from './format-text.ts';
+import {renderBurnPlot} from './plot.ts';
+import {type BurnReport, type ObjectiveReport, type PairReport} from './types.ts';
+
+const pageStyle = `
+body { font: 16px/1.5 system-ui, sans-serif; color: #1b1b1b; background: #fff; max-width: 60rem; margin: 2rem auto; padding: 0 1rem; }
+table { border-collapse: collapse; margin: 0.5rem 0 1rem; }
+th, td { border: 1px solid #c8c8c8; padding: 0.3rem 0.7rem; text-align: left; }
+th { background: #f3f3f3; }
+.firing { background: #fbe3e4; font-weight: 600; }
+.gap { background: #ececec; }
+svg { max-width: 100%; height: auto; }
+`;
+
+function renderPair(pair: PairReport): string {
+	const cells = [
+		pair.name,
+		formatBurn(pair.short),
+		formatBurn(pair.long),
+		`${pair.threshold.toFixed(1)}x`,
+		formatPairState(pair.state, pair.severity),
+	];
+	const row = cells.map(cell => `<td>${convertToHtml(cell)}</td>`).join('');
+	return `<tr class="${pair.state.kind}">${row}</tr>`;
+}
+
+async function renderObjective(objective: ObjectiveReport): Promise<string> {
+	const title = `${objective.service}, caller ${objective.caller}`;
+	const target = `${(objective.target * 100).toFixed(3)} % good in ${objective.windowDays} days`;
+	return `<section>
+<h2>${convertToHtml(title)}</h2>
+<p>Objective: ${convertToHtml(target)}. Error budget: ${convertToHtml(formatBudget(objective.budget))}.</p>
+<table>
+<thead><tr><th scope="col">pair</th><th scope="col">short window</th><th scope="col">long window</th><th scope="col">threshold</th><th scope="col">state</th></tr></thead>
+<tbody>
+${objective.pairs.map(pair => renderPair(pair)).join('\n')}
+</tbody>
+</table>
+${await renderBurnPlot(objective)}
+</section>`;
+}
+
+/**
+ * Renders the report as a self-contained HTML page.
+ *
+ * @example
+ * await writeFile('burn.html', await renderBurnPage(report));
+ */
+export async function renderBurnPage(report: BurnReport): Promise<string> {
+	const sections: string[] = [];
+	for (const objective of report.objectives) {
+		sections.push(await renderObjective(objective));
+	}
+
+	const at = new Date(report.atMs).toISOString();
+	const empty = '<p>The policy has no objectives.</p>';
+	return `<!doctype html>
+<html lang="en">
+<head>
+<meta charset="utf-8">
+<meta name="viewport" content="width=device-width, initial-scale=1">
+<title>Service-level burn</title>
+<style>${pageStyle}</style>
+</head>
+<body>
+<h1>Service-level burn</h1>
+<p>${at}, policy version ${report.policyVersion}. A burn rate of 1 (dashed line) spends the whole budget in the objective's window.</p>
+${sections.length === 0 ? empty : sections.join('\n')}
+</body>
+</html>
+`;
+}
--- /dev/null
+++ b/src/reporting/burn/report.ts
@@ -0,0 +1,172 @@
+/**
+ * Computes the burn report: multi-window, multi-burn-rate alerts and the error budget left.
+ */
+import {type Objective} from '../../policy/schema.ts';
+import {computeIntervals} from './intervals.ts';
+import {
+	type BudgetReport,
+	type BurnReport,
+	type CounterSample,
+	type CountInterval,
+	type HourBurn,
+	type ObjectiveReport,
+	type PairReport,
+	type PairState,
+	type Severity,
+	type WindowBurn,
+} from './types.ts';
+import {computeWindowBurn, countWindow} from './window.ts';
+
+const minuteMs = 60_000;
+const hourMs = 60 * minuteMs;
+const dayMs = 24 * hourMs;
+
+/** Hours that the plot shows. */
+const plotHours = 72;
+
+type WindowPair = {
+	readonly name: string;
+	readonly severity: Severity;
+	readonly shortMs: number;
+	readonly longMs: number;
+	/** Share of the error budget that the long window spends at the threshold. */
+	readonly budgetShare: number;
+};
+
+/** Pairs as in chapter 5 of the SRE workbook. */
+const windowPairs: readonly WindowPair[] = [
+	{name: 'fast', severity: 'page', shortMs: 5 * minuteMs, longMs: hourMs, budgetShare: 0.02},
+	{
+		name: 'slow',
+		severity: 'page',
+		shortMs: 30 * minuteMs,
+		longMs: 6 * hourMs,
+		budgetShare: 0.05,
+	},
+	{name: 'trend', severity: 'ticket', shortMs: 6 * hourMs, longMs: 3 * dayMs, budgetShare: 0.1},
+];
+
+/** Judges a pair: it fires when both windows exceed the threshold. */
+function computePairState(short: WindowBurn, long: WindowBurn, threshold: number): PairState {
+	if (short.counts.kind === 'gap' || long.counts.kind === 'gap') {
+		return {kind: 'gap'};
+	}
+
+	const isFiring = (short.burnRate ?? 0) > threshold && (long.burnRate ?? 0) > threshold;
+	return {kind: isFiring ? 'firing' : 'quiet'};
+}
+
+function computePair(
+	pair: WindowPair,
+	objective: Objective,
+	intervals: readonly CountInterval[],
+	nowMs: number,
+): PairReport {
+	const objectiveMs = objective.windowDays * dayMs;
+	const threshold = (pair.budgetShare * objectiveMs) / pair.longMs;
+	const short = computeWindowBurn(
+		intervals,
+		{fromMs: nowMs - pair.shortMs, toMs: nowMs},
+		objective.target,
+	);
+	const long = computeWindowBurn(
+		intervals,
+		{fromMs: nowMs - pair.longMs, toMs: nowMs},
+		objective.target,
+	);
+	const state: PairState =
+		pair.longMs > objectiveMs ? {kind: 'unsuited'} : computePairState(short, long, threshold);
+	return {name: pair.name, severity: pair.severity, threshold, short, long, state};
+}
+
+function computeBudget(
+	objective: Objective,
+	intervals: readonly CountInterval[],
+	nowMs: number,
+): BudgetReport {
+	const window = {fromMs: nowMs - objective.windowDays * dayMs, toMs: nowMs};
+	const counts = countWindow(intervals, window);
+	switch (counts.kind) {
+		case 'gap': {
+			return {kind: 'gap'};
+		}
+
+		case 'idle': {
+			const {coveredShare} = counts;
+			return {kind: 'measured', total: 0, failed: 0, leftShare: 1, coveredShare};
+		}
+
+		case 'measured': {
+			const {total, good, coveredShare} = counts;
+			const failed = total - good;
+			const leftShare = 1 - failed / (total * (1 - objective.target));
+			return {kind: 'measured', total, failed, leftShare, coveredShare};
+		}
+	}
+}
+
+/** Computes whole hours up to the present one, the oldest first. */
+function computeHours(
+	objective: Objective,
+	intervals: readonly CountInterval[],
+	nowMs: number,
+): readonly HourBurn[] {
+	const lastHourMs = Math.floor(nowMs / hourMs) * hourMs;
+	const hours: HourBurn[] = [];
+	for (let index = plotHours - 1; index >= 0; index--) {
+		const hourStartMs = lastHourMs - index * hourMs;
+		const window = {fromMs: hourStartMs, toMs: hourStartMs + hourMs};
+		hours.push({hourStartMs, burn: computeWindowBurn(intervals, window, objective.target)});
+	}
+
+	return hours;
+}
+
+function computeObjective(
+	objective: Objective,
+	intervals: readonly CountInterval[],
+	nowMs: number,
+): ObjectiveReport {
+	const own: CountInterval[] = [];
+	for (const interval of intervals) {
+		const isOwnCaller = objective.caller === '*' || objective.caller === interval.caller;
+		if (interval.service === objective.service && isOwnCaller) {
+			own.push(interval);
+		}
+	}
+
+	return {
+		service: objective.service,
+		caller: objective.caller,
+		target: objective.target,
+		windowDays: objective.windowDays,
+		budget: computeBudget(objective, own, nowMs),
+		pairs: windowPairs.map(pair => computePair(pair, objective, own, nowMs)),
+		hours: computeHours(objective, own, nowMs),
+	};
+}
+
+export type BurnRequest = {
+	readonly objectives: readonly Objective[];
+	readonly policyVersion: number;
+	readonly samples: readonly CounterSample[];
+	/** Wall time in milliseconds at which the windows end. */
+	readonly nowMs: number;
+};
+
+/**
+ * Computes the burn of each objective. A window without readings is a gap and never counts as good.
+ *
+ * @example
+ * const report = computeBurnReport({objectives: policy.objectives, policyVersion: 4, samples, nowMs: Date.now()});
+ */
+export function computeBurnReport(request: BurnRequest): BurnReport {
+	const intervals = computeIntervals(request.samples);
+	return {
+		atMs: request.nowMs,
+		policyVersion: request.policyVersion,
+		objectives: request.objectives.map(objective =>
+			computeObjective(objective, intervals, request.nowMs),
+		),
+	};
+}
