--- /dev/null
+++ b/bench/harness/daemon-settings-file.ts
@@ -0,0 +1,53 @@
+/**
+ * Writes the settings file of one daemon of a test bed.
+ */
+import {writeFileSync} from 'node:fs';
+import path from 'node:path';
+import {stringify} from 'ini';
+import {type ServerSpec} from './types.ts';
+
+export const benchKeys = {
+	peer: 'bench-peer-key-0123456789',
+	admin: 'bench-admin-key-0123456789',
+} as const;
+
+/** Settings of the platform stand-in, as an INI section. */
+export const createPlatformSection = (platformUrl: string) => ({
+	table_url: platformUrl,
+	objects_url: platformUrl,
+	table_name: 'primrosevalve',
+	bucket: 'primrosevalve',
+	aws_region: 'local',
+	access_key_id: 'bench',
+	secret_access_key: 'bench-secret',
+});
+
+/**
+ * Writes the file and returns its path.
+ *
+ * @example
+ * const file = writeDaemonSettings(folder, server, backendPort, platformUrl);
+ */
+export function writeDaemonSettings(
+	folder: string,
+	server: ServerSpec,
+	backendPort: number,
+	platformUrl: string,
+): string {
+	const file = path.join(folder, `${server.server}.ini`);
+	const content = {
+		daemon: {
+			server: server.server,
+			service: server.service,
+			data_centre: server.dataCentre,
+			region: server.region,
+			address: '127.0.0.1',
+		},
+		listeners: {caller_port: 0, local_port: 0, peer_port: 0, admin_port: 0},
+		backend: {port: backendPort},
+		keys: benchKeys,
+		platform: createPlatformSection(platformUrl),
+	};
+	writeFileSync(file, stringify(content));
+	return file;
+}
--- /dev/null
+++ b/src/bin/primrosevalved.ts
@@ -0,0 +1,69 @@
+#!/usr/bin/env node
+/**
+ * The daemon that runs beside one backend server.
+ */
+import process from 'node:process';
+import {parseArgs} from 'node:util';
+import {Daemon} from '../daemon/daemon.ts';
+import {ListenError} from '../daemon/errors.ts';
+import {Logger} from '../reporting/logger.ts';
+import {daemonSettingsSchema} from '../settings/daemon-settings.ts';
+import {loadSettings} from '../settings/load.ts';
+
+const exitCodes = {failed: 1, usage: 2} as const;
+const usage = 'usage: primrosevalved --settings FILE.ini\n';
+
+/** Ends the process with one line on standard error. */
+function stopWithError(message: string, code: number): never {
+	process.stderr.write(`primrosevalved: ${message}\n`);
+	process.exit(code);
+}
+
+/** Reads the settings file's name from the command line. */
+function readSettingsFile(): string {
+	try {
+		const {values} = parseArgs({
+			options: {settings: {type: 'string'}, help: {type: 'boolean', short: 'h'}},
+		});
+		if (values.help) {
+			process.stdout.write(usage);
+			process.exit(0);
+		}
+
+		if (values.settings !== undefined) {
+			return values.settings;
+		}
+	} catch (error) {
+		stopWithError((error as Error).message, exitCodes.usage);
+	}
+
+	return stopWithError(`option --settings is missing; ${usage.trim()}`, exitCodes.usage);
+}
+
+const loaded = loadSettings(readSettingsFile(), daemonSettingsSchema);
+if (loaded.isErr()) {
+	stopWithError(loaded.error.message, exitCodes.usage);
+}
+
+const settings = loaded.value;
+const logger = Logger.create('primrosevalved', settings.log.level);
+const daemon = Daemon.create(settings, logger);
+daemon.onStopped(() => {
+	process.exit(0);
+});
+const stop = () => {
+	void daemon.stop();
+};
+
+process.on('SIGTERM', stop);
+process.on('SIGINT', stop);
+
+try {
+	await daemon.start();
+} catch (error) {
+	if (error instanceof ListenError) {
+		stopWithError(error.message, exitCodes.failed);
+	}
+
+	throw error;
+}
--- /dev/null
+++ b/src/daemon/admin/admin-task.ts
@@ -0,0 +1,132 @@
+/**
+ * The administration port: health, metrics and status.
+ */
+import {type ServerResponse} from 'node:http';
+import polka from 'polka';
+import {type PolicyVersion} from '../../policy/types.ts';
+import {type GuardReport} from '../../call/types.ts';
+import {type Member} from '../../membership/types.ts';
+import {type Metrics} from '../../reporting/metrics.ts';
+import {Listener, type ListenerOptions} from '../http/listener.ts';
+import {answerProblem} from '../http/problem.ts';
+import {SecretKey} from '../http/secret.ts';
+
+/** What administration may read and do. */
+export type AdminPort = {
+	readonly readPolicy: () => PolicyVersion;
+	readonly readMembers: () => readonly Member[];
+	readonly readReport: () => GuardReport;
+	readonly isReady: () => boolean;
+	/** Starts a graceful shutdown. */
+	readonly drain: () => void;
+};
+
+export type AdminOptions = {
+	readonly adminKey: string;
+	readonly metrics: Metrics;
+	readonly port: AdminPort;
+};
+
+const adminKeyHeader = 'primrosevalve-admin-key';
+
+/** Owns the administration listener. */
+export class AdminTask {
+	/**
+	 * @example
+	 * const admin = AdminTask.create(options);
+	 */
+	static create(options: AdminOptions): AdminTask {
+		return new AdminTask(options);
+	}
+
+	readonly #options: AdminOptions;
+	readonly #adminKey: SecretKey;
+	#listener: Listener | undefined;
+
+	private constructor(options: AdminOptions) {
+		this.#options = options;
+		this.#adminKey = SecretKey.create(options.adminKey);
+	}
+
+	get port(): number {
+		return this.#listener?.port ?? 0;
+	}
+
+	async open(options: ListenerOptions): Promise<void> {
+		const {metrics, port} = this.#options;
+		const app = polka({
+			onNoMatch(_request, response) {
+				answerNotFound(response);
+			},
+		});
+		app.use('/admin', (request, response, next) => {
+			if (this.#adminKey.isEqual(request.headers[adminKeyHeader])) {
+				next();
+				return;
+			}
+
+			answerUnauthorized(response);
+		});
+		app.get('/healthz', (_request, response) => {
+			answerText(response, 200, 'ok\n');
+		});
+		app.get('/readyz', (_request, response) => {
+			const isReady = port.isReady();
+			answerText(response, isReady ? 200 : 503, isReady ? 'ready\n' : 'not ready\n');
+		});
+		app.get('/metrics', async (_request, response) => {
+			response.setHeader('content-type', metrics.registry.contentType);
+			response.end(await metrics.renderText());
+		});
+		app.get('/admin/status', (_request, response) => {
+			answerJson(response, createStatus(port));
+		});
+		app.get('/admin/members', (_request, response) => {
+			answerJson(response, port.readMembers());
+		});
+		app.post('/admin/drain', (_request, response) => {
+			answerJson(response, {draining: true});
+			port.drain();
+		});
+		this.#listener = await Listener.open(options, (request, response) => {
+			app.handler(request as Parameters<typeof app.handler>[0], response);
+		});
+	}
+
+	close(): void {
+		this.#listener?.closeNow();
+	}
+}
+
+function createStatus(port: AdminPort) {
+	const {version, digest, appliedAtMs} = port.readPolicy();
+	return {policy: {version, digest, appliedAtMs}, guard: port.readReport()};
+}
+
+function answerText(response: ServerResponse, status: number, text: string): void {
+	response.writeHead(status, {'content-type': 'text/plain; charset=utf-8'});
+	response.end(text);
+}
+
+function answerJson(response: ServerResponse, value: unknown): void {
+	response.writeHead(200, {'content-type': 'application/json'});
+	response.end(JSON.stringify(value));
+}
+
+function answerUnauthorized(response: ServerResponse): void {
+	answerProblem(response, {
+		status: 401,
+		title: 'Unauthorized',
+		detail: `header "${adminKeyHeader}" is missing or wrong`,
+		outcome: {kind: 'notRun', reason: 'bad-request'},
+	});
+}
+
+function answerNotFound(response: ServerResponse): void {
+	answerProblem(response, {
+		status: 404,
+		title: 'Not Found',
+		detail: 'the administration port has no such page',
+		outcome: {kind: 'notRun', reason: 'bad-request'},
+	});
+}
--- /dev/null
+++ b/src/daemon/daemon.ts
@@ -0,0 +1,198 @@
+/**
+ * Puts the tasks of a daemon together, starts them and stops them.
+ */
+import {performance} from 'node:perf_hooks';
+import {setTimeout as wait} from 'node:timers/promises';
+import {createAdmission} from '../admission/create-admission.ts';
+import {createPlatform, type Platform} from '../platform/create-platform.ts';
+import {builtInVersion} from '../policy/built-in.ts';
+import {type Logger} from '../reporting/logger.ts';
+import {Metrics} from '../reporting/metrics.ts';
+import {ServiceRouter} from '../routing/service-router.ts';
+import {type DaemonSettings} from '../settings/daemon-settings.ts';
+import {type PlatformSection} from '../settings/platform-settings.ts';
+import {AdminTask} from './admin/admin-task.ts';
+import {TableControl} from './control/table-control.ts';
+import {EntryTask} from './entry/entry-task.ts';
+import {GuardTask} from './guard/guard-task.ts';
+import {type ListenerOptions} from './http/listener.ts';
+import {createIdentity, type Identity} from './identity.ts';
+import {type TaskMessage} from './messages.ts';
+
+/** Time in which work that was sent before the announcement spread is still taken. */
+const leaveGraceMs = 1000;
+const inFlightPollMs = 20;
+const peerKeepAliveMs = 60_000;
+const callerKeepAliveMs = 15_000;
+
+export type DaemonPorts = {
+	readonly caller: number;
+	readonly local: number;
+	readonly peer: number;
+	readonly admin: number;
+};
+
+/** One daemon beside one backend server. */
+export class Daemon {
+	/**
+	 * @example
+	 * const daemon = Daemon.create(settings, logger);
+	 * await daemon.start();
+	 */
+	static create(settings: DaemonSettings, logger: Logger): Daemon {
+		return new Daemon(settings, logger);
+	}
+
+	readonly #settings: DaemonSettings;
+	readonly #logger: Logger;
+	readonly #identity: Identity;
+	readonly #platform: Platform;
+	readonly #guard: GuardTask;
+	readonly #entry: EntryTask;
+	readonly #admin: AdminTask;
+	#control: TableControl | undefined;
+	#isReady = false;
+	#stopping: Promise<void> | undefined;
+	#onStopped: (() => void) | undefined;
+
+	private constructor(settings: DaemonSettings, logger: Logger) {
+		this.#settings = settings;
+		this.#logger = logger;
+		this.#identity = createIdentity(settings);
+		this.#platform = createPlatform(convertPlatformSettings(settings.platform));
+		const identity = this.#identity;
+		const metrics = Metrics.create({server: identity.server, data_centre: identity.dataCentre});
+		const peerKey = settings.keys.peer;
+		const clock = {readNowMs: () => performance.now()};
+		this.#guard = GuardTask.create(
+			{
+				identity,
+				backendPort: settings.backend.port,
+				peerKey,
+				logger,
+				metrics,
+				createAdmission: policy => createAdmission(policy, clock),
+			},
+			builtInVersion.document,
+		);
+		const router = ServiceRouter.create({
+			dataCentre: identity.dataCentre,
+			region: identity.region,
+			random: Math.random,
+		});
+		this.#entry = EntryTask.create(
+			{identity, peerKey, logger, metrics, router, running: this.#guard.running},
+			builtInVersion,
+		);
+		this.#admin = AdminTask.create({
+			adminKey: settings.keys.admin,
+			metrics,
+			port: {
+				readPolicy: () => this.#control?.policy ?? builtInVersion,
+				readMembers: () => this.#control?.members ?? [],
+				readReport: () => this.#guard.readReport(),
+				isReady: () => this.#isReady && this.#stopping === undefined,
+				drain: () => {
+					void this.stop();
+				},
+			},
+		});
+	}
+
+	/** Opens every port, announces the daemon and loads the policy in force. */
+	async start(): Promise<DaemonPorts> {
+		const {listeners} = this.#settings;
+		await this.#guard.open(this.#createListenerOptions('peer', listeners.peer_port));
+		await this.#entry.open(
+			this.#createListenerOptions('caller', listeners.caller_port),
+			this.#createListenerOptions('local', listeners.local_port),
+		);
+		await this.#admin.open(this.#createListenerOptions('admin', listeners.admin_port));
+		this.#control = TableControl.create({
+			identity: this.#identity,
+			peerPort: this.#guard.port,
+			table: this.#platform.table,
+			logger: this.#logger,
+			readGuardState: () => this.#guard.state,
+			send: message => {
+				this.#broadcast(message);
+			},
+		});
+		await this.#control.start();
+		this.#isReady = true;
+		const ports = this.#readPorts();
+		this.#logger.info({server: this.#identity.server, ...ports}, 'daemon is ready');
+		return ports;
+	}
+
+	/** Calls a function once the daemon has stopped. */
+	onStopped(listener: () => void): void {
+		this.#onStopped = listener;
+	}
+
+	/** Shuts down gracefully: announces, refuses new work, ends all in flight, closes. */
+	async stop(): Promise<void> {
+		this.#stopping ??= this.#runStop();
+		return this.#stopping;
+	}
+
+	async #runStop(): Promise<void> {
+		this.#logger.info({server: this.#identity.server}, 'daemon is leaving');
+		this.#broadcast({kind: 'leave'});
+		void this.#control?.leave();
+		await wait(leaveGraceMs);
+		this.#broadcast({kind: 'refuse'});
+		while (this.#guard.inFlight + this.#entry.inFlight > 0) {
+			await wait(inFlightPollMs);
+		}
+
+		this.#control?.stop();
+		await Promise.all([this.#entry.closeCallers(), this.#guard.close(), this.#entry.close()]);
+		this.#admin.close();
+		await this.#platform.close();
+		this.#logger.info({server: this.#identity.server}, 'daemon has stopped');
+		this.#onStopped?.();
+	}
+
+	#broadcast(message: TaskMessage): void {
+		this.#guard.receive(message);
+		this.#entry.receive(message);
+	}
+
+	#readPorts(): DaemonPorts {
+		return {
+			caller: this.#entry.callerPort,
+			local: this.#entry.localPort,
+			peer: this.#guard.port,
+			admin: this.#admin.port,
+		};
+	}
+
+	#createListenerOptions(listenerName: string, port: number): ListenerOptions {
+		const {limits, daemon} = this.#settings;
+		const isLocal = listenerName === 'local';
+		return {
+			listenerName,
+			address: isLocal ? '127.0.0.1' : daemon.address,
+			port,
+			headerTimeoutMs: limits.header_timeout_ms,
+			requestTimeoutMs: limits.header_timeout_ms + limits.body_timeout_ms,
+			maxHeaderBytes: limits.max_header_bytes,
+			maxConnections: limits.max_connections,
+			keepAliveMs: listenerName === 'peer' || isLocal ? peerKeepAliveMs : callerKeepAliveMs,
+		};
+	}
+}
+
+function convertPlatformSettings(section: PlatformSection) {
+	return {
+		tableUrl: section.table_url,
+		objectsUrl: section.objects_url,
+		tableName: section.table_name,
+		bucket: section.bucket,
+		awsRegion: section.aws_region,
+		accessKeyId: section.access_key_id,
+		secretAccessKey: section.secret_access_key,
+		timeoutMs: section.timeout_ms,
+	};
+}
--- a/src/daemon/entry/classify-call.ts
+++ b/src/daemon/entry/classify-call.ts
@@ -61,7 +61,7 @@
 	}
 
 	const {matcher, origin} = input;
-	if (!matcher.hasService(target.service)) {
+	if (!matcher.hasService(target.service) && input.policyVersion > 0) {
 		return err(createRefusal(404, `service "${target.service}" is not known`, 'unknown-call'));
 	}
 
--- a/src/daemon/entry/entry-call.ts
+++ b/src/daemon/entry/entry-call.ts
@@ -169,7 +169,7 @@
 		const nowMs = readMonotonicMs();
 		this.#entry.router.recordStart(member, nowMs);
 		const headers = convertToEndToEnd(request.headers);
-		delete headers['authorization'];
+		delete headers.authorization;
 		this.#attempt = Attempt.start({
 			dispatcher: this.#entry.pools.open(member, nowMs),
 			member,
--- a/src/daemon/entry/entry-task.ts
+++ b/src/daemon/entry/entry-task.ts
@@ -161,7 +161,7 @@
 			return;
 		}
 
-		const parent = this.#options.running.find(token);
+		const parent = this.#options.running.findByToken(token);
 		if (parent === undefined) {
 			this.#refuse(response, {
 				status: 409,
--- a/src/daemon/guard/running-calls.ts
+++ b/src/daemon/guard/running-calls.ts
@@ -27,8 +27,7 @@
 		readonly allowance: RetryAllowance,
 		/** Monotonic milliseconds. */
 		readonly deadlineAtMs: number,
-	) {
-}
+	) {}
 
 	/** Adds a child call that is cancelled with its parent; the returned function removes it. */
 	addChild(cancel: () => void): () => void {
@@ -72,7 +71,7 @@
 		this.#calls.set(call.token, call);
 	}
 
-	find(token: string): RunningCall | undefined {
+	findByToken(token: string): RunningCall | undefined {
 		return this.#calls.get(token);
 	}
 
--- a/src/policy/policy-store.ts
+++ b/src/policy/policy-store.ts
@@ -42,8 +42,7 @@
 	private constructor(
 		private readonly table: Table,
 		private readonly options: PolicyStoreOptions,
-	) {
-}
+	) {}
 
 	/**
 	 * Reads the number and digest of the version in force.
--- /dev/null
+++ b/stand-ins/backend/types.ts
@@ -0,0 +1,56 @@
+/**
+ * Types of the stand-in for a backend server.
+ */
+
+/** A call that a route makes through its daemon's local port while it runs. */
+export type ChildCall = {
+	readonly method: string;
+	readonly service: string;
+	readonly path: string;
+};
+
+/** How requests of one method and path are served. */
+export type Route = {
+	readonly method: string;
+	/** Path prefix. */
+	readonly path: string;
+	/** Mean time in a slot in milliseconds, besides child calls. */
+	readonly serviceMs: number;
+	/** Share of `serviceMs` by which the time varies evenly to both sides. */
+	readonly jitter?: number;
+	/** Bytes of the answer's body. */
+	readonly bytes?: number;
+	readonly calls?: readonly ChildCall[];
+};
+
+export type BackendOptions = {
+	readonly server: string;
+	readonly port: number;
+	/** Requests served at once; others wait in order of arrival. */
+	readonly slots: number;
+	readonly maxConnections: number;
+	readonly seed: number;
+	readonly routes: readonly Route[];
+};
+
+/** Faults and settings that can be changed while the stand-in runs. */
+export type BackendBehaviour = {
+	/** Local port of the daemon beside the server; 0 makes child calls fail. */
+	readonly localPort: number;
+	/** Factor on the service time. */
+	readonly slowFactor: number;
+	/** No request makes progress while true. */
+	readonly isStalled: boolean;
+	/** Share of answers that are cut in the middle of the body. */
+	readonly truncateShare: number;
+	/** Load that the load report claims; undefined tells the true one, late. */
+	readonly reportedLoad: number | undefined;
+};
+
+export const defaultBehaviour: BackendBehaviour = {
+	localPort: 0,
+	slowFactor: 1,
+	isStalled: false,
+	truncateShare: 0,
+	reportedLoad: undefined,
+};
--- a/xo.config.js
+++ b/xo.config.js
@@ -21,6 +21,8 @@
 			'@typescript-eslint/naming-convention': 'off',
 			// Decoders check a value first and then narrow it by a cast.
 			'@typescript-eslint/no-unsafe-type-assertion': 'off',
+			// Clipanion and Zod have functions with upper-case names.
+			'new-cap': ['error', {capIsNew: false}],
 			// Options and messages are typed objects, but aggregates often need time and randomness besides.
 			'max-params': ['error', {max: 5}],
 			// Waiting in turn is what retry and drain loops do.
