--- /dev/null
+++ b/src/routing/fixtures.ts
@@ -0,0 +1,80 @@
+/**
+ * Members, requests and seeded randomness for the specs of this folder.
+ */
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {importance} from '../call/types.ts';
+import {type Member} from '../membership/types.ts';
+import {policySchema, type Policy, type PolicyInput} from '../policy/schema.ts';
+import {ServiceRouter} from './service-router.ts';
+import {type RouteRequest} from './types.ts';
+
+/**
+ * Creates a seeded uniform source.
+ *
+ * @example
+ * const random = createRandom(7);
+ */
+export function createRandom(seed: number): () => number {
+	const generator = xoroshiro128plus(seed);
+	return () => uniformFloat64(generator);
+}
+
+/**
+ * Creates a member that serves `catalogue` in the own data centre.
+ *
+ * @example
+ * const member = createMember('s1', {state: 'cold'});
+ */
+export function createMember(server: string, changes: Partial<Member> = {}): Member {
+	return {
+		server,
+		service: 'catalogue',
+		dataCentre: 'est-a',
+		region: 'qc-est',
+		address: '127.0.0.1',
+		peerPort: 1,
+		instanceId: `${server}-1`,
+		startedAtMs: 0,
+		incarnation: 0,
+		state: 'serving',
+		policyVersion: 1,
+		...changes,
+	};
+}
+
+/** A plain request for `catalogue`. */
+export const request: RouteRequest = {
+	service: 'catalogue',
+	importance: importance.normal,
+	needs: [],
+	expectedBytes: 1000,
+	excluded: new Set(),
+};
+
+/**
+ * Creates a policy with the one service `catalogue`.
+ *
+ * @example
+ * const policy = createPolicy({otherRegion: true});
+ */
+export function createPolicy(
+	service: Partial<PolicyInput['services'][number]> = {},
+	changes: Partial<PolicyInput> = {},
+): Policy {
+	return policySchema.parse({services: [{name: 'catalogue', ...service}], ...changes});
+}
+
+/**
+ * Creates a router in `est-a` that knows the members.
+ *
+ * @example
+ * const router = createRouter([createMember('s1')]);
+ */
+export function createRouter(members: readonly Member[], policy = createPolicy()): ServiceRouter {
+	const random = createRandom(7);
+	const router = ServiceRouter.create({dataCentre: 'est-a', region: 'qc-est', random});
+	router.applyPolicy(policy);
+	router.setMembers(members, 0);
+	return router;
+}
