--- a/src/daemon/entry/entry-call.ts
+++ b/src/daemon/entry/entry-call.ts
@@ -201,6 +201,7 @@
 		this.#entry.router.recordResult(
 			{
 				member,
+				callName: this.#input.call.context.callName,
 				kind,
 				latencyMs: head.latencyMs,
 				bytes: readContentLength(head),
--- a/src/routing/latency-estimate.ts
+++ b/src/routing/latency-estimate.ts
@@ -1,11 +1,13 @@
 /**
  * Running estimates of one server's latency, from our own measurement.
+ *
+ * Latencies are multiples of what the kind of call usually takes.
  */
 
 /** Time in which an old estimate loses most of its distance to the peers' latency. */
-const decayMs = 3000;
+const decayMs = 2000;
 const meanWeight = 0.1;
-const riseWeight = 0.5;
+const riseWeight = 0.2;
 
 /** A peak-sensitive estimate for choosing and a plain mean for comparing with peers. */
 export class LatencyEstimate {
@@ -17,8 +19,8 @@
 		return new LatencyEstimate();
 	}
 
-	#peakMs = 0;
-	#meanMs = 0;
+	#peak = 0;
+	#mean = 0;
 	#samples = 0;
 	#updatedAtMs = 0;
 
@@ -30,42 +32,41 @@
 		return this.#samples;
 	}
 
-	/** Exponentially weighted mean in milliseconds. */
-	get meanMs(): number {
-		return this.#meanMs;
+	/** Exponentially weighted mean. */
+	get mean(): number {
+		return this.#mean;
 	}
 
 	/**
 	 * Adds one measured latency. A rise counts faster than a fall.
 	 *
 	 * @example
-	 * estimate.record(12.5, nowMs);
+	 * estimate.record(1.2, nowMs);
 	 */
-	record(latencyMs: number, nowMs: number): void {
+	record(latency: number, nowMs: number): void {
 		this.#samples += 1;
 		this.#updatedAtMs = nowMs;
 		const weight = Math.max(meanWeight, 1 / this.#samples);
-		this.#meanMs += weight * (latencyMs - this.#meanMs);
-		const peakWeight = latencyMs > this.#peakMs ? Math.max(weight, riseWeight) : weight;
-		this.#peakMs += peakWeight * (latencyMs - this.#peakMs);
+		this.#mean += weight * (latency - this.#mean);
+		const peakWeight = latency > this.#peak ? Math.max(weight, riseWeight) : weight;
+		this.#peak += peakWeight * (latency - this.#peak);
 	}
 
 	/**
 	 * Reads the peak estimate. Without new samples it returns to the peers' latency, so that a server
 	 * that was slow once is tried again.
 	 *
-	 * @param baselineMs - usual latency of the peers
-	 * @returns milliseconds
+	 * @param baseline - usual latency of the peers
 	 * @example
-	 * estimate.readPeakMs(nowMs, 8);
+	 * estimate.readPeak(nowMs, 1);
 	 */
-	readPeakMs(nowMs: number, baselineMs: number): number {
+	readPeak(nowMs: number, baseline: number): number {
 		if (this.#samples === 0) {
-			return baselineMs;
+			return baseline;
 		}
 
 		const kept = Math.exp((this.#updatedAtMs - nowMs) / decayMs);
-		return baselineMs + (this.#peakMs - baselineMs) * kept;
+		return baseline + (this.#peak - baseline) * kept;
 	}
 
 	/**
@@ -75,8 +76,8 @@
 	 * estimate.reset();
 	 */
 	reset(): void {
-		this.#peakMs = 0;
-		this.#meanMs = 0;
+		this.#peak = 0;
+		this.#mean = 0;
 		this.#samples = 0;
 		this.#updatedAtMs = 0;
 	}
--- a/src/routing/outlier-ejection.ts
+++ b/src/routing/outlier-ejection.ts
@@ -10,12 +10,18 @@
 const forgiveMs = 30_000;
 const checkEveryMs = 50;
 const minSamples = 5;
+const minSlowAnswers = 3;
+/** Least time between the sending of the first and the last slow answer; a stall is shorter. */
+const minSlowSpanMs = 300;
 const slowRatio = 3;
 /** Difference in latency below which no server counts as slow; covers other data centres. */
 const slowMarginMs = 5;
 const failingShare = 0.5;
 const peerFailingShare = 0.25;
 
+/** A measured latency beside the mean of its kind of call. */
+export type LatencySample = {readonly latencyMs: number; readonly usualMs: number};
+
 /** Outlier ejection among the servers of one service that are about as far away from us. */
 export class OutlierEjection {
 	/**
@@ -26,8 +32,8 @@
 		return new OutlierEjection();
 	}
 
-	/** Median latency of the peers in milliseconds; 0 until measured. */
-	medianMs = 0;
+	/** Median latency of the peers, as a multiple of what a call usually takes; 0 until measured. */
+	median = 0;
 	#medianFailureShare = 0;
 	#checkedAtMs = Number.NEGATIVE_INFINITY;
 	#scratch = new Float64Array(16);
@@ -36,6 +42,29 @@
 		// Built by `create` alone.
 	}
 
+	/**
+	 * Takes in how long an answer took.
+	 *
+	 * @example
+	 * ejection.recordLatency(entry, {latencyMs: 12, usualMs: 10}, nowMs);
+	 */
+	recordLatency(entry: ServerEntry, sample: LatencySample, nowMs: number): void {
+		if (!this.isSlow(sample)) {
+			entry.slowAnswers = 0;
+			return;
+		}
+
+		const sentAtMs = nowMs - sample.latencyMs;
+		if (entry.slowAnswers === 0) {
+			entry.slowSinceMs = sentAtMs;
+		}
+
+		const isSpread = sentAtMs - entry.slowSinceMs >= minSlowSpanMs;
+		if (entry.slowAnswers < minSlowAnswers - 1 || isSpread) {
+			entry.slowAnswers += 1;
+		}
+	}
+
 	/**
 	 * Compares the servers with their median and ejects the outliers, the worst of them first.
 	 *
@@ -89,23 +118,26 @@
 	/**
 	 * Ends the trial of a server that came back: in again by slow start, or out for longer.
 	 *
-	 * @param isGood - whether the first call was answered
+	 * @param isGood - whether the first call was answered in time
 	 * @example
-	 * ejection.settleTrial(entry, {latencyMs: 8, isGood: true}, nowMs);
+	 * ejection.settleTrial(entry, true, nowMs);
 	 */
-	settleTrial(
-		entry: ServerEntry,
-		first: {latencyMs: number; isGood: boolean},
-		nowMs: number,
-	): void {
-		const slowMs = this.medianMs * slowRatio + slowMarginMs;
-		if (!first.isGood || (this.medianMs > 0 && first.latencyMs > slowMs)) {
+	settleTrial(entry: ServerEntry, isGood: boolean, nowMs: number): void {
+		if (isGood) {
+			releaseEntry(entry, nowMs);
+		} else {
 			ejectEntry(entry, nowMs);
-			return;
 		}
+	}
 
-		releaseEntry(entry, nowMs);
-		entry.latency.record(first.latencyMs, nowMs);
+	/**
+	 * Tells whether a latency is far above that of the peers.
+	 *
+	 * @example
+	 * ejection.isSlow({latencyMs: 120, usualMs: 10});
+	 */
+	isSlow({latencyMs, usualMs}: LatencySample): boolean {
+		return this.median > 0 && latencyMs > this.median * slowRatio * usualMs + slowMarginMs;
 	}
 
 	#updateMedians(entries: readonly ServerEntry[]): void {
@@ -117,12 +149,12 @@
 		let count = 0;
 		for (const entry of entries) {
 			if (isMeasured(entry)) {
-				values[count] = entry.latency.meanMs;
+				values[count] = entry.latency.mean;
 				count += 1;
 			}
 		}
 
-		this.medianMs = computeMedian(values, count);
+		this.median = computeMedian(values, count);
 		count = 0;
 		for (const entry of entries) {
 			if (entry.isUsable) {
@@ -159,13 +191,7 @@
 			return Number.MAX_VALUE;
 		}
 
-		if (this.medianMs === 0) {
-			return 0;
-		}
-
-		const {meanMs} = entry.latency;
-		const isSlow = isMeasured(entry) && meanMs > this.medianMs * slowRatio + slowMarginMs;
-		return isSlow ? meanMs : 0;
+		return entry.slowAnswers >= minSlowAnswers ? entry.latency.mean : 0;
 	}
 }
 
@@ -216,6 +242,7 @@
 	entry.ejection = {kind: 'in'};
 	entry.latency.reset();
 	entry.failureShare = 0;
+	entry.slowAnswers = 0;
 	entry.slowStart.start(nowMs);
 }
 
--- a/src/routing/server-entry.ts
+++ b/src/routing/server-entry.ts
@@ -14,6 +14,14 @@
 	/** Back on trial: one call at a time until its first result. */
 	| {readonly kind: 'trial'};
 
+/** What a service's servers usually take. */
+export type UsualLatency = {
+	/** Median of the servers, as a multiple of what a kind of call takes on average. */
+	readonly relative: number;
+	/** Mean in milliseconds of the longest kind of call; 0 until measured. */
+	readonly longestMs: number;
+};
+
 /** How choosy a search for servers is. */
 export type Strictness = 'strict' | 'relaxed';
 
@@ -26,6 +34,8 @@
 const maxHintCost = 0.5;
 /** Cost added by failures, as a multiple at a failure share of 1. */
 const failureCost = 20;
+/** Added to every latency, so that calls in flight count before anything is measured. */
+const smallestCost = 0.01;
 const ejectionIn: EjectionState = {kind: 'in'};
 
 /** Aggregate of one server as this daemon sees it. */
@@ -47,6 +57,10 @@
 	/** When the last ejection ended or will end. */
 	ejectedUntilMs = Number.NEGATIVE_INFINITY;
 	failureShare = 0;
+	/** Answers in a row that were much slower than the peers'. */
+	slowAnswers = 0;
+	/** When the first of them was sent. */
+	slowSinceMs = 0;
 	inFlight = 0;
 	/** Bytes of the link budget that calls in flight have reserved. */
 	reservedBytes = 0;
@@ -133,18 +147,15 @@
 	/**
 	 * Computes the cost of one more call: expected latency times calls in flight.
 	 *
-	 * @param baselineMs - usual latency of the peers
 	 * @example
-	 * const cheaper = a.computeCost(nowMs, 8) <= b.computeCost(nowMs, 8) ? a : b;
+	 * const cheaper = a.computeCost(nowMs, usual) <= b.computeCost(nowMs, usual) ? a : b;
 	 */
-	computeCost(nowMs: number, baselineMs: number): number {
-		const expectedMs = Math.max(
-			this.latency.readPeakMs(nowMs, baselineMs),
-			this.computeQuietMs(nowMs),
-		);
+	computeCost(nowMs: number, usual: UsualLatency): number {
+		const quiet = usual.longestMs > 0 ? this.computeQuietMs(nowMs) / usual.longestMs : 0;
+		const expected = Math.max(this.latency.readPeak(nowMs, usual.relative), quiet);
 		const hint = nowMs < this.#hintUntilMs ? this.#hintCost : 0;
 		const failures = 1 + failureCost * this.failureShare;
-		return (expectedMs + 0.01) * (this.inFlight + 1) * (1 + hint) * failures;
+		return (expected + smallestCost) * (this.inFlight + 1) * (1 + hint) * failures;
 	}
 
 	/**
@@ -179,16 +190,17 @@
 	/**
 	 * Takes in the end of an attempt.
 	 *
+	 * @param latency - as a multiple of what the kind of call usually takes
 	 * @example
-	 * entry.recordResult(result, nowMs);
+	 * entry.recordResult(result, 1.2, nowMs);
 	 */
-	recordResult(result: AttemptResult, nowMs: number): void {
+	recordResult(result: AttemptResult, latency: number, nowMs: number): void {
 		this.inFlight = Math.max(0, this.inFlight - 1);
 		this.#recordReport(result, nowMs);
 		switch (result.kind) {
 			case 'answered': {
 				this.#quietSinceMs = nowMs;
-				this.latency.record(result.latencyMs, nowMs);
+				this.latency.record(latency, nowMs);
 				this.#recordFailure(0);
 				return;
 			}
@@ -207,8 +219,8 @@
 
 			case 'cancelled': {
 				// The latency is a lower bound, so it counts only when it is above the mean.
-				if (result.latencyMs > this.latency.meanMs && this.latency.samples > 0) {
-					this.latency.record(result.latencyMs, nowMs);
+				if (latency > this.latency.mean && this.latency.samples > 0) {
+					this.latency.record(latency, nowMs);
 				}
 			}
 		}
--- a/src/routing/service-group.ts
+++ b/src/routing/service-group.ts
@@ -2,15 +2,19 @@
  * The servers of one service, sorted into tiers by distance from this daemon.
  */
 import {type Member} from '../membership/types.ts';
-import {LatencyQuantile} from './latency-quantile.ts';
+import {CallKind} from './call-kind.ts';
 import {countEjected, OutlierEjection} from './outlier-ejection.ts';
-import {ServerEntry} from './server-entry.ts';
+import {ServerEntry, type UsualLatency} from './server-entry.ts';
 import {type AttemptResult} from './types.ts';
 
 /** Where this daemon is. */
 export type Location = {readonly dataCentre: string; readonly region: string};
 
-const hedgeQuantile = 0.95;
+/** Kinds of call measured apart; further ones share one estimate. */
+const maxCallKinds = 64;
+const sharedKind = '*';
+/** Part of the longest kind's mean that is left after each answer of a shorter one. */
+const longestKept = 0.999;
 const refusalWeight = 0.05;
 /** Share of attempts refused above which the service counts as overloaded. */
 const overloadedShare = 0.5;
@@ -37,9 +41,10 @@
 	readonly remote: ServerEntry[] = [];
 	readonly homeEjection = OutlierEjection.create();
 	readonly remoteEjection = OutlierEjection.create();
-	readonly #lateness = LatencyQuantile.create(hedgeQuantile);
+	readonly #kinds = new Map<string, CallKind>();
 	readonly #entries = new Map<string, ServerEntry>();
 	readonly #location: Location;
+	#longestMs = 0;
 	#refusedShare = 0;
 	#refusedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -51,9 +56,24 @@
 		return this.#entries.size === 0;
 	}
 
-	/** Milliseconds within which 95 of 100 answers came; undefined until enough was measured. */
-	get hedgeDelayMs(): number | undefined {
-		return this.#lateness.valueMs;
+	/**
+	 * Finds what was measured of one kind of call.
+	 *
+	 * @example
+	 * const delayMs = group.findKind('order-status')?.hedgeDelayMs;
+	 */
+	findKind(callName: string): CallKind | undefined {
+		return this.#kinds.get(callName) ?? this.#kinds.get(sharedKind);
+	}
+
+	/**
+	 * Reads what the servers of the own region usually take.
+	 *
+	 * @example
+	 * const cost = entry.computeCost(nowMs, group.readUsual());
+	 */
+	readUsual(): UsualLatency {
+		return {relative: this.homeEjection.median, longestMs: this.#longestMs};
 	}
 
 	/**
@@ -149,15 +169,23 @@
 		const isHome = entry.member.region === this.#location.region;
 		const ejection = isHome ? this.homeEjection : this.remoteEjection;
 		const isTrial = entry.ejection.kind === 'trial';
-		entry.recordResult(result, nowMs);
+		const kind = this.#openKind(result.callName);
+		const sample = {latencyMs: result.latencyMs, usualMs: kind.meanMs};
+		const isSlow = ejection.isSlow(sample);
+		entry.recordResult(result, kind.computeRelative(result.latencyMs), nowMs);
 		this.#recordRefusal(result, nowMs);
+		if (result.kind === 'answered' || (result.kind === 'cancelled' && isSlow)) {
+			ejection.recordLatency(entry, sample, nowMs);
+		}
+
 		if (result.kind === 'answered') {
-			this.#lateness.record(result.latencyMs);
+			kind.record(result.latencyMs);
+			this.#longestMs = Math.max(this.#longestMs * longestKept, kind.meanMs);
 		}
 
-		if (isTrial && result.kind !== 'cancelled') {
-			const isGood = result.kind === 'answered' || result.kind === 'refused';
-			ejection.settleTrial(entry, {latencyMs: result.latencyMs, isGood}, nowMs);
+		if (isTrial && (result.kind !== 'cancelled' || isSlow)) {
+			const isHealthy = result.kind === 'answered' || result.kind === 'refused';
+			ejection.settleTrial(entry, isHealthy && !isSlow, nowMs);
 		}
 
 		ejection.apply(isHome ? this.home : this.remote, maxEjectedShare, nowMs);
@@ -184,6 +212,18 @@
 		this.remoteEjection.releaseSurplus(this.remote, maxEjectedShare, nowMs);
 	}
 
+	#openKind(callName: string): CallKind {
+		const known = this.#kinds.get(callName);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const name = this.#kinds.size < maxCallKinds ? callName : sharedKind;
+		const kind = this.#kinds.get(name) ?? CallKind.create();
+		this.#kinds.set(name, kind);
+		return kind;
+	}
+
 	#recordRefusal(result: AttemptResult, nowMs: number): void {
 		if (result.kind === 'cancelled' || result.report?.state === 'draining') {
 			return;
--- a/src/routing/service-router.ts
+++ b/src/routing/service-router.ts
@@ -126,7 +126,7 @@
 	 * Learns from the end of an attempt. Results of instances that are gone have no effect.
 	 *
 	 * @example
-	 * router.recordResult({member, kind: 'answered', latencyMs: 8, bytes: 512}, nowMs);
+	 * router.recordResult({member, callName, kind: 'answered', latencyMs: 8, bytes: 512}, nowMs);
 	 */
 	recordResult(result: AttemptResult, nowMs: number): void {
 		const {member, bytes} = result;
@@ -146,24 +146,24 @@
 	}
 
 	/**
-	 * Milliseconds after which an idempotent call of a service may be hedged.
+	 * Milliseconds after which an idempotent call may be hedged.
 	 *
 	 * @returns undefined until enough was measured
 	 * @example
-	 * router.readHedgeDelayMs('catalogue');
+	 * router.readHedgeDelayMs('catalogue', 'order-status');
 	 */
-	readHedgeDelayMs(service: string): number | undefined {
-		return this.#groups.get(service)?.hedgeDelayMs;
+	readHedgeDelayMs(service: string, callName: string): number | undefined {
+		return this.#groups.get(service)?.findKind(callName)?.hedgeDelayMs;
 	}
 
 	/**
-	 * Milliseconds that an answer of a service usually takes; 0 until measured.
+	 * Milliseconds that an answer usually takes; 0 until measured.
 	 *
 	 * @example
-	 * router.readUsualMs('catalogue');
+	 * router.readUsualMs('catalogue', 'order-status');
 	 */
-	readUsualMs(service: string): number {
-		return this.#groups.get(service)?.homeEjection.medianMs ?? 0;
+	readUsualMs(service: string, callName: string): number {
+		return this.#groups.get(service)?.findKind(callName)?.meanMs ?? 0;
 	}
 
 	/**
@@ -202,9 +202,8 @@
 		nowMs: number,
 		strictness: Strictness,
 	): ServerEntry | undefined {
-		const baselineMs = group.homeEjection.medianMs;
 		const {random} = this.options;
-		const input: PickInput = {request, nowMs, baselineMs, random, strictness};
+		const input: PickInput = {request, nowMs, usual: group.readUsual(), random, strictness};
 		const home = pickOfTwo(group.near, input) ?? pickOfTwo(group.regional, input);
 		if (home !== undefined || !this.#readRule(request.service).otherRegion) {
 			return home;
--- a/src/routing/two-choices.ts
+++ b/src/routing/two-choices.ts
@@ -2,7 +2,7 @@
  * Choice of a server within one tier: two random candidates, the cheaper one wins.
  */
 import {type RouteRequest} from './types.ts';
-import {type ServerEntry, type Strictness} from './server-entry.ts';
+import {type ServerEntry, type Strictness, type UsualLatency} from './server-entry.ts';
 
 /** Uniform random numbers in [0, 1) from a seeded source. */
 export type RandomSource = () => number;
@@ -11,8 +11,7 @@
 export type PickInput = {
 	readonly request: RouteRequest;
 	readonly nowMs: number;
-	/** Usual latency of the service's servers in milliseconds. */
-	readonly baselineMs: number;
+	readonly usual: UsualLatency;
 	readonly random: RandomSource;
 	readonly strictness: Strictness;
 };
@@ -21,8 +20,8 @@
  * Picks the cheaper of two distinct random candidates.
  *
  * A candidate on trial after an ejection wins, so that it comes back although it was slow before.
- * A candidate in slow start loses without a comparison as often as its share says. No memory is
- * allocated, since this runs for each call.
+ * The cost of a candidate in slow start counts several times, but for the share of the draws that it
+ * may win by now. No memory is allocated, since this runs for each call.
  *
  * @returns undefined when no server can take the call
  * @example
@@ -46,23 +45,20 @@
 }
 
 function chooseCheaper(first: ServerEntry, second: ServerEntry, input: PickInput): ServerEntry {
-	const {nowMs, baselineMs, random, strictness} = input;
+	const {nowMs, usual, strictness} = input;
 	if (strictness === 'strict' && first.isOnTrial !== second.isOnTrial) {
 		return first.isOnTrial ? first : second;
 	}
 
-	const isFirstWarm = isTaken(first.slowStart.computeShare(nowMs), random);
-	const isSecondWarm = isTaken(second.slowStart.computeShare(nowMs), random);
-	if (isFirstWarm !== isSecondWarm) {
-		return isFirstWarm ? first : second;
-	}
-
-	const firstCost = first.computeCost(nowMs, baselineMs);
-	return firstCost <= second.computeCost(nowMs, baselineMs) ? first : second;
+	const firstCost = first.computeCost(nowMs, usual) * computePenalty(first, input);
+	const secondCost = second.computeCost(nowMs, usual) * computePenalty(second, input);
+	return firstCost <= secondCost ? first : second;
 }
 
-function isTaken(share: number, random: RandomSource): boolean {
-	return share >= 1 || random() < share;
+/** Computes the factor that keeps most calls away from a server in slow start. */
+function computePenalty(entry: ServerEntry, {nowMs, random}: PickInput): number {
+	const share = entry.slowStart.computeShare(nowMs);
+	return share >= 1 || random() < share ? 1 : 1 / share;
 }
 
 function isCandidate(entry: ServerEntry, input: PickInput): boolean {
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -25,6 +25,8 @@
 /** What the router learns from one attempt. */
 export type AttemptResult = {
 	readonly member: Member;
+	/** Name of the policy's call rule; latencies are compared within one. */
+	readonly callName: string;
 	readonly kind: 'answered' | 'refused' | 'failed' | 'unreachable' | 'cancelled';
 	/** Milliseconds from sending to the answer's head. */
 	readonly latencyMs: number;
@@ -40,6 +42,14 @@
 	/** Counts an attempt as in flight. */
 	recordStart(member: Member, nowMs: number): void;
 	recordResult(result: AttemptResult, nowMs: number): void;
-	/** Milliseconds after which an idempotent call of a service may be hedged. */
-	readHedgeDelayMs(service: string): number | undefined;
+	/** Milliseconds after which an idempotent call may be hedged. */
+	readHedgeDelayMs(service: string, callName: string): number | undefined;
+	/** Milliseconds that an answer usually takes; 0 until measured. */
+	readUsualMs(service: string, callName: string): number;
+	/** Whether most attempts at a service are refused for overload at present. */
+	isOverloaded(service: string, nowMs: number): boolean;
+	/** Counts the servers of a service that a call has not tried. */
+	countUntried(service: string, excluded: ReadonlySet<string>): number;
+	/** Counts the servers of a service that are ejected or on trial. */
+	countEjected(service: string): number;
 };
