--- a/bench/harness/daemon-settings-file.ts
+++ b/bench/harness/daemon-settings-file.ts
@@ -4,6 +4,7 @@
 import {writeFileSync} from 'node:fs';
 import path from 'node:path';
 import {stringify} from 'ini';
+import {defaultStandInOptions} from '../../stand-ins/platform/platform-stand-in.ts';
 import {type ServerSpec} from './types.ts';
 
 export const benchKeys = {
@@ -15,11 +16,11 @@
 export const createPlatformSection = (platformUrl: string) => ({
 	table_url: platformUrl,
 	objects_url: platformUrl,
-	table_name: 'primrosevalve',
-	bucket: 'primrosevalve',
+	table_name: defaultStandInOptions.tableName,
+	bucket: defaultStandInOptions.bucket,
 	aws_region: 'local',
-	access_key_id: 'bench',
-	secret_access_key: 'bench-secret',
+	access_key_id: defaultStandInOptions.accessKeyId,
+	secret_access_key: defaultStandInOptions.secretAccessKey,
 });
 
 /**
--- a/src/bin/primrosevalve-standin.ts
+++ b/src/bin/primrosevalve-standin.ts
@@ -11,7 +11,9 @@
 /** Runs until the process is ended. */
 async function runForever(): Promise<number> {
 	return new Promise(() => {
-		setInterval(process.uptime, 60_000);
+		setInterval(() => {
+			process.uptime();
+		}, 60_000);
 	});
 }
 
--- a/stand-ins/backend/backend-stand-in.ts
+++ b/stand-ins/backend/backend-stand-in.ts
@@ -202,7 +202,12 @@
 		return answer.statusCode;
 	}
 
-	#answer(route: Route, request: IncomingMessage, response: ServerResponse, body: Uint8Array): void {
+	#answer(
+		route: Route,
+		request: IncomingMessage,
+		response: ServerResponse,
+		body: Uint8Array,
+	): void {
 		const text = JSON.stringify({
 			server: this.#options.server,
 			path: request.url,
