--- a/bench/load/load-generator.ts
+++ b/bench/load/load-generator.ts
@@ -148,10 +148,11 @@
 				result: chooseResult(answer.statusCode, outcome),
 				status: answer.statusCode,
 				outcome,
+				reason: String(answer.headers['primrosevalve-reason'] ?? ''),
 				version: Number(answer.headers['primrosevalve-version'] ?? 0),
 			};
 		} catch {
-			return {result: 'failed' as const, status: 0, outcome: 'none', version: 0};
+			return {result: 'failed' as const, status: 0, outcome: 'none', reason: 'client', version: 0};
 		}
 	}
 }
--- a/bench/load/types.ts
+++ b/bench/load/types.ts
@@ -29,6 +29,7 @@
 	readonly result: 'whole' | 'shed' | 'failed';
 	readonly status: number;
 	readonly outcome: string;
+	readonly reason: string;
 	readonly version: number;
 	/** Times that the client sent the call. */
 	readonly sent: number;
--- /dev/null
+++ b/bench/scenarios/registry.ts
@@ -0,0 +1,31 @@
+/**
+ * Names the scenarios and loads them when they are asked for.
+ */
+import {type Scenario} from './types.ts';
+
+type ScenarioLoader = () => Promise<{readonly scenario: Scenario}>;
+
+const loaders: Readonly<Record<string, ScenarioLoader>> = {
+	goodput: async () => import('./goodput.ts'),
+	recovery: async () => import('./recovery.ts'),
+	added: async () => import('./added.ts'),
+};
+
+export const scenarioNames: readonly string[] = Object.keys(loaders);
+
+/**
+ * Loads a scenario by its name.
+ *
+ * @returns undefined when there is none of that name
+ * @example
+ * const scenario = await loadScenario('goodput');
+ */
+export async function loadScenario(name: string): Promise<Scenario | undefined> {
+	const loader = loaders[name];
+	if (loader === undefined) {
+		return undefined;
+	}
+
+	const {scenario} = await loader();
+	return scenario;
+}
--- a/src/daemon/entry/classify-call.ts
+++ b/src/daemon/entry/classify-call.ts
@@ -12,7 +12,7 @@
 	type NotRunReason,
 } from '../../call/types.ts';
 import {type PolicyMatcher} from '../../policy/match.ts';
-import {type CallRule} from '../../policy/schema.ts';
+import {type CallRule, type Policy} from '../../policy/schema.ts';
 import {readMonotonicMs} from '../clock.ts';
 import {type CallOrigin} from './call-origin.ts';
 
@@ -24,6 +24,7 @@
 	/** Path that the backend server sees. */
 	readonly path: string;
 	readonly deadlineAtMs: number;
+	readonly retryKind: Policy['retries']['kind'];
 };
 
 /** A call that policy does not let through. */
@@ -128,14 +129,17 @@
 	const {origin} = input;
 	const nowMs = readMonotonicMs();
 	const parent = origin.kind === 'server' ? origin.parent : undefined;
-	const deadlineAtMs = Math.min(
-		nowMs + rule.deadlineMs,
-		parent?.deadlineAtMs ?? Number.POSITIVE_INFINITY,
-	);
+	const {retries} = input.matcher.policy;
+	const ownDeadlineAtMs = nowMs + rule.deadlineMs;
+	const deadlineAtMs =
+		parent === undefined || retries.kind === 'perHop'
+			? ownDeadlineAtMs
+			: Math.min(ownDeadlineAtMs, parent.deadlineAtMs);
 	return {
 		rule,
 		path: target.path,
 		deadlineAtMs,
+		retryKind: retries.kind,
 		context: {
 			requestId: parent?.context.requestId ?? randomUUID(),
 			attemptId: '',
@@ -144,7 +148,7 @@
 			caller: findCallerName(origin),
 			importance: computeImportance(input, rule),
 			deadlineMs: deadlineAtMs - nowMs,
-			retryAllowance: parent?.allowance.available ?? input.matcher.policy.retries.perRequest,
+			retryAllowance: retries.perRequest,
 			sizeClass: rule.sizeClass === 'long' ? 'long' : 'short',
 			idempotent: !rule.once && (rule.idempotent || isSafeMethod(method)),
 			policyVersion: input.policyVersion,
--- a/src/daemon/entry/entry-call.ts
+++ b/src/daemon/entry/entry-call.ts
@@ -8,9 +8,10 @@
 import {type Outcome} from '../../call/types.ts';
 import {type Member} from '../../membership/types.ts';
 import {CallAllowance} from '../../retry/allowance.ts';
+import {choosePerHopRetry} from '../../retry/per-hop-decision.ts';
 import {chooseRetry} from '../../retry/retry-decision.ts';
 import {type RetryAllowance} from '../../retry/types.ts';
-import {type AttemptResult} from '../../routing/types.ts';
+import {type AttemptResult, type RouteChoice} from '../../routing/types.ts';
 import {readMonotonicMs} from '../clock.ts';
 import {answerProblem} from '../http/problem.ts';
 import {relayBody} from '../http/relay.ts';
@@ -33,6 +34,7 @@
 
 /** Time beyond the deadline in which a guard's own word on it may still arrive. */
 const deadlineGraceMs = 50;
+const noServers: ReadonlySet<string> = new Set();
 
 /** Runs one call to exactly one outcome. */
 export class EntryCall {
@@ -56,10 +58,14 @@
 	private constructor(entry: EntryTask, input: EntryCallInput) {
 		this.#entry = entry;
 		this.#input = input;
-		this.#loanOwner = input.origin.kind === 'server' ? input.origin.parent.allowance : undefined;
+		const {origin, call} = input;
+		this.#loanOwner =
+			origin.kind === 'server' && call.retryKind === 'allowance'
+				? origin.parent.allowance
+				: undefined;
 		const granted =
 			this.#loanOwner === undefined
-				? input.call.context.retryAllowance
+				? call.context.retryAllowance
 				: this.#loanOwner.lend(this.#loanId);
 		this.#allowance = CallAllowance.create(granted);
 	}
@@ -104,7 +110,7 @@
 	/** Makes attempts until one gives the answer or no other is allowed. */
 	async #runAttempts(): Promise<Outcome> {
 		for (let attempts = 1; ; attempts++) {
-			const choice = this.#entry.chooseServer(this.#input.call, this.#tried);
+			const choice = this.#chooseServer();
 			if (choice.kind === 'refused') {
 				return this.#refuse({kind: 'notRun', reason: choice.reason}, 'no server takes the call');
 			}
@@ -128,6 +134,12 @@
 		}
 	}
 
+	/** Without an allowance a hop doesn't remember which servers it has tried. */
+	#chooseServer(): RouteChoice {
+		const {call} = this.#input;
+		return this.#entry.chooseServer(call, call.retryKind === 'perHop' ? noServers : this.#tried);
+	}
+
 	/** Whether an answer that says "not now" is better dropped and asked for elsewhere. */
 	#canImprove(head: AttemptHead, attempts: number): boolean {
 		const isRetried = this.#decide(head.outcome, attempts).kind !== 'stop';
@@ -140,13 +152,20 @@
 
 	#decide(outcome: Outcome, attempts: number) {
 		const {call, body} = this.#input;
+		const deadlineLeftMs = call.deadlineAtMs - readMonotonicMs();
+		const canSendAgain = body.kind !== 'stream' && this.#ended === 'no';
+		const available = canSendAgain ? this.#allowance.available : 0;
+		if (call.retryKind === 'perHop') {
+			return choosePerHopRetry({outcome, once: call.rule.once, available, deadlineLeftMs});
+		}
+
 		return chooseRetry(
 			{
 				outcome,
 				idempotent: call.context.idempotent,
 				attempts,
-				deadlineLeftMs: call.deadlineAtMs - readMonotonicMs(),
-				available: body.kind === 'stream' || this.#ended !== 'no' ? 0 : this.#allowance.available,
+				deadlineLeftMs,
+				available,
 				untriedServers: 1,
 				isOverloaded: false,
 				expectedMs: 0,
@@ -164,7 +183,7 @@
 	async #runAttempt(member: Member): Promise<AttemptHead> {
 		const {call, request, body} = this.#input;
 		const attemptId = randomUUID();
-		const loan = this.#allowance.lend(attemptId);
+		const loan = call.retryKind === 'allowance' ? this.#allowance.lend(attemptId) : 0;
 		this.#tried.add(member.server);
 		const nowMs = readMonotonicMs();
 		this.#entry.router.recordStart(member, nowMs);
@@ -186,16 +205,23 @@
 			peerKey: this.#entry.peerKey,
 		});
 		const head = await this.#attempt.readHead();
-		if (head.allowanceLeft === undefined) {
-			this.#allowance.forfeitLoan(attemptId);
-		} else {
-			this.#allowance.returnLoan(attemptId, head.allowanceLeft);
+		if (call.retryKind === 'allowance') {
+			this.#settleLoan(attemptId, head.allowanceLeft);
 		}
 
 		this.#recordResult(member, head);
 		return head;
 	}
 
+	/** Takes a loan back, or counts it as spent when the answer was lost. */
+	#settleLoan(attemptId: string, left: number | undefined): void {
+		if (left === undefined) {
+			this.#allowance.forfeitLoan(attemptId);
+		} else {
+			this.#allowance.returnLoan(attemptId, left);
+		}
+	}
+
 	#recordResult(member: Member, head: AttemptHead): void {
 		const kind = this.#ended === 'no' ? classifyResult(head) : 'cancelled';
 		this.#entry.router.recordResult(
--- a/src/policy/built-in.ts
+++ b/src/policy/built-in.ts
@@ -31,7 +31,7 @@
 	services: [],
 	callers: [],
 	anonymous: {allowed: true, maxImportance: 'low'},
-	retries: {perRequest: 1, maxDepth: 8},
+	retries: {kind: 'allowance', perRequest: 1, maxDepth: 8},
 	link: {bitsPerSecond: 30_000_000, callShare: 0.5},
 	once: {keepSeconds: 604_800, maxTableAnswerBytes: 16_384, maxAnswerBytes: 4_194_304},
 	objectives: [],
--- a/src/policy/schema.ts
+++ b/src/policy/schema.ts
@@ -82,7 +82,9 @@
 		.prefault({}),
 	retries: z
 		.strictObject({
-			/** Retries and hedges that one original request may cause over its whole chain. */
+			/** `allowance` bounds a whole chain; `perHop` lets each hop retry, as a baseline to measure against. */
+			kind: z.enum(['allowance', 'perHop']).default('allowance'),
+			/** Retries and hedges that one original request, or with `perHop` each hop, may cause. */
 			perRequest: z.int().min(0).max(20).default(3),
 			/** Longest chain of calls. */
 			maxDepth: z.int().min(1).max(32).default(8),
