Wire allowance, retries and hedging into the entry; mend a false notRun

Cause of the fault: the entry told the outcome of its last attempt. After a lost answer, a refusal of the retry by the next server was told as notRun although the first server may have run the call. RunProof now keeps the proof over all attempts of a call, hedges included.

A child call spends and lends from its parent's allowance, which runs in the same process, in place of a loan between the two; before, each hop kept one retry twice. The retry decision gets the servers left, the share of refusals and the usual latency from the router. Hedges: after the p95 of the kind of call, cost 1, the other attempt is cancelled, asked again right before sending.

--- /dev/null
+++ b/src/daemon/entry/attempt-runner.ts
@@ -0,0 +1,139 @@
+/**
+ * Starts the attempts of one call, settles their loans and tells the router how they ended.
+ */
+import {randomUUID} from 'node:crypto';
+import {type IncomingMessage} from 'node:http';
+import {type Member} from '../../membership/types.ts';
+import {type RetryAllowance} from '../../retry/types.ts';
+import {type AttemptResult} from '../../routing/types.ts';
+import {readMonotonicMs} from '../clock.ts';
+import {type RequestBody} from '../http/request-body.ts';
+import {convertToEndToEnd} from '../http/request-headers.ts';
+import {Attempt, type AttemptHead} from './attempt.ts';
+import {type ClassifiedCall} from './classify-call.ts';
+import {type EntryTask} from './entry-task.ts';
+
+export type AttemptRunnerInput = {
+	readonly call: ClassifiedCall;
+	readonly body: RequestBody;
+	readonly request: IncomingMessage;
+	readonly allowance: RetryAllowance;
+};
+
+/** An attempt that has been sent. */
+export type RunningAttempt = {
+	readonly attempt: Attempt;
+	/** Resolves once the head has come or can't come; the loan is settled by then. */
+	readonly head: Promise<AttemptHead>;
+};
+
+/** The attempts of one call. */
+export class AttemptRunner {
+	/**
+	 * @example
+	 * const runner = AttemptRunner.create(entry, {call, body, request, allowance});
+	 */
+	static create(entry: EntryTask, input: AttemptRunnerInput): AttemptRunner {
+		return new AttemptRunner(entry, input);
+	}
+
+	readonly #entry: EntryTask;
+	readonly #input: AttemptRunnerInput;
+	readonly #running = new Set<Attempt>();
+
+	private constructor(entry: EntryTask, input: AttemptRunnerInput) {
+		this.#entry = entry;
+		this.#input = input;
+	}
+
+	/** Sends one attempt to a server. */
+	start(member: Member): RunningAttempt {
+		const {call, request, body, allowance} = this.#input;
+		const attemptId = randomUUID();
+		const loan = call.retryKind === 'allowance' ? allowance.lend(attemptId) : 0;
+		const nowMs = readMonotonicMs();
+		this.#entry.router.recordStart(member, nowMs);
+		const headers = convertToEndToEnd(request.headers);
+		delete headers.authorization;
+		const attempt = Attempt.start({
+			dispatcher: this.#entry.pools.open(member, nowMs),
+			member,
+			context: {
+				...call.context,
+				attemptId,
+				deadlineMs: Math.max(1, call.deadlineAtMs - nowMs),
+				retryAllowance: loan,
+			},
+			method: request.method ?? 'GET',
+			path: call.path,
+			headers,
+			body,
+			peerKey: this.#entry.peerKey,
+		});
+		this.#running.add(attempt);
+		return {attempt, head: this.#waitForHead(attempt)};
+	}
+
+	/** Cancels every attempt that has no head yet. */
+	cancel(): void {
+		for (const attempt of this.#running) {
+			attempt.cancel();
+		}
+	}
+
+	async #waitForHead(attempt: Attempt): Promise<AttemptHead> {
+		const head = await attempt.readHead();
+		this.#running.delete(attempt);
+		if (this.#input.call.retryKind === 'allowance') {
+			this.#settleLoan(attempt.input.context.attemptId, head.allowanceLeft);
+		}
+
+		this.#recordResult(attempt, head);
+		return head;
+	}
+
+	/** Takes a loan back, or counts it as spent when the answer was lost. */
+	#settleLoan(attemptId: string, left: number | undefined): void {
+		if (left === undefined) {
+			this.#input.allowance.forfeitLoan(attemptId);
+		} else {
+			this.#input.allowance.returnLoan(attemptId, left);
+		}
+	}
+
+	#recordResult(attempt: Attempt, head: AttemptHead): void {
+		this.#entry.router.recordResult(
+			{
+				member: attempt.input.member,
+				callName: this.#input.call.context.callName,
+				kind: attempt.isCancelled ? 'cancelled' : classifyResult(head),
+				latencyMs: head.latencyMs,
+				bytes: readContentLength(head),
+				...(head.report === undefined ? {} : {report: head.report}),
+			},
+			readMonotonicMs(),
+		);
+	}
+}
+
+function classifyResult(head: AttemptHead): AttemptResult['kind'] {
+	switch (head.outcome.kind) {
+		case 'answered': {
+			return head.outcome.status >= 500 ? 'failed' : 'answered';
+		}
+
+		case 'notRun': {
+			return head.outcome.reason === 'connect' ? 'unreachable' : 'refused';
+		}
+
+		case 'unknown':
+		case 'failed': {
+			return 'failed';
+		}
+	}
+}
+
+function readContentLength(head: AttemptHead): number {
+	const length = Number(head.answer?.headers['content-length'] ?? 0);
+	return Number.isSafeInteger(length) ? length : 0;
+}
--- a/src/daemon/entry/attempt.ts
+++ b/src/daemon/entry/attempt.ts
@@ -56,12 +56,18 @@
 	}
 
 	readonly #startedAtMs = readMonotonicMs();
+	#isCancelled = false;
 
 	private constructor(
 		readonly input: AttemptInput,
 		readonly exchange: Exchange,
 	) {}
 
+	/** Whether this side ended the attempt. */
+	get isCancelled(): boolean {
+		return this.#isCancelled;
+	}
+
 	/** Resolves with the head; a refusal's body is dropped. */
 	async readHead(): Promise<AttemptHead> {
 		const result = await this.exchange.head;
@@ -83,6 +89,7 @@
 
 	/** Ends the attempt and closes its connection. */
 	cancel(): void {
+		this.#isCancelled = true;
 		this.exchange.cancel();
 	}
 
--- /dev/null
+++ b/src/daemon/entry/entry-call.test.ts
@@ -0,0 +1,205 @@
+import {once} from 'node:events';
+import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import test, {type ExecutionContext} from 'ava';
+import {request} from 'undici';
+import {headerNames} from '../../call/headers.ts';
+import {type Member} from '../../membership/types.ts';
+import {policySchema} from '../../policy/schema.ts';
+import {Logger} from '../../reporting/logger.ts';
+import {Metrics} from '../../reporting/metrics.ts';
+import {ServiceRouter} from '../../routing/service-router.ts';
+import {RunningCalls} from '../guard/running-calls.ts';
+import {type ListenerOptions} from '../http/listener.ts';
+import {EntryTask} from './entry-task.ts';
+
+const policy = policySchema.parse({
+	services: [
+		{
+			name: 'catalogue',
+			calls: [
+				{name: 'order', method: 'POST', path: '/*', deadlineMs: 20_000},
+				{name: 'status', path: '/*', hedge: true, deadlineMs: 20_000},
+			],
+		},
+	],
+	anonymous: {allowed: true},
+});
+
+const listener: ListenerOptions = {
+	listenerName: 'test',
+	address: '127.0.0.1',
+	port: 0,
+	headerTimeoutMs: 10_000,
+	requestTimeoutMs: 10_000,
+	maxHeaderBytes: 16_384,
+	maxConnections: 100,
+	keepAliveMs: 1000,
+};
+
+/** What the guards do with a path; `nth` counts the requests for it over all guards. */
+type Script = (nth: number, req: IncomingMessage, res: ServerResponse) => void;
+
+function answerWith(res: ServerResponse, req: IncomingMessage, headers: Record<string, string>) {
+	res.writeHead(200, {
+		[headerNames.attempt]: String(req.headers[headerNames.attempt]),
+		[headerNames.allowanceLeft]: '0',
+		...headers,
+	});
+	res.end(`answer to ${String(req.headers[headerNames.request])}`);
+}
+
+const refusal = {[headerNames.outcome]: 'notRun', [headerNames.reason]: 'overload'};
+
+const scripts: Readonly<Record<string, Script>> = {
+	'/plain'(_nth, req, res) {
+		answerWith(res, req, {});
+	},
+	/** The first guard never answers. */
+	'/hangs'(nth, req, res) {
+		if (nth > 1) {
+			answerWith(res, req, {});
+		}
+	},
+	/** The first guard takes the request and closes; the others refuse. */
+	'/lost'(nth, req, res) {
+		if (nth === 1) {
+			res.destroy();
+			return;
+		}
+
+		answerWith(res, req, refusal);
+	},
+	'/refused'(_nth, req, res) {
+		answerWith(res, req, refusal);
+	},
+	'/refused-once'(nth, req, res) {
+		answerWith(res, req, nth === 1 ? refusal : {});
+	},
+};
+
+type Rig = {
+	readonly counts: Map<string, number>;
+	readonly call: (
+		method: 'GET' | 'POST',
+		path: string,
+	) => Promise<{status: number; text: string; outcome: string | undefined}>;
+};
+
+/** Starts an entry in front of two scripted guards, all within this process. */
+async function startRig(t: ExecutionContext): Promise<Rig> {
+	const counts = new Map<string, number>();
+	const guards: Server[] = [];
+	const members: Member[] = [];
+	for (const server of ['s1', 's2']) {
+		const guard = createServer((req, res) => {
+			const path = req.url ?? '';
+			const nth = (counts.get(path) ?? 0) + 1;
+			counts.set(path, nth);
+			scripts[path]?.(nth, req, res);
+		});
+		guard.listen(0, '127.0.0.1');
+		await once(guard, 'listening');
+		guards.push(guard);
+		members.push({
+			server,
+			service: 'catalogue',
+			dataCentre: 'est-a',
+			region: 'qc-est',
+			address: '127.0.0.1',
+			peerPort: (guard.address() as AddressInfo).port,
+			instanceId: `${server}-1`,
+			startedAtMs: 0,
+			incarnation: 0,
+			state: 'serving',
+			policyVersion: 1,
+		});
+	}
+
+	const identity = {...members[0]!, service: 'front', server: 'front-1'};
+	const entry = EntryTask.create(
+		{
+			identity,
+			peerKey: 'peer-key',
+			logger: Logger.create('test', 'error'),
+			metrics: Metrics.create({}),
+			router: ServiceRouter.create({dataCentre: 'est-a', region: 'qc-est', random: () => 0}),
+			running: RunningCalls.create(),
+		},
+		{
+			version: 1,
+			digest: '',
+			previousDigest: '',
+			changeId: '',
+			author: '',
+			appliedAtMs: 0,
+			document: policy,
+		},
+	);
+	await entry.open(listener, listener);
+	entry.receive({kind: 'members', members});
+	t.teardown(async () => {
+		for (const guard of guards) {
+			guard.closeAllConnections();
+			guard.close();
+		}
+
+		await entry.closeCallers();
+		await entry.close();
+	});
+	return {
+		counts,
+		async call(method, path) {
+			const url = `http://127.0.0.1:${entry.callerPort}/catalogue${path}`;
+			const answer = await request(url, {method, reset: true});
+			const outcome = answer.headers[headerNames.outcome];
+			return {
+				status: answer.statusCode,
+				text: await answer.body.text(),
+				outcome: typeof outcome === 'string' ? outcome : undefined,
+			};
+		},
+	};
+}
+
+test('a late idempotent call is hedged once and gets a whole answer', async t => {
+	const rig = await startRig(t);
+	for (let run = 0; run < 25; run += 1) {
+		await rig.call('GET', '/plain');
+	}
+
+	const answer = await rig.call('GET', '/hangs');
+	t.is(answer.status, 200);
+	t.regex(answer.text, /^answer to /v);
+	t.is(rig.counts.get('/hangs'), 2);
+});
+
+test('a refusal after a lost answer is not told as not run', async t => {
+	const rig = await startRig(t);
+	const answer = await rig.call('GET', '/lost');
+	t.is(answer.status, 502);
+	t.is(answer.outcome, 'unknown');
+	t.true((rig.counts.get('/lost') ?? 0) > 1);
+});
+
+test('a call that is not idempotent is not sent again once its answer is lost', async t => {
+	const rig = await startRig(t);
+	const answer = await rig.call('POST', '/lost');
+	t.is(answer.outcome, 'unknown');
+	t.is(rig.counts.get('/lost'), 1);
+});
+
+test('a refused call goes to the other server, also when not idempotent', async t => {
+	const rig = await startRig(t);
+	const answer = await rig.call('POST', '/refused-once');
+	t.is(answer.status, 200);
+	t.is(rig.counts.get('/refused-once'), 2);
+});
+
+test('a call that every server refuses for overload is asked of each once', async t => {
+	const rig = await startRig(t);
+	const answer = await rig.call('GET', '/refused');
+	t.is(answer.status, 503);
+	t.is(answer.outcome, 'notRun');
+	t.is(rig.counts.get('/refused'), 2);
+});
--- a/src/daemon/entry/entry-call.ts
+++ b/src/daemon/entry/entry-call.ts
@@ -1,28 +1,30 @@
 /**
  * One call at the entry: attempts, retries and the relay of the whole answer.
  */
-import {randomUUID} from 'node:crypto';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {setTimeout as wait} from 'node:timers/promises';
 import {headerNames} from '../../call/headers.ts';
+import {RunProof, type Refusal} from '../../call/run-proof.ts';
 import {type Outcome} from '../../call/types.ts';
 import {type Member} from '../../membership/types.ts';
 import {CallAllowance} from '../../retry/allowance.ts';
 import {choosePerHopRetry} from '../../retry/per-hop-decision.ts';
-import {chooseRetry} from '../../retry/retry-decision.ts';
+import {AllowanceInvariantError} from '../../retry/errors.ts';
+import {chooseHedge, type HedgeDecision} from '../../retry/hedge-decision.ts';
+import {chooseRetry, type RetryDecision} from '../../retry/retry-decision.ts';
 import {type RetryAllowance} from '../../retry/types.ts';
-import {type AttemptResult, type RouteChoice} from '../../routing/types.ts';
+import {type RouteChoice} from '../../routing/types.ts';
 import {readMonotonicMs} from '../clock.ts';
 import {answerProblem} from '../http/problem.ts';
 import {relayBody} from '../http/relay.ts';
 import {type RequestBody} from '../http/request-body.ts';
 import {convertToEndToEnd} from '../http/request-headers.ts';
-import {Attempt, type AttemptHead} from './attempt.ts';
+import {type Attempt, type AttemptHead} from './attempt.ts';
+import {AttemptRunner, type RunningAttempt} from './attempt-runner.ts';
 import {type CallOrigin} from './call-origin.ts';
 import {type ClassifiedCall} from './classify-call.ts';
 import {type EntryTask} from './entry-task.ts';
-
-type Refusal = Exclude<Outcome, {kind: 'answered'}>;
+import {runHedged, type HedgeResult} from './hedged-attempt.ts';
 
 export type EntryCallInput = {
 	readonly call: ClassifiedCall;
@@ -49,25 +51,22 @@
 	readonly #entry: EntryTask;
 	readonly #input: EntryCallInput;
 	readonly #allowance: RetryAllowance;
-	readonly #loanOwner: RetryAllowance | undefined;
-	readonly #loanId = randomUUID();
+	readonly #runner: AttemptRunner;
+	readonly #proof = RunProof.create();
 	readonly #tried = new Set<string>();
-	#attempt: Attempt | undefined;
+	#relayed: Attempt | undefined;
 	#ended: 'no' | 'deadline' | 'cancelled' = 'no';
 
 	private constructor(entry: EntryTask, input: EntryCallInput) {
 		this.#entry = entry;
 		this.#input = input;
-		const {origin, call} = input;
-		this.#loanOwner =
+		const {origin, call, request, body} = input;
+		// A child call spends and lends from the allowance of its parent, which runs in this process.
+		this.#allowance =
 			origin.kind === 'server' && call.retryKind === 'allowance'
 				? origin.parent.allowance
-				: undefined;
-		const granted =
-			this.#loanOwner === undefined
-				? call.context.retryAllowance
-				: this.#loanOwner.lend(this.#loanId);
-		this.#allowance = CallAllowance.create(granted);
+				: CallAllowance.create(call.context.retryAllowance);
+		this.#runner = AttemptRunner.create(entry, {call, request, body, allowance: this.#allowance});
 	}
 
 	/** Runs the call; resolves with its outcome once its answer has ended. */
@@ -94,7 +93,15 @@
 		} finally {
 			clearTimeout(timer);
 			removeChild?.();
-			this.#loanOwner?.returnLoan(this.#loanId, this.#allowance.close());
+			this.#closeAllowance();
+		}
+	}
+
+	/** The allowance of a parent stays open for its other children. */
+	#closeAllowance(): void {
+		const {origin, call} = this.#input;
+		if (origin.kind !== 'server' || call.retryKind === 'perHop') {
+			this.#allowance.close();
 		}
 	}
 
@@ -104,7 +111,8 @@
 		}
 
 		this.#ended = why;
-		this.#attempt?.cancel();
+		this.#runner.cancel();
+		this.#relayed?.cancel();
 	}
 
 	/** Makes attempts until one gives the answer or no other is allowed. */
@@ -115,137 +123,140 @@
 				return this.#refuse({kind: 'notRun', reason: choice.reason}, 'no server takes the call');
 			}
 
-			const head = await this.#runAttempt(choice.member);
-			if (head.answer !== undefined && !this.#canImprove(head, attempts)) {
-				return this.#relay(head);
-			}
-
+			const {head, winner} = await this.#runAttempt(choice.member);
 			const decision = this.#decide(head.outcome, attempts);
 			if (decision.kind === 'stop') {
-				return this.#refuse(this.#settleOutcome(head.outcome), head.detail);
+				return head.answer === undefined
+					? this.#refuse(this.#settleOutcome(head.outcome), head.detail)
+					: this.#relay(head, winner.attempt);
 			}
 
-			this.#entry.metrics.countRetry(this.#input.call.context.service);
-			this.#allowance.spend();
-			await this.#waitBeforeRetry(decision.delayMs);
+			// An answer that says "not now" is dropped and asked for elsewhere.
+			winner.attempt.cancel();
+			this.#proof.record(head.outcome);
+			this.#spendRetry();
+			await this.#waitBeforeRetry(decision);
 			if (this.#ended !== 'no') {
 				return this.#refuse(this.#settleOutcome(head.outcome), head.detail);
 			}
 		}
 	}
 
+	#spendRetry(): void {
+		this.#entry.metrics.countRetry(this.#input.call.context.service);
+		if (!this.#allowance.spend()) {
+			throw AllowanceInvariantError.create('a retry was decided with nothing left');
+		}
+	}
+
 	/** Without an allowance a hop doesn't remember which servers it has tried. */
 	#chooseServer(): RouteChoice {
 		const {call} = this.#input;
 		return this.#entry.chooseServer(call, call.retryKind === 'perHop' ? noServers : this.#tried);
 	}
 
-	/** Whether an answer that says "not now" is better dropped and asked for elsewhere. */
-	#canImprove(head: AttemptHead, attempts: number): boolean {
-		const isRetried = this.#decide(head.outcome, attempts).kind !== 'stop';
-		if (isRetried) {
-			this.#attempt?.cancel();
-		}
-
-		return isRetried;
-	}
-
-	#decide(outcome: Outcome, attempts: number) {
-		const {call, body} = this.#input;
+	#decide(outcome: Outcome, attempts: number): RetryDecision {
+		const {call} = this.#input;
 		const deadlineLeftMs = call.deadlineAtMs - readMonotonicMs();
-		const canSendAgain = body.kind !== 'stream' && this.#ended === 'no';
-		const available = canSendAgain ? this.#allowance.available : 0;
+		const available = this.#canSendAgain() ? this.#allowance.available : 0;
 		if (call.retryKind === 'perHop') {
 			return choosePerHopRetry({outcome, once: call.rule.once, available, deadlineLeftMs});
 		}
 
+		const {service, callName, idempotent} = call.context;
+		const {router} = this.#entry;
 		return chooseRetry(
 			{
 				outcome,
-				idempotent: call.context.idempotent,
+				idempotent,
 				attempts,
 				deadlineLeftMs,
 				available,
-				untriedServers: 1,
-				isOverloaded: false,
-				expectedMs: 0,
+				untriedServers: router.countUntried(service, this.#tried),
+				isOverloaded: router.isOverloaded(service, readMonotonicMs()),
+				expectedMs: router.readUsualMs(service, callName),
 			},
 			Math.random,
 		);
 	}
 
-	async #waitBeforeRetry(delayMs: number): Promise<void> {
-		if (delayMs > 0) {
-			await wait(delayMs);
+	#canSendAgain(): boolean {
+		return this.#input.body.kind !== 'stream' && this.#ended === 'no';
+	}
+
+	async #waitBeforeRetry(decision: Exclude<RetryDecision, {kind: 'stop'}>): Promise<void> {
+		if (decision.kind === 'again') {
+			this.#tried.clear();
+		}
+
+		if (decision.delayMs > 0) {
+			await wait(decision.delayMs);
 		}
 	}
 
-	async #runAttempt(member: Member): Promise<AttemptHead> {
-		const {call, request, body} = this.#input;
-		const attemptId = randomUUID();
-		const loan = call.retryKind === 'allowance' ? this.#allowance.lend(attemptId) : 0;
+	/** Sends one attempt, and a hedge where policy asks for it and the answer is late. */
+	async #runAttempt(member: Member): Promise<HedgeResult> {
 		this.#tried.add(member.server);
-		const nowMs = readMonotonicMs();
-		this.#entry.router.recordStart(member, nowMs);
-		const headers = convertToEndToEnd(request.headers);
-		delete headers.authorization;
-		this.#attempt = Attempt.start({
-			dispatcher: this.#entry.pools.open(member, nowMs),
-			member,
-			context: {
-				...call.context,
-				attemptId,
-				deadlineMs: Math.max(1, call.deadlineAtMs - nowMs),
-				retryAllowance: loan,
-			},
-			method: request.method ?? 'GET',
-			path: call.path,
-			headers,
-			body,
-			peerKey: this.#entry.peerKey,
-		});
-		const head = await this.#attempt.readHead();
-		if (call.retryKind === 'allowance') {
-			this.#settleLoan(attemptId, head.allowanceLeft);
+		const first = this.#runner.start(member);
+		const hedge = this.#decideHedge();
+		if (hedge.kind === 'none') {
+			return {winner: first, head: await first.head};
 		}
 
-		this.#recordResult(member, head);
-		return head;
+		return runHedged({
+			first,
+			delayMs: hedge.delayMs,
+			startSecond: () => this.#startHedge(),
+		});
 	}
 
-	/** Takes a loan back, or counts it as spent when the answer was lost. */
-	#settleLoan(attemptId: string, left: number | undefined): void {
-		if (left === undefined) {
-			this.#allowance.forfeitLoan(attemptId);
-		} else {
-			this.#allowance.returnLoan(attemptId, left);
-		}
+	#decideHedge(): HedgeDecision {
+		const {call} = this.#input;
+		const {service, callName, idempotent} = call.context;
+		const {router} = this.#entry;
+		const nowMs = readMonotonicMs();
+		return chooseHedge({
+			isWanted: call.rule.hedge && call.retryKind === 'allowance',
+			idempotent,
+			available: this.#canSendAgain() ? this.#allowance.available : 0,
+			deadlineLeftMs: call.deadlineAtMs - nowMs,
+			isOverloaded: router.isOverloaded(service, nowMs),
+			lateAfterMs: router.readHedgeDelayMs(service, callName),
+		});
 	}
 
-	#recordResult(member: Member, head: AttemptHead): void {
-		const kind = this.#ended === 'no' ? classifyResult(head) : 'cancelled';
-		this.#entry.router.recordResult(
-			{
-				member,
-				callName: this.#input.call.context.callName,
-				kind,
-				latencyMs: head.latencyMs,
-				bytes: readContentLength(head),
-				...(head.report === undefined ? {} : {report: head.report}),
-			},
-			readMonotonicMs(),
-		);
+	/** Sends the second attempt of a hedge, unless the service has become overloaded since. */
+	#startHedge(): RunningAttempt | undefined {
+		if (this.#decideHedge().kind === 'none') {
+			return undefined;
+		}
+
+		const choice = this.#chooseServer();
+		if (choice.kind === 'refused') {
+			return undefined;
+		}
+
+		this.#tried.add(choice.member.server);
+		// The other attempt runs still, so that no refusal of this one proves that nothing ran.
+		this.#proof.record({kind: 'unknown', reason: 'hedged'});
+		this.#spendRetry();
+		return this.#runner.start(choice.member);
 	}
 
-	async #relay(head: AttemptHead): Promise<Outcome> {
+	async #relay(head: AttemptHead, attempt: Attempt): Promise<Outcome> {
 		const {response, call} = this.#input;
 		const {answer} = head;
-		const attempt = this.#attempt;
-		if (answer === undefined || attempt === undefined || response.destroyed) {
-			attempt?.cancel();
+		if (answer === undefined || response.destroyed) {
+			attempt.cancel();
 			return {kind: 'unknown', reason: 'cancelled'};
 		}
 
+		if (this.#ended !== 'no') {
+			attempt.cancel();
+			return this.#refuse({kind: 'unknown', reason: this.#ended}, 'the answer came too late');
+		}
+
+		this.#relayed = attempt;
 		response.writeHead(answer.status, {
 			...convertToEndToEnd(answer.headers),
 			[headerNames.request]: call.context.requestId,
@@ -268,8 +279,9 @@
 		return outcome;
 	}
 
-	#refuse(outcome: Refusal, detail: string): Outcome {
+	#refuse(refusal: Refusal, detail: string): Outcome {
 		const {call, response} = this.#input;
+		const outcome = this.#proof.settle(refusal);
 		answerProblem(
 			response,
 			{
@@ -286,28 +298,6 @@
 	}
 }
 
-function classifyResult(head: AttemptHead): AttemptResult['kind'] {
-	switch (head.outcome.kind) {
-		case 'answered': {
-			return head.outcome.status >= 500 ? 'failed' : 'answered';
-		}
-
-		case 'notRun': {
-			return head.outcome.reason === 'connect' ? 'unreachable' : 'refused';
-		}
-
-		case 'unknown':
-		case 'failed': {
-			return 'failed';
-		}
-	}
-}
-
-function readContentLength(head: AttemptHead): number {
-	const length = head.answer?.headers['content-length'];
-	return length === undefined ? 0 : Number(length);
-}
-
 function chooseStatus(outcome: Refusal): number {
 	switch (outcome.kind) {
 		case 'notRun': {
