--- a/src/policy/built-in.ts
+++ b/src/policy/built-in.ts
@@ -32,6 +32,7 @@
 	callers: [],
 	anonymous: {allowed: true, maxImportance: 'low'},
 	retries: {kind: 'allowance', perRequest: 1, maxDepth: 8},
+	routing: {kind: 'measured'},
 	link: {bitsPerSecond: 30_000_000, callShare: 0.5},
 	once: {keepSeconds: 604_800, maxTableAnswerBytes: 16_384, maxAnswerBytes: 4_194_304},
 	objectives: [],
--- a/src/policy/schema.ts
+++ b/src/policy/schema.ts
@@ -90,6 +90,12 @@
 			maxDepth: z.int().min(1).max(32).default(8),
 		})
 		.prefault({}),
+	routing: z
+		.strictObject({
+			/** `measured` chooses by latency and calls in flight; `roundRobin` in turn, as a baseline. */
+			kind: z.enum(['measured', 'roundRobin']).default('measured'),
+		})
+		.prefault({}),
 	link: z
 		.strictObject({
 			bitsPerSecond: z.int().min(1000).max(100_000_000_000).default(30_000_000),
--- a/src/routing/service-router.test.ts
+++ b/src/routing/service-router.test.ts
@@ -232,3 +232,11 @@
 	t.true(router.isOverloaded('catalogue', 500));
 	t.false(router.isOverloaded('catalogue', 2000));
 });
+
+test('the baseline takes the servers in turn, whatever was measured', t => {
+	const router = createRouter(four, createPolicy({}, {routing: {kind: 'roundRobin'}}));
+	const counts = runCalls(router, {fromMs: 0, toMs: 2000, everyMs: 5}, member => ({
+		latencyMs: member.server === 's1' ? 100 : 10,
+	}));
+	t.deepEqual([...counts.values()], [100, 100, 100, 100]);
+});
--- a/src/routing/service-router.ts
+++ b/src/routing/service-router.ts
@@ -7,7 +7,7 @@
 import {LinkBudget} from './link-budget.ts';
 import {type ServerEntry, type Strictness} from './server-entry.ts';
 import {ServiceGroup, type Location} from './service-group.ts';
-import {pickOfTwo, type PickInput, type RandomSource} from './two-choices.ts';
+import {pickInTurn, pickOfTwo, type PickInput, type RandomSource} from './two-choices.ts';
 import {type AttemptResult, type RouteChoice, type RouteRequest, type Router} from './types.ts';
 
 export type RouterOptions = Location & {
@@ -36,6 +36,8 @@
 	readonly #budget: LinkBudget;
 	#link: {readonly bitsPerSecond: number; readonly callShare: number} = defaultLink;
 	#regionMembers = 1;
+	#kind: Policy['routing']['kind'] = 'measured';
+	#turn = 0;
 
 	private constructor(private readonly options: RouterOptions) {
 		this.#budget = LinkBudget.create({...defaultLink, memberCount: 1});
@@ -78,6 +80,7 @@
 			this.#rules.set(name, {otherRegion, maxEjectedShare});
 		}
 
+		this.#kind = policy.routing.kind;
 		this.#link = policy.link;
 		this.#budget.setShare({...policy.link, memberCount: this.#regionMembers});
 	}
@@ -99,7 +102,8 @@
 		}
 
 		// Two passes: the second also takes servers that are ejected, suspected or shedding.
-		const strict = this.#pick(group, request, nowMs, 'strict');
+		const strict =
+			this.#kind === 'measured' ? this.#pick(group, request, nowMs, 'strict') : undefined;
 		if (strict !== undefined) {
 			return {kind: 'server', member: strict.member};
 		}
@@ -204,7 +208,7 @@
 	): ServerEntry | undefined {
 		const {random} = this.options;
 		const input: PickInput = {request, nowMs, usual: group.readUsual(), random, strictness};
-		const home = pickOfTwo(group.near, input) ?? pickOfTwo(group.regional, input);
+		const home = this.#pickInTier(group.near, input) ?? this.#pickInTier(group.regional, input);
 		if (home !== undefined || !this.#readRule(request.service).otherRegion) {
 			return home;
 		}
@@ -213,7 +217,7 @@
 			return undefined;
 		}
 
-		const remote = pickOfTwo(group.remote, input);
+		const remote = this.#pickInTier(group.remote, input);
 		if (remote !== undefined) {
 			remote.reservedBytes += request.expectedBytes;
 			this.#budget.spend(request.expectedBytes);
@@ -222,6 +226,19 @@
 		return remote;
 	}
 
+	#pickInTier(entries: readonly ServerEntry[], input: PickInput): ServerEntry | undefined {
+		switch (this.#kind) {
+			case 'measured': {
+				return pickOfTwo(entries, input);
+			}
+
+			case 'roundRobin': {
+				this.#turn += 1;
+				return pickInTurn(entries, input, this.#turn);
+			}
+		}
+	}
+
 	/** Finds why no server could be chosen. */
 	#findRefusal(group: ServiceGroup, request: RouteRequest): NotRunReason {
 		if (!this.#readRule(request.service).otherRegion) {
--- a/src/routing/two-choices.ts
+++ b/src/routing/two-choices.ts
@@ -44,6 +44,23 @@
 	return chooseCheaper(first, second, input);
 }
 
+/**
+ * Picks the candidates in turn, whatever was measured of them.
+ *
+ * @param turn - grows by 1 with each call
+ * @returns undefined when no server can take the call
+ * @example
+ * const entry = pickInTurn(tier, input, 7);
+ */
+export function pickInTurn(
+	entries: readonly ServerEntry[],
+	input: PickInput,
+	turn: number,
+): ServerEntry | undefined {
+	const count = countCandidates(entries, input);
+	return count === 0 ? undefined : findCandidate(entries, input, turn % count);
+}
+
 function chooseCheaper(first: ServerEntry, second: ServerEntry, input: PickInput): ServerEntry {
 	const {nowMs, usual, strictness} = input;
 	if (strictness === 'strict' && first.isOnTrial !== second.isOnTrial) {
