Interleave the phases of the scenario slowed

Cause: with all healthy slices first, the machine's other load of the later slices counted as the slowdown's (p50Ratio up to 1.3). Each variant now runs healthy and slowed slices in turn.

--- a/bench/scenarios/slowed.ts
+++ b/bench/scenarios/slowed.ts
@@ -3,7 +3,6 @@
  * latency against the same load with all servers healthy.
  */
 import {performance} from 'node:perf_hooks';
-import {setTimeout as wait} from 'node:timers/promises';
 import {request} from 'undici';
 import {type PolicyInput} from '../../src/policy/schema.ts';
 import {TestBed, type RunningServer} from '../harness/test-bed.ts';
@@ -19,11 +18,11 @@
 const serviceMs = 10;
 const slowFactor = 10;
 const ratePerSecond = 200;
-const sliceMs = 2500;
-const healthySlices = 2;
-const slowedSlices = 3;
-/** Time between the slowdown and the first measured slice. */
-const detectMs = 1000;
+const rounds = 3;
+const sliceMs = 2200;
+/** Start of each slice that is left out: connections open and the slowdown is detected. */
+const settleMs = 600;
+const warmUpMs = 800;
 const probeCalls = 10;
 const maxLateMs = 20;
 /** Least slowdown of the slowed server, called direct, for the premise to hold. */
@@ -96,52 +95,35 @@
 }
 
 /** Runs one slice of load and returns how late its arrivals were sent. */
-async function runSlice(
-	bed: TestBed,
-	samples: Samples,
-	phase: 'healthyMs' | 'slowedMs',
-	options: {seed: number; durationMs: number},
-): Promise<number> {
-	const load = await LoadGenerator.create({
-		...options,
+async function runSlice(bed: TestBed, seed: number, durationMs: number) {
+	return LoadGenerator.create({
+		seed,
+		durationMs,
 		ports: bed.listCallerPorts(),
 		kinds: [{name: 'swatch', method: 'GET', path: '/catalogue/swatches/1', ratePerSecond}],
 	}).run();
-	for (const sample of load.samples) {
-		samples.all++;
-		samples.whole += sample.result === 'whole' ? 1 : 0;
-		samples[phase].push(sample.latencyMs);
-	}
-
-	return load.lateP99Ms;
 }
 
-async function runPhase(
-	beds: ReadonlyMap<VariantKind, TestBed>,
-	samples: ReadonlyMap<VariantKind, Samples>,
-	phase: 'healthyMs' | 'slowedMs',
-	seed: number,
-): Promise<number> {
+/** Runs the same load healthy and slowed, one right after the other. */
+async function runRound(bed: TestBed, samples: Samples, seed: number): Promise<number> {
+	const server = bed.findServer('catalogue-0');
 	let lateMs = 0;
-	const slices = phase === 'healthyMs' ? healthySlices : slowedSlices;
-	for (let slice = 0; slice < slices; slice++) {
-		for (const [kind, bed] of beds) {
-			const options = {seed: seed * 100 + slice, durationMs: sliceMs};
-			lateMs = Math.max(lateMs, await runSlice(bed, samples.get(kind)!, phase, options));
+	for (const phase of ['healthyMs', 'slowedMs'] as const) {
+		await bed.setBehaviour(server, {slowFactor: phase === 'slowedMs' ? slowFactor : 1});
+		const load = await runSlice(bed, seed, sliceMs);
+		lateMs = Math.max(lateMs, load.lateP99Ms);
+		for (const sample of load.samples) {
+			if (sample.dueAtMs >= settleMs) {
+				samples.all++;
+				samples.whole += sample.result === 'whole' ? 1 : 0;
+				samples[phase].push(sample.latencyMs);
+			}
 		}
 	}
 
 	return lateMs;
 }
 
-/** Runs load that isn't measured, until connections and estimates exist. */
-async function runWarmUp(beds: ReadonlyMap<VariantKind, TestBed>, seed: number): Promise<void> {
-	for (const bed of beds.values()) {
-		const ignored: Samples = {healthyMs: [], slowedMs: [], whole: 0, all: 0};
-		await runSlice(bed, ignored, 'healthyMs', {seed, durationMs: detectMs});
-	}
-}
-
 function createFigures(samples: Samples): Figures {
 	const healthyP99Ms = computeQuantile(samples.healthyMs, 0.99);
 	const slowedP99Ms = computeQuantile(samples.slowedMs, 0.99);
@@ -170,17 +152,14 @@
 	return beds;
 }
 
-/** Slows the first server of each variant; returns the least direct slowdown that was measured. */
-async function slowServers(beds: ReadonlyMap<VariantKind, TestBed>): Promise<number> {
-	let ratio = Number.POSITIVE_INFINITY;
-	for (const bed of beds.values()) {
-		const server = bed.findServer('catalogue-0');
-		const beforeMs = await measureDirect(server);
-		await bed.setBehaviour(server, {slowFactor});
-		ratio = Math.min(ratio, (await measureDirect(server)) / beforeMs);
-	}
-
-	return ratio;
+/** Measures how much slower a slowed server answers when called direct. */
+async function measureSlowdown(bed: TestBed): Promise<number> {
+	const server = bed.findServer('catalogue-0');
+	const healthyMs = await measureDirect(server);
+	await bed.setBehaviour(server, {slowFactor});
+	const slowedMs = await measureDirect(server);
+	await bed.setBehaviour(server, {slowFactor: 1});
+	return slowedMs / healthyMs;
 }
 
 export const scenario: Scenario = {
@@ -188,27 +167,32 @@
 		const beds = await startBeds(seed);
 		try {
 			const samples = new Map<VariantKind, Samples>();
-			for (const kind of beds.keys()) {
+			for (const [kind, bed] of beds) {
 				samples.set(kind, {healthyMs: [], slowedMs: [], whole: 0, all: 0});
+				await runSlice(bed, seed, warmUpMs);
+			}
+
+			const directRatio = await measureSlowdown(beds.get('none')!);
+			let lateMs = 0;
+			for (let round = 0; round < rounds; round++) {
+				for (const [kind, bed] of beds) {
+					const late = await runRound(bed, samples.get(kind)!, seed * 100 + round);
+					lateMs = Math.max(lateMs, late);
+				}
 			}
 
-			await wait(detectMs);
-			await runWarmUp(beds, seed);
-			const healthyLateMs = await runPhase(beds, samples, 'healthyMs', seed);
-			const directRatio = await slowServers(beds);
-			await runWarmUp(beds, seed);
-			const lateMs = Math.max(healthyLateMs, await runPhase(beds, samples, 'slowedMs', seed));
 			const variants: Partial<Record<VariantKind, Figures>> = {};
 			for (const [kind, own] of samples) {
 				variants[kind] = createFigures(own);
 			}
 
 			const noneRatio = Number(variants.none?.p99Ratio ?? 0);
+			const isSlowed = directRatio >= minDirectRatio && noneRatio >= minNoneRatio;
 			return {
 				scenario: 'slowed',
 				seed,
 				premise: {
-					holds: lateMs <= maxLateMs && directRatio >= minDirectRatio && noneRatio >= minNoneRatio,
+					holds: lateMs <= maxLateMs && isSlowed,
 					details: {lateP99Ms: lateMs, directRatio, ratePerSecond, slowFactor, slotScale},
 				},
 				variants,
