--- a/src/routing/outlier-ejection.ts
+++ b/src/routing/outlier-ejection.ts
@@ -43,18 +43,18 @@
 	}
 
 	/**
-	 * Takes in how long an answer took.
+	 * Takes in whether an attempt was slow.
 	 *
+	 * @param sentAtMs - when the attempt was sent
 	 * @example
-	 * ejection.recordLatency(entry, {latencyMs: 12, usualMs: 10}, nowMs);
+	 * ejection.recordSpeed(entry, true, sentAtMs);
 	 */
-	recordLatency(entry: ServerEntry, sample: LatencySample, nowMs: number): void {
-		if (!this.isSlow(sample)) {
+	recordSpeed(entry: ServerEntry, isSlow: boolean, sentAtMs: number): void {
+		if (!isSlow) {
 			entry.slowAnswers = 0;
 			return;
 		}
 
-		const sentAtMs = nowMs - sample.latencyMs;
 		if (entry.slowAnswers === 0) {
 			entry.slowSinceMs = sentAtMs;
 		}
--- a/src/routing/service-group.ts
+++ b/src/routing/service-group.ts
@@ -171,11 +171,15 @@
 		const isTrial = entry.ejection.kind === 'trial';
 		const kind = this.#openKind(result.callName);
 		const sample = {latencyMs: result.latencyMs, usualMs: kind.meanMs};
-		const isSlow = ejection.isSlow(sample);
+		// A cancelled attempt would have taken longer still, so that being late is enough.
+		const isSlow =
+			result.kind === 'cancelled'
+				? result.latencyMs > (kind.hedgeDelayMs ?? Number.POSITIVE_INFINITY)
+				: ejection.isSlow(sample);
 		entry.recordResult(result, kind.computeRelative(result.latencyMs), nowMs);
 		this.#recordRefusal(result, nowMs);
 		if (result.kind === 'answered' || (result.kind === 'cancelled' && isSlow)) {
-			ejection.recordLatency(entry, sample, nowMs);
+			ejection.recordSpeed(entry, isSlow, nowMs - result.latencyMs);
 		}
 
 		if (result.kind === 'answered') {
--- a/src/routing/service-router.test.ts
+++ b/src/routing/service-router.test.ts
@@ -189,6 +189,17 @@
 	t.true((counts.get('s1') ?? 0) > 500, `the healed server got ${counts.get('s1')} of 8000`);
 });
 
+test('a server whose late attempts are cancelled by hedges is ejected', t => {
+	const router = createRouter(four);
+	const random = createRandom(12);
+	const drawMs = () => 5 - 5 * Math.log(1 - random());
+	runCalls(router, {fromMs: 0, toMs: 1000, everyMs: 5}, () => ({latencyMs: drawMs()}));
+	runCalls(router, {fromMs: 1000, toMs: 6000, everyMs: 5}, member =>
+		member.server === 's1' ? {kind: 'cancelled', latencyMs: 30} : {latencyMs: drawMs()},
+	);
+	t.is(router.countEjected('catalogue'), 1);
+});
+
 test('a server that happens to run the long calls does not look slow', t => {
 	const router = createRouter(four);
 	for (let nowMs = 0; nowMs < 5000; nowMs += 50) {
