Add the ledger of once calls for keys that callers choose

A claim is a conditional insert without a lease. What was lost is settled by reading back the nonce; an open claim of another attempt is taken over only after its holder killed the nonce. Holder and guard share one bounded registry of nonces whose watermark keeps what it forgot from being sent or told as unsent.

--- /dev/null
+++ b/src/once/fingerprint.ts
@@ -0,0 +1,17 @@
+/**
+ * Fingerprint of a request, which tells a repeat from another request under the same key.
+ */
+import {createHash} from 'node:crypto';
+
+/**
+ * Computes the SHA-256 over method, path with query, and body, in hexadecimal.
+ *
+ * @example
+ * computeFingerprint('POST', '/orders', body);
+ */
+export function computeFingerprint(method: string, path: string, body: Uint8Array): string {
+	const hash = createHash('sha256');
+	hash.update(JSON.stringify([method, path]));
+	hash.update(body);
+	return hash.digest('hex');
+}
--- /dev/null
+++ b/src/once/testing/world.ts
@@ -0,0 +1,431 @@
+/**
+ * A small world for tests of once calls: a table, daemons, guards and a backend server that counts.
+ *
+ * Every message between them waits at a gate until the test lets it pass, so a test decides about every
+ * order of events.
+ */
+import {Buffer} from 'node:buffer';
+import {errAsync, okAsync, ResultAsync, type Result} from 'neverthrow';
+import {PlatformError, type PlatformErrorKind} from '../../platform/errors.ts';
+import {
+	type ObjectStore,
+	type RowKey,
+	type Table,
+	type TableRow,
+	type TableWrite,
+} from '../../platform/types.ts';
+import {computeRowKey, decodeClaim} from '../claim-row.ts';
+import {NonceRegistry} from '../nonce-registry.ts';
+import {OnceLedger} from '../once-ledger.ts';
+import {
+	type Holder,
+	type KillVerdict,
+	type OnceRequest,
+	type OnceResult,
+	type SendEnd,
+} from '../types.ts';
+
+export type TableFault = 'ok' | 'unreachable' | 'fail' | 'lose' | 'late';
+
+type Gate = {
+	readonly owner: string;
+	readonly pass: () => void;
+	readonly canPass: () => boolean;
+};
+
+export type Attempt = {
+	readonly request: OnceRequest;
+	readonly entry: string;
+	/** Set when the attempt's call reached the backend server. */
+	runs: number;
+	result?: OnceResult;
+};
+
+/** The network and the platform belong to nobody that can crash. */
+const network = 'network';
+const maxNonces = 1000;
+const stepMs = 2000;
+const limits = {keepSeconds: 3600, maxTableAnswerBytes: 8, maxAnswerBytes: 1000};
+
+/** Names a request's key and caller. */
+function formatRequest(request: OnceRequest): string {
+	return `${request.caller} ${request.key}`;
+}
+
+/**
+ * The answer of the backend server to one run of a request.
+ *
+ * @example
+ * createAnswer(request, 1);
+ */
+export function createAnswer(request: OnceRequest, run: number): string {
+	return request.key.length > 1 ? `run ${run} of ${formatRequest(request)}` : `run ${run}`;
+}
+
+/** A table behind gates, with faults on command. */
+class WorldTable implements Table {
+	static create(world: World, owner: string): WorldTable {
+		return new WorldTable(world, owner);
+	}
+
+	private constructor(
+		private readonly world: World,
+		private readonly owner: string,
+	) {}
+
+	get(key: RowKey): ResultAsync<TableRow | undefined, PlatformError> {
+		return this.exchange(() => okAsync(this.world.rows.get(key.partition)));
+	}
+
+	write(write: TableWrite): ResultAsync<void, PlatformError> {
+		return this.exchange(() => this.world.applyWrite(write), true);
+	}
+
+	transact(): ResultAsync<void, PlatformError> {
+		throw new Error('not used by once calls');
+	}
+
+	query(): ResultAsync<readonly TableRow[], PlatformError> {
+		throw new Error('not used by once calls');
+	}
+
+	private exchange<Value>(
+		run: () => ResultAsync<Value, PlatformError>,
+		isWrite = false,
+	): ResultAsync<Value, PlatformError> {
+		return new ResultAsync(this.pass(run, isWrite));
+	}
+
+	private async pass<Value>(
+		run: () => ResultAsync<Value, PlatformError>,
+		isWrite: boolean,
+	): Promise<Result<Value, PlatformError>> {
+		const {fault} = this.world;
+		if (fault === 'unreachable') {
+			return this.fail('unreachable');
+		}
+
+		if (fault === 'late' && isWrite) {
+			this.world.lateEffects.push(() => {
+				void run();
+			});
+			await this.world.wait(this.owner);
+			return this.fail('lostAnswer');
+		}
+
+		await this.world.wait(network);
+		const result = fault === 'fail' ? undefined : await run();
+		await this.world.wait(this.owner);
+		return result === undefined || fault === 'lose' ? this.fail('lostAnswer') : result;
+	}
+
+	private async fail<Value>(kind: PlatformErrorKind): Promise<Result<Value, PlatformError>> {
+		return errAsync<Value, PlatformError>(PlatformError.create(kind, 'test', 'row', 'injected'));
+	}
+}
+
+/** One daemon that takes calls; a restart makes a new instance. */
+class Entry {
+	static create(world: World, name: string, instance: number): Entry {
+		return new Entry(world, name, `${name}.${instance}`);
+	}
+
+	readonly ledger: OnceLedger;
+	frozen = false;
+
+	private constructor(
+		world: World,
+		readonly name: string,
+		readonly instanceId: string,
+	) {
+		const store: ObjectStore = {
+			put(key, body) {
+				world.objects.set(key, body);
+				return okAsync(undefined);
+			},
+			get: key => okAsync(world.objects.get(key)),
+			list: () => okAsync([]),
+		};
+		this.ledger = OnceLedger.create(
+			{instanceId, address: name, peerPort: 1},
+			{
+				table: WorldTable.create(world, instanceId),
+				objects: store,
+				holders: {killNonce: async (holder, nonce) => world.askHolder(instanceId, holder, nonce)},
+				readNowMs: () => world.nowMs,
+				readRandom: () => world.createRandom(),
+				wait: async () => world.wait(instanceId),
+			},
+			limits,
+			NonceRegistry.create(maxNonces),
+		);
+	}
+}
+
+/** Everything outside the code under test. */
+export class World {
+	/**
+	 * @example
+	 * const world = World.create(['a', 'b']);
+	 */
+	static create(entryNames: readonly string[]): World {
+		return new World(entryNames);
+	}
+
+	fault: TableFault = 'ok';
+	/** Whether the guard sheds; undefined sheds every fourth call. */
+	isShedding: boolean | undefined;
+	nowMs = 1_700_000_000_000;
+	readonly rows = new Map<string, TableRow>();
+	readonly objects = new Map<string, Uint8Array>();
+	readonly lateEffects: Array<() => void> = [];
+	readonly attempts: Attempt[] = [];
+	/** Runs on the backend server, by caller and key. */
+	readonly runs = new Map<string, number>();
+	/** Keys that were handed to a guard. */
+	readonly sentKeys = new Set<string>();
+	readonly faults = {crashes: 0, freezes: 0, restarts: 0, cuts: 0, tableFaults: 0, lateEffects: 0};
+	private readonly entries = new Map<string, Entry>();
+	private gates: Gate[] = [];
+	private connections: Array<() => void> = [];
+	private guard = NonceRegistry.create(maxNonces);
+	private guardStart = 0;
+	private sequence = 0;
+
+	private constructor(entryNames: readonly string[]) {
+		for (const name of entryNames) {
+			this.entries.set(name, Entry.create(this, name, 0));
+		}
+	}
+
+	/** Waits until the test lets a message of `owner` pass. */
+	async wait(owner: string, canPass: () => boolean = () => true): Promise<void> {
+		return new Promise(resolve => {
+			this.gates.push({owner, pass: resolve, canPass});
+		});
+	}
+
+	/** Lets one waiting message pass and everything that follows from it happen. */
+	async step(index: number): Promise<boolean> {
+		const open = this.gates.filter(gate => gate.canPass() && !this.isFrozen(gate.owner));
+		const gate = open[index % Math.max(1, open.length)];
+		if (gate === undefined) {
+			return false;
+		}
+
+		this.gates.splice(this.gates.indexOf(gate), 1);
+		gate.pass();
+		this.nowMs += stepMs;
+		await this.flush();
+		return true;
+	}
+
+	/** Starts a call. */
+	async call(entryName: string, request: OnceRequest): Promise<Attempt> {
+		const entry = this.entries.get(entryName)!;
+		const attempt: Attempt = {request, entry: entry.instanceId, runs: 0};
+		this.attempts.push(attempt);
+		void this.runAttempt(entry, attempt);
+		await this.flush();
+		return attempt;
+	}
+
+	applyWrite(write: TableWrite): ResultAsync<void, PlatformError> {
+		const key = write.kind === 'put' ? write.row : write.key;
+		const current = this.rows.get(key.partition);
+		const {condition} = write;
+		const isMet =
+			condition.kind === 'none' ||
+			(condition.kind === 'absent'
+				? current === undefined
+				: current?.revision === condition.revision);
+		if (!isMet) {
+			return errAsync(PlatformError.create('conditionFailed', 'test', key.partition, ''));
+		}
+
+		if (write.kind === 'put') {
+			this.rows.set(key.partition, write.row);
+		} else {
+			this.rows.delete(key.partition);
+		}
+
+		return okAsync(undefined);
+	}
+
+	/** Carries a question to a holder; a holder that does not answer may still act on it later. */
+	async askHolder(asker: string, holder: Holder, nonce: string): Promise<KillVerdict> {
+		const verdict = await Promise.race([
+			this.deliverQuestion(holder, nonce),
+			this.answerTimeout(asker, holder),
+		]);
+		await this.wait(asker);
+		return verdict;
+	}
+
+	setFault(fault: TableFault): void {
+		this.fault = fault;
+		this.faults.tableFaults += fault === 'ok' ? 0 : 1;
+	}
+
+	/** Lets one late write take effect. */
+	applyLateEffect(index: number): void {
+		const [effect] = this.lateEffects.splice(index % Math.max(1, this.lateEffects.length), 1);
+		if (effect !== undefined) {
+			this.faults.lateEffects++;
+			effect();
+		}
+	}
+
+	/** Replaces a daemon by a new instance; its messages on the wire still arrive. */
+	crash(entryName: string): void {
+		const old = this.entries.get(entryName)!;
+		this.gates = this.gates.filter(gate => gate.owner !== old.instanceId);
+		this.entries.set(entryName, Entry.create(this, entryName, ++this.sequence));
+		this.faults.crashes++;
+	}
+
+	setFrozen(entryName: string, frozen: boolean): void {
+		this.entries.get(entryName)!.frozen = frozen;
+		this.faults.freezes += frozen ? 1 : 0;
+	}
+
+	/** Cuts the connections of all calls between entries and the guard. */
+	cutConnections(): void {
+		for (const cut of this.connections) {
+			cut();
+		}
+
+		this.faults.cuts += this.connections.length;
+		this.connections = [];
+	}
+
+	/** Replaces the guard; calls that wait there are lost. */
+	restartGuard(): void {
+		this.guard = NonceRegistry.create(maxNonces);
+		this.guardStart++;
+		this.faults.restarts++;
+	}
+
+	/** Ends every fault and lets everything happen that is still to happen. */
+	async heal(): Promise<void> {
+		this.fault = 'ok';
+		for (const entry of this.entries.values()) {
+			entry.frozen = false;
+		}
+
+		do {
+			while (this.lateEffects.length > 0) {
+				this.applyLateEffect(0);
+			}
+		} while (await this.step(0));
+	}
+
+	createRandom(): string {
+		return (++this.sequence).toString(16).padStart(16, '0');
+	}
+
+	countRuns(request: OnceRequest): number {
+		return this.runs.get(formatRequest(request)) ?? 0;
+	}
+
+	isSent(request: OnceRequest): boolean {
+		return this.sentKeys.has(formatRequest(request));
+	}
+
+	/** Tells whether the claim of a request, if there is one, can be asked about. */
+	isHolderAlive(request: OnceRequest): boolean {
+		const row = this.rows.get(computeRowKey(request).partition);
+		const state = row === undefined ? undefined : decodeClaim(row)?.state;
+		if (state?.kind !== 'claimed') {
+			return true;
+		}
+
+		return this.entries.get(state.holder.address)?.instanceId === state.holder.instanceId;
+	}
+
+	private async runAttempt(entry: Entry, attempt: Attempt): Promise<void> {
+		attempt.result = await entry.ledger.run(attempt.request, async nonce =>
+			this.sendToGuard(entry, attempt, nonce),
+		);
+	}
+
+	/** The way from an entry to the guard, whose connection may be cut. */
+	private async sendToGuard(entry: Entry, attempt: Attempt, nonce: string): Promise<SendEnd> {
+		this.sentKeys.add(formatRequest(attempt.request));
+		const {guardStart} = this;
+		const cut = new Promise<undefined>(resolve => {
+			this.connections.push(() => {
+				resolve(undefined);
+			});
+		});
+		const end = await Promise.race([this.passGuard(attempt, nonce), cut]);
+		await this.wait(entry.instanceId);
+		return end ?? this.killAtGuard(entry, guardStart, nonce);
+	}
+
+	/** The way through the guard to the backend server and back; undefined when the guard restarts. */
+	private async passGuard(attempt: Attempt, nonce: string): Promise<SendEnd | undefined> {
+		const {guard} = this;
+		await this.wait(network);
+		if (guard !== this.guard) {
+			return undefined;
+		}
+
+		const isShed = this.isShedding ?? (this.nowMs / stepMs) % 4 < 1;
+		if (isShed || !guard.startSend(nonce)) {
+			return {kind: 'notRun', reason: 'overload'};
+		}
+
+		attempt.runs++;
+		const name = formatRequest(attempt.request);
+		const run = (this.runs.get(name) ?? 0) + 1;
+		this.runs.set(name, run);
+		await this.wait(network);
+		guard.endSend(nonce);
+		if (guard !== this.guard) {
+			return undefined;
+		}
+
+		const body = Buffer.from(createAnswer(attempt.request, run));
+		return {kind: 'answered', record: {kind: 'kept', answer: {status: 200, headers: [], body}}};
+	}
+
+	/** Asks the guard after a lost connection; one that restarted can't prove anything. */
+	private async killAtGuard(entry: Entry, guardStart: number, nonce: string): Promise<SendEnd> {
+		await this.wait(network);
+		const isSame = guardStart === this.guardStart;
+		const verdict = isSame ? this.guard.kill(nonce) : 'unreachable';
+		await this.wait(entry.instanceId);
+		return verdict === 'neverSent'
+			? {kind: 'notRun', reason: 'connect'}
+			: {kind: 'unknown', reason: 'connection-lost'};
+	}
+
+	private async deliverQuestion(holder: Holder, nonce: string): Promise<KillVerdict> {
+		await this.wait(network, () => !this.isFrozen(holder.instanceId));
+		const entry = this.entries.get(holder.address);
+		return entry?.instanceId === holder.instanceId ? entry.ledger.killNonce(nonce) : 'unreachable';
+	}
+
+	private async answerTimeout(asker: string, holder: Holder): Promise<KillVerdict> {
+		await this.wait(asker, () => this.isFrozen(holder.instanceId));
+		return 'unreachable';
+	}
+
+	private isFrozen(owner: string): boolean {
+		for (const entry of this.entries.values()) {
+			if (entry.instanceId === owner) {
+				return entry.frozen;
+			}
+		}
+
+		return false;
+	}
+
+	/** Lets everything happen that waits for no gate. */
+	private async flush(): Promise<void> {
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+}
