Load only undici's pool and one Headers class in the daemon

Cause: resident memory 83 MB at rest. A global Headers made Node.js load its built-in undici besides ours, imports of types alone pulled in zod's whole classic build with its locales, and undici's index pulled in fetch and caches.

--- a/bench/harness/child-process.ts
+++ b/bench/harness/child-process.ts
@@ -3,13 +3,12 @@
  */
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
-import process from 'node:process';
 import {createInterface} from 'node:readline';
 
 export type ChildOptions = {
+	/** Executable file; its first line names the interpreter and its options. */
 	readonly script: string;
 	readonly args: readonly string[];
-	readonly nodeArgs?: readonly string[];
 };
 
 /** JSON lines that a process writes on standard output. */
@@ -24,11 +23,7 @@
 	 * const child = BenchProcess.start({script: 'dist/bin/primrosevalve-standin.js', args: ['platform']});
 	 */
 	static start(options: ChildOptions): BenchProcess {
-		const child = spawn(
-			process.execPath,
-			[...(options.nodeArgs ?? []), options.script, ...options.args],
-			{stdio: ['ignore', 'pipe', 'inherit']},
-		);
+		const child = spawn(options.script, [...options.args], {stdio: ['ignore', 'pipe', 'inherit']});
 		return new BenchProcess(child);
 	}
 
--- a/bench/harness/test-bed.ts
+++ b/bench/harness/test-bed.ts
@@ -18,9 +18,6 @@
 const projectRoot = path.resolve(import.meta.dirname, '..', '..');
 const daemonScript = path.join(projectRoot, 'dist', 'bin', 'primrosevalved.js');
 const standInScript = path.join(projectRoot, 'dist', 'bin', 'primrosevalve-standin.js');
-/** V8 options under which the daemon is meant to run. */
-export const daemonNodeArgs: readonly string[] = ['--max-semi-space-size=1'];
-
 const pollMs = 100;
 const readyTimeoutMs = 20_000;
 
@@ -207,7 +204,6 @@
 		const daemon = BenchProcess.start({
 			script: daemonScript,
 			args: ['--settings', file],
-			nodeArgs: daemonNodeArgs,
 		});
 		const line = await daemon.waitForLine(candidate => candidate.msg === 'daemon is ready');
 		return {daemon, ports: line as unknown as Ports};
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -36,6 +36,9 @@
 	format: 'esm',
 	target: 'node20',
 	minifySyntax: true,
+	minifyWhitespace: true,
+	// Imports of types alone are dropped, so that the daemon doesn't load the policy's schema.
+	tsconfigRaw: {compilerOptions: {verbatimModuleSyntax: false, target: 'es2024'}},
 	legalComments: 'none',
 	sourcemap: false,
 	banner: {js: requireBanner},
--- a/src/bin/primrosevalved.ts
+++ b/src/bin/primrosevalved.ts
@@ -1,4 +1,4 @@
-#!/usr/bin/env node
+#!/usr/bin/env -S MALLOC_ARENA_MAX=1 node --max-semi-space-size=1 --single-threaded-gc
 /**
  * The daemon that runs beside one backend server.
  */
--- a/src/daemon/entry/attempt.ts
+++ b/src/daemon/entry/attempt.ts
@@ -2,7 +2,7 @@
  * One attempt of a call at one peer.
  */
 import {type OutgoingHttpHeaders} from 'node:http';
-import {type Dispatcher} from 'undici';
+import {type Dispatcher} from '../../http/pool.ts';
 import {decodeOutcome, decodeReport, encodeContext, headerNames} from '../../call/headers.ts';
 import {type CallContext, type GuardReport, type Outcome} from '../../call/types.ts';
 import {type Member} from '../../membership/types.ts';
--- a/src/daemon/entry/peer-pools.ts
+++ b/src/daemon/entry/peer-pools.ts
@@ -1,13 +1,13 @@
 /**
  * Connections to the guards of peers.
  */
-import {Pool} from 'undici';
+import {createPool, type HttpPool} from '../../http/pool.ts';
 import {type Member} from '../../membership/types.ts';
 
 const idlePoolMs = 60_000;
 const connectTimeoutMs = 1000;
 
-type PoolEntry = {readonly pool: Pool; usedAtMs: number};
+type PoolEntry = {readonly pool: HttpPool; usedAtMs: number};
 
 /** One pool for each peer that calls go to; unused pools are closed. */
 export class PeerPools {
@@ -26,7 +26,7 @@
 	}
 
 	/** Finds or opens the pool of a member's peer port. */
-	open(member: Member, nowMs: number): Pool {
+	open(member: Member, nowMs: number): HttpPool {
 		const origin = `http://${member.address}:${member.peerPort}`;
 		const found = this.#pools.get(origin);
 		if (found !== undefined) {
@@ -34,7 +34,7 @@
 			return found.pool;
 		}
 
-		const pool = new Pool(origin, {
+		const pool = createPool(origin, {
 			pipelining: 1,
 			connectTimeout: connectTimeoutMs,
 			keepAliveTimeout: 15_000,
--- a/src/daemon/guard/guard-task.ts
+++ b/src/daemon/guard/guard-task.ts
@@ -2,7 +2,7 @@
  * The guard: admits calls of peers to the local backend server.
  */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {Pool} from 'undici';
+import {createPool, type HttpPool} from '../../http/pool.ts';
 import {type Admission} from '../../admission/types.ts';
 import {decodeContext, encodeReport, headerNames} from '../../call/headers.ts';
 import {type CallContext, type GuardReport, type GuardState} from '../../call/types.ts';
@@ -44,7 +44,7 @@
 	/** Calls that run on the local backend server. */
 	readonly running = RunningCalls.create();
 	readonly admission: Admission;
-	readonly pool: Pool;
+	readonly pool: HttpPool;
 	readonly metrics: Metrics;
 	readonly logger: Logger;
 	readonly #identity: Identity;
@@ -63,7 +63,7 @@
 		this.metrics = options.metrics;
 		const service = this.#findServicePolicy();
 		this.admission = options.createAdmission(service);
-		this.pool = new Pool(`http://127.0.0.1:${options.backendPort}`, {
+		this.pool = createPool(`http://127.0.0.1:${options.backendPort}`, {
 			connections: service.connectionsPerServer,
 			pipelining: 1,
 			connectTimeout: 1000,
--- a/src/daemon/http/exchange.ts
+++ b/src/daemon/http/exchange.ts
@@ -3,7 +3,7 @@
  */
 import {type IncomingHttpHeaders, type OutgoingHttpHeaders} from 'node:http';
 import {type Readable} from 'node:stream';
-import {type Dispatcher} from 'undici';
+import {type Dispatcher} from '../../http/pool.ts';
 
 export type ExchangeRequest = {
 	readonly method: string;
--- a/src/platform/signed-http.ts
+++ b/src/platform/signed-http.ts
@@ -4,10 +4,13 @@
 import {Buffer} from 'node:buffer';
 import {AwsV4Signer} from 'aws4fetch';
 import {ResultAsync} from 'neverthrow';
-import {Pool} from 'undici';
+import {createPool, type HttpPool} from '../http/pool.ts';
+import {setGlobalHeaders} from '../http/web-headers.ts';
 import {PlatformError, type PlatformErrorKind} from './errors.ts';
 import {type PlatformSettings} from './settings.ts';
 
+setGlobalHeaders();
+
 const maxConnections = 4;
 const keepAliveMs = 30_000;
 
@@ -50,7 +53,7 @@
 	 */
 	static create(service: SignedService, baseUrl: string, settings: PlatformSettings): SignedHttp {
 		const {origin} = new URL(baseUrl);
-		const pool = new Pool(origin, {
+		const pool = createPool(origin, {
 			connections: maxConnections,
 			connectTimeout: settings.timeoutMs,
 			keepAliveTimeout: keepAliveMs,
@@ -64,7 +67,7 @@
 		private readonly service: SignedService,
 		private readonly origin: string,
 		private readonly settings: PlatformSettings,
-		private readonly pool: Pool,
+		private readonly pool: HttpPool,
 	) {}
 
 	/**
