--- a/src/admission/adaptive-admission.ts
+++ b/src/admission/adaptive-admission.ts
@@ -2,9 +2,9 @@
  * Admission by importance, deadline and size class, within a limit that adapts to measured latency.
  */
 import PQueue from 'p-queue';
-import {type SizeClass} from '../call/types.ts';
+import {importance, type Importance, type SizeClass} from '../call/types.ts';
 import {type ServicePolicy} from '../policy/schema.ts';
-import {AdaptiveLimit} from './adaptive-limit.ts';
+import {AdaptiveLimit, type ConcurrencyLimit} from './adaptive-limit.ts';
 import {AdmissionLevel} from './admission-level.ts';
 import {
 	createQueueClass,
@@ -12,7 +12,7 @@
 	type AdmissionQueueOptions,
 } from './admission-queue.ts';
 import {assertInvariant} from './errors.ts';
-import {LongLane} from './long-lane.ts';
+import {LongLane, type LaneRule} from './long-lane.ts';
 import {OverloadDetector} from './overload-detector.ts';
 import {ServiceTimes} from './service-times.ts';
 import {
@@ -25,14 +25,34 @@
 } from './types.ts';
 import {WaitingRequest} from './waiting-request.ts';
 
+/** By importance: important requests may wait longer, up to the bound of the queue and their deadline. */
+const patience: Record<Importance, number> = {
+	[importance.background]: 1,
+	[importance.low]: 1,
+	[importance.normal]: 1,
+	[importance.high]: 4,
+	[importance.critical]: Number.POSITIVE_INFINITY,
+};
+
+/** Parts of the admission control that can be replaced for a comparison. */
+export type AdmissionParts = {
+	readonly limit?: ConcurrencyLimit;
+	readonly lane?: LaneRule;
+};
+
 /** Admission control of one guard under the policy kind `adaptive`. */
 export class AdaptiveAdmission implements Admission {
 	/**
+	 * @param parts - replaces the concurrency limit or the rule for long requests
 	 * @example
 	 * const admission = AdaptiveAdmission.create(policy, {readNowMs: () => performance.now()});
 	 */
-	static create(policy: ServicePolicy, clock: MonotonicClock): AdaptiveAdmission {
-		return new AdaptiveAdmission(policy, clock);
+	static create(
+		policy: ServicePolicy,
+		clock: MonotonicClock,
+		parts: AdmissionParts = {},
+	): AdaptiveAdmission {
+		return new AdaptiveAdmission(policy, clock, parts);
 	}
 
 	#waiting!: AdmissionQueue;
@@ -40,8 +60,8 @@
 	readonly #requests = new Map<string, WaitingRequest>();
 	readonly #times = ServiceTimes.create();
 	readonly #level = AdmissionLevel.create();
-	readonly #limit: AdaptiveLimit;
-	readonly #lane: LongLane;
+	readonly #limit: ConcurrencyLimit;
+	readonly #lane: LaneRule;
 	readonly #shortDetector: OverloadDetector;
 	readonly #longDetector: OverloadDetector;
 	#sequence = 0;
@@ -49,10 +69,11 @@
 	private constructor(
 		private policy: ServicePolicy,
 		private readonly clock: MonotonicClock,
+		parts: AdmissionParts,
 	) {
 		const {slotsPerServer, admission} = policy;
-		this.#limit = AdaptiveLimit.create(slotsPerServer);
-		this.#lane = LongLane.create(slotsPerServer, admission.longShare);
+		this.#limit = parts.limit ?? AdaptiveLimit.create(slotsPerServer);
+		this.#lane = parts.lane ?? LongLane.create(slotsPerServer, admission.longShare);
 		this.#shortDetector = OverloadDetector.create(admission.targetDelayMs);
 		this.#longDetector = OverloadDetector.create(admission.targetDelayMs);
 		const queueClass = createQueueClass(this.#lane, queue => {
@@ -212,11 +233,14 @@
 		const {longSlots} = this.#lane;
 		const shortAllowed = this.#updateDetector('short', this.#limit.limit, maxQueued, nowMs);
 		const longAllowed = this.#updateDetector('long', longSlots, maxQueued * longShare, nowMs);
-		while (this.#waiting.waitingShort > shortAllowed) {
+		while (this.#waiting.waitingShort > shortAllowed * this.#readPatience()) {
 			this.#shedVictim('short', nowMs);
 		}
 
-		while (this.#waiting.waitingLong > longAllowed && this.#isLongLeastImportant()) {
+		while (
+			this.#waiting.waitingLong > longAllowed * this.#readPatience() &&
+			this.#isLongLeastImportant()
+		) {
 			this.#shedVictim('long', nowMs);
 		}
 
@@ -225,6 +249,12 @@
 		}
 	}
 
+	/** Reads how many times the allowed queue may stand before the least important that waits is shed. */
+	#readPatience(): number {
+		const least = this.#waiting.findLeastImportance();
+		return least === undefined ? Number.POSITIVE_INFINITY : patience[least];
+	}
+
 	/** Whether a long request may be shed without shedding less important short ones first. */
 	#isLongLeastImportant(): boolean {
 		return this.#waiting.findLeastLongImportance() === this.#waiting.findLeastImportance();
--- a/src/admission/adaptive-limit.ts
+++ b/src/admission/adaptive-limit.ts
@@ -1,23 +1,34 @@
 /**
- * Concurrency limit that follows measured latency and throughput.
+ * Concurrency limit that follows measured throughput.
  *
- * When calls take much longer than their baseline while requests wait, the limit is cut on trial. The cut stays
- * only when throughput holds: then the server queued the calls by itself. When throughput falls with the cut,
- * the slowness has another cause, such as a stall, and the limit goes back.
+ * While requests wait, the limit is changed on trial. A cut stays when throughput holds: the server had queued
+ * or thrashed. A rise stays when throughput grows. Slowness that does not depend on concurrency, such as a stall,
+ * fails the trial of a cut, and the limit goes back. Without waiting requests the limit opens by itself.
  */
 
 const minWindowMs = 100;
 const minSamples = 60;
-const samplesPerSlot = 4;
+/** Samples per slot of a window; a measurement needs more to tell a change from chance. */
+const usualSamplesPerSlot = 3;
+const measuringSamplesPerSlot = 10;
 /** Calls that take this many times their baseline show a crowded server. */
-const crowdedInflation = 1.5;
-const calmInflation = 1.2;
+const crowdedInflation = 1.4;
+/** Without crowding, a cut is tried only after requests have waited for this long. */
+const patienceMs = 2000;
 const cutFactor = 0.75;
-/** Share of the throughput before a cut that has to remain for the cut to stay. */
-const keptThroughput = 0.88;
-const riseFactor = 1.1;
-const firstHoldMs = 1000;
-const maxHoldMs = 8000;
+const riseFactor = 1.25;
+/** Opening per window while nothing waits. */
+const openFactor = 1.1;
+/** Share of the best throughput that has to remain for a cut to stay. */
+const keptThroughput = 0.9;
+/** Growth of throughput that a rise needs to stay. */
+const grownThroughput = 1.12;
+/** Share of the best throughput that is kept from window to window. */
+const bestDecay = 0.95;
+/** Windows at one limit before a trial, so that one window in a stall is no measure. */
+const windowsBeforeTrial = 3;
+const firstHoldMs = 4000;
+const maxHoldMs = 32_000;
 
 export type LimitSample = {
 	readonly serviceMs: number;
@@ -27,6 +38,9 @@
 	readonly isSaturated: boolean;
 };
 
+/** What the admission control needs of a concurrency limit. */
+export type ConcurrencyLimit = Pick<AdaptiveLimit, 'limit' | 'record' | 'setCeiling'>;
+
 /** Sums over one window of samples. */
 type LimitWindow = {
 	startedAtMs: number;
@@ -36,11 +50,16 @@
 	baseMs: number;
 };
 
+type Direction = 'cut' | 'rise';
+
 type Trial =
 	| {readonly kind: 'none'}
-	/** Waits for the calls that started before the cut. */
-	| {readonly kind: 'settling'; readonly limit: number; readonly workPerMs: number}
-	| {readonly kind: 'measuring'; readonly limit: number; readonly workPerMs: number};
+	/** Waits for the calls that started before the change. */
+	| {readonly kind: 'settling'; readonly direction: Direction; readonly limitBefore: number}
+	| {readonly kind: 'measuring'; readonly direction: Direction; readonly limitBefore: number};
+
+/** When the next trial of a direction may begin; failures put it off ever longer. */
+type Hold = {untilMs: number; nextMs: number};
 
 function createWindow(startedAtMs: number): LimitWindow {
 	return {startedAtMs, samples: 0, saturated: 0, serviceMs: 0, baseMs: 0};
@@ -58,13 +77,22 @@
 	}
 
 	#limit: number;
+	#ceiling: number;
 	#window: LimitWindow | undefined;
 	#trial: Trial = {kind: 'none'};
-	#holdMs = firstHoldMs;
-	#holdUntilMs = 0;
+	readonly #holds: Record<Direction, Hold> = {
+		cut: {untilMs: 0, nextMs: firstHoldMs},
+		rise: {untilMs: 0, nextMs: firstHoldMs},
+	};
 
-	private constructor(private ceiling: number) {
+	#bestCallsPerMs = 0;
+	#lastCallsPerMs = 0;
+	#saturatedSinceMs: number | undefined;
+	#windowsAtLimit = 0;
+
+	private constructor(ceiling: number) {
 		this.#limit = ceiling;
+		this.#ceiling = ceiling;
 	}
 
 	/** Slots that may be in use at present. */
@@ -74,11 +102,11 @@
 
 	/** Sets the slots of a new policy; the limit starts again from there. */
 	setCeiling(ceiling: number): void {
-		if (ceiling === this.ceiling) {
+		if (ceiling === this.#ceiling) {
 			return;
 		}
 
-		this.ceiling = ceiling;
+		this.#ceiling = ceiling;
 		this.#limit = ceiling;
 		this.#trial = {kind: 'none'};
 	}
@@ -98,63 +126,101 @@
 	}
 
 	#isFull(window: LimitWindow, nowMs: number): boolean {
-		const enough = Math.max(minSamples, samplesPerSlot * this.#limit);
+		const perSlot =
+			this.#trial.kind === 'measuring' ? measuringSamplesPerSlot : usualSamplesPerSlot;
+		const enough = Math.max(minSamples, perSlot * this.#limit);
 		return window.samples >= enough && nowMs - window.startedAtMs >= minWindowMs;
 	}
 
 	#closeWindow(window: LimitWindow, nowMs: number): void {
 		const isSaturated = window.saturated > window.samples / 2;
-		const workPerMs = window.baseMs / (nowMs - window.startedAtMs);
+		const callsPerMs = window.samples / (nowMs - window.startedAtMs);
 		const trial = this.#trial;
 		switch (trial.kind) {
 			case 'settling': {
 				this.#trial = {...trial, kind: 'measuring'};
-				break;
+				return;
 			}
 
 			case 'measuring': {
-				this.#endTrial(trial, workPerMs, isSaturated, nowMs);
+				this.#endTrial(trial, callsPerMs, isSaturated, nowMs);
 				break;
 			}
 
 			case 'none': {
-				this.#adapt(window, workPerMs, isSaturated, nowMs);
+				this.#bestCallsPerMs = Math.max(callsPerMs, this.#bestCallsPerMs * bestDecay);
+				this.#windowsAtLimit++;
 				break;
 			}
 		}
+
+		this.#lastCallsPerMs = callsPerMs;
+		this.#adapt(isSaturated, window.serviceMs / window.baseMs, nowMs);
 	}
 
+	/** Keeps or undoes the change that was on trial. */
 	#endTrial(
 		trial: Trial & {kind: 'measuring'},
-		workPerMs: number,
+		callsPerMs: number,
 		isSaturated: boolean,
 		nowMs: number,
 	): void {
+		const {direction, limitBefore} = trial;
+		const hold = this.#holds[direction];
 		this.#trial = {kind: 'none'};
-		if (isSaturated && workPerMs >= keptThroughput * trial.workPerMs) {
-			this.#holdMs = firstHoldMs;
+		if (isSaturated && this.#isBetter(direction, callsPerMs)) {
+			this.#bestCallsPerMs = callsPerMs;
+			this.#windowsAtLimit = 1;
+			hold.nextMs = firstHoldMs;
 			return;
 		}
 
-		this.#setLimit(trial.limit);
-		this.#holdUntilMs = nowMs + this.#holdMs;
-		this.#holdMs = Math.min(maxHoldMs, this.#holdMs * 2);
+		this.#setLimit(limitBefore);
+		hold.untilMs = nowMs + hold.nextMs;
+		hold.nextMs = Math.min(maxHoldMs, hold.nextMs * 2);
 	}
 
-	#adapt(window: LimitWindow, workPerMs: number, isSaturated: boolean, nowMs: number): void {
-		const inflation = window.serviceMs / window.baseMs;
-		if (!isSaturated || inflation < calmInflation) {
-			this.#setLimit(Math.ceil(this.#limit * riseFactor));
+	#isBetter(direction: Direction, callsPerMs: number): boolean {
+		switch (direction) {
+			case 'cut': {
+				return callsPerMs >= keptThroughput * this.#bestCallsPerMs;
+			}
+
+			case 'rise': {
+				return callsPerMs >= grownThroughput * this.#lastCallsPerMs;
+			}
+		}
+	}
+
+	/** Opens the limit while nothing waits, and otherwise begins a trial when one is due. */
+	#adapt(isSaturated: boolean, inflation: number, nowMs: number): void {
+		if (!isSaturated) {
+			this.#saturatedSinceMs = undefined;
+			this.#bestCallsPerMs = 0;
+			this.#windowsAtLimit = 0;
+			this.#setLimit(Math.ceil(this.#limit * openFactor));
+			return;
+		}
+
+		this.#saturatedSinceMs ??= nowMs;
+		if (this.#windowsAtLimit < windowsBeforeTrial) {
 			return;
 		}
 
-		if (inflation > crowdedInflation && nowMs >= this.#holdUntilMs && this.#limit > 1) {
-			this.#trial = {kind: 'settling', limit: this.#limit, workPerMs};
-			this.#setLimit(Math.floor(this.#limit * cutFactor));
+		const isCutDue = inflation > crowdedInflation || nowMs - this.#saturatedSinceMs >= patienceMs;
+		if (isCutDue && this.#limit > 1 && nowMs >= this.#holds.cut.untilMs) {
+			this.#startTrial('cut', Math.floor(this.#limit * cutFactor));
+		} else if (this.#limit < this.#ceiling && nowMs >= this.#holds.rise.untilMs) {
+			this.#startTrial('rise', Math.ceil(this.#limit * riseFactor));
 		}
 	}
 
+	#startTrial(direction: Direction, limit: number): void {
+		this.#trial = {kind: 'settling', direction, limitBefore: this.#limit};
+		this.#setLimit(limit);
+	}
+
 	#setLimit(limit: number): void {
-		this.#limit = Math.max(1, Math.min(this.ceiling, limit));
+		this.#limit = Math.max(1, Math.min(this.#ceiling, limit));
 	}
 }
--- a/src/admission/admission-queue.ts
+++ b/src/admission/admission-queue.ts
@@ -4,7 +4,7 @@
 import {type Queue, type QueueAddOptions} from 'p-queue';
 import {type Importance} from '../call/types.ts';
 import {assertInvariant} from './errors.ts';
-import {type LongLane} from './long-lane.ts';
+import {type LaneRule} from './long-lane.ts';
 import {RequestLine} from './request-line.ts';
 import {type AdmissionRequest} from './types.ts';
 import {type WaitingRequest} from './waiting-request.ts';
@@ -24,9 +24,9 @@
 	readonly #long = RequestLine.create();
 	readonly #runs = new Map<WaitingRequest, RunFunction>();
 
-	readonly #lane: LongLane;
+	readonly #lane: LaneRule;
 
-	constructor(lane: LongLane) {
+	constructor(lane: LaneRule) {
 		this.#lane = lane;
 	}
 
@@ -137,7 +137,7 @@
 			return short.request.importance > long.request.importance ? short : long;
 		}
 
-		return this.#lane.isBelowFloor ? long : short;
+		return this.#lane.isLongFirst(short.request, long.request) ? long : short;
 	}
 }
 
@@ -149,7 +149,7 @@
  * new PQueue({queueClass: createQueueClass(lane, queue => { waiting = queue; })});
  */
 export function createQueueClass(
-	lane: LongLane,
+	lane: LaneRule,
 	onCreate: (queue: AdmissionQueue) => void,
 ): new () => AdmissionQueue {
 	return class extends AdmissionQueue {
--- a/src/admission/long-lane.ts
+++ b/src/admission/long-lane.ts
@@ -1,15 +1,34 @@
 /**
  * Slots that long requests may hold.
  *
- * Long requests use what short ones leave: the most short requests that were seen in slots or waiting of
- * late stay reserved for them. A floor keeps long work going at any load.
+ * Long requests use what short ones leave: the mean number of short requests in slots or waiting, and a
+ * margin for its variation, stay reserved for them. A floor keeps long work going at any load.
  */
+import {type AdmissionRequest} from './types.ts';
 
-const peakWindowMs = 500;
-const peakWindows = 6;
+/** Time constant of the mean short demand while it falls. */
+const fallMs = 500;
+/** Time constant of the mean short demand while it rises. */
+const riseMs = 500;
+/** Margin in standard deviations of a Poisson process, the square-root staffing rule. */
+const marginDeviations = 1;
 /** Share of the long slots that short requests of equal importance can't displace. */
 const floorShare = 0.2;
 
+/** What the queue and the admission control need of a rule for long requests. */
+export type LaneRule = Pick<
+	LongLane,
+	| 'canStart'
+	| 'isLongFirst'
+	| 'longInUse'
+	| 'longSlots'
+	| 'recordEnd'
+	| 'recordShortDemand'
+	| 'recordStart'
+	| 'setBounds'
+	| 'shortInUse'
+>;
+
 /** Counts slots held by short and long requests and bounds the long ones. */
 export class LongLane {
 	/**
@@ -25,8 +44,10 @@
 	#longInUse = 0;
 	#slotLimit: number;
 	#longShare: number;
-	readonly #peaks: number[] = Array.from({length: peakWindows}, () => 0);
-	#window = 0;
+	/** Mean over time of the slots that short requests want. */
+	#shortDemand = 0;
+	#present = 0;
+	#updatedAtMs = 0;
 
 	private constructor(slotLimit: number, longShare: number) {
 		this.#slotLimit = slotLimit;
@@ -44,7 +65,8 @@
 	/** Slots that long requests may hold at present, at least one. */
 	get longSlots(): number {
 		const cap = Math.floor(this.#slotLimit * this.#longShare);
-		const left = this.#slotLimit - Math.max(...this.#peaks);
+		const margin = marginDeviations * Math.sqrt(this.#shortDemand);
+		const left = Math.floor(this.#slotLimit - this.#shortDemand - margin);
 		return Math.max(this.floorSlots, Math.min(cap, left));
 	}
 
@@ -57,7 +79,8 @@
 		return this.#longInUse < this.longSlots;
 	}
 
-	get isBelowFloor(): boolean {
+	/** Whether a long request goes before an equally important short one that waits. */
+	isLongFirst(_short: AdmissionRequest, _long: AdmissionRequest): boolean {
 		return this.#longInUse < this.floorSlots;
 	}
 
@@ -85,14 +108,10 @@
 
 	/** Notes how many slots short requests want: those in use and those waiting. */
 	recordShortDemand(waitingShort: number, nowMs: number): void {
-		const window = Math.floor(nowMs / peakWindowMs);
-		const passed = Math.min(peakWindows, window - this.#window);
-		for (let step = 1; step <= passed; step++) {
-			this.#peaks[(this.#window + step) % peakWindows] = 0;
-		}
-
-		this.#window = window;
-		const index = window % peakWindows;
-		this.#peaks[index] = Math.max(this.#peaks[index]!, this.#shortInUse + waitingShort);
+		const constantMs = this.#present > this.#shortDemand ? riseMs : fallMs;
+		const weight = 1 - Math.exp((this.#updatedAtMs - nowMs) / constantMs);
+		this.#shortDemand += (this.#present - this.#shortDemand) * weight;
+		this.#present = this.#shortInUse + waitingShort;
+		this.#updatedAtMs = nowMs;
 	}
 }
--- a/src/admission/service-times.ts
+++ b/src/admission/service-times.ts
@@ -9,6 +9,8 @@
 const slowWeight = 0.02;
 /** Rise of the baseline per sample, as a share of its distance to the slow mean. */
 const baseRiseWeight = 0.0005;
+/** Samples before the baseline may fall below the mean. */
+const minSamplesForBase = 50;
 const leastServiceMs = 0.01;
 /** Weights of the lower estimate: it falls fast and rises slowly. */
 const lowFallWeight = 0.3;
@@ -124,7 +126,13 @@
 	}
 
 	#updateBase(times: CallTimes, serviceMs: number): void {
-		times.slowMs += (serviceMs - times.slowMs) * slowWeight;
+		const weight = Math.max(slowWeight, 1 / (times.samples + 1));
+		times.slowMs += (serviceMs - times.slowMs) * weight;
+		if (times.samples < minSamplesForBase) {
+			times.baseMs = times.slowMs;
+			return;
+		}
+
 		const rise = (times.slowMs - times.baseMs) * baseRiseWeight;
 		times.baseMs = Math.min(times.slowMs, times.baseMs + rise);
 	}
