Wire admission ranks into guard and entry, and shed early at entries

A call that a guard further down sheds has cost every hop before it.

- GuardReport gains shedShare and neededRank (two headers, in thousandths). neededRank is what the answered call's own child calls met, so an entry learns the rank of a chain with the answers it gets anyway.
- Entries compare the rank with importance plus a number hashed from the request id, so that all hops shed the same calls.
Child calls are left to the guards: their work upstream is already spent.

--- a/src/call/headers.test.ts
+++ b/src/call/headers.test.ts
@@ -43,6 +43,8 @@
 		server: 'catalogue-1',
 		instanceId: 'i-1',
 		admissionLevel: importance.normal,
+		shedShare: 0.125,
+		neededRank: 3.5,
 		slotsInUse: 3,
 		slotLimit: 10,
 		queued: 1,
--- a/src/daemon/entry/entry-call.ts
+++ b/src/daemon/entry/entry-call.ts
@@ -109,6 +109,10 @@
 
 	/** Makes attempts until one gives the answer or no other is allowed. */
 	async #runAttempts(): Promise<Outcome> {
+		if (this.#entry.isShedEarly(this.#input.call, this.#input.origin)) {
+			return this.#refuse({kind: 'notRun', reason: 'overload'}, 'its guards shed such calls');
+		}
+
 		for (let attempts = 1; ; attempts++) {
 			const choice = this.#chooseServer();
 			if (choice.kind === 'refused') {
@@ -209,6 +213,10 @@
 			this.#settleLoan(attemptId, head.allowanceLeft);
 		}
 
+		if (head.report !== undefined) {
+			this.#entry.recordReport(call, this.#input.origin, head.report);
+		}
+
 		this.#recordResult(member, head);
 		return head;
 	}
--- a/src/daemon/entry/entry-task.ts
+++ b/src/daemon/entry/entry-task.ts
@@ -2,8 +2,10 @@
  * The entry: takes calls of callers and of the local backend server and sends them to guards.
  */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {EarlyShedder, type ServiceServers} from '../../admission/early-shedder.ts';
 import {headerNames} from '../../call/headers.ts';
-import {type Outcome} from '../../call/types.ts';
+import {type GuardReport, type Outcome} from '../../call/types.ts';
+import {type Member} from '../../membership/types.ts';
 import {PolicyMatcher} from '../../policy/match.ts';
 import {type PolicyVersion} from '../../policy/types.ts';
 import {type Logger} from '../../reporting/logger.ts';
@@ -48,6 +50,7 @@
 	readonly metrics: Metrics;
 	readonly peerKey: string;
 	readonly #options: EntryOptions;
+	readonly #shedder = EarlyShedder.create(Math.random);
 	#matcher: PolicyMatcher;
 	#policyVersion: number;
 	#callerListener: Listener | undefined;
@@ -105,6 +108,7 @@
 	receive(message: TaskMessage): void {
 		switch (message.kind) {
 			case 'members': {
+				this.#shedder.setServers(listTakingServers(message.members));
 				this.router.setMembers(message.members, readMonotonicMs());
 				break;
 			}
@@ -127,6 +131,28 @@
 		}
 	}
 
+	/** Whether guards would shed the call, so that sending it would waste work; child calls are left to guards. */
+	isShedEarly(call: ClassifiedCall, origin: CallOrigin): boolean {
+		if (origin.kind === 'server') {
+			return false;
+		}
+
+		const {requestId, importance, service, callName} = call.context;
+		return this.#shedder.isShed(
+			{requestId, importance, service, callName, needs: call.rule.needs},
+			readMonotonicMs(),
+		);
+	}
+
+	/** Notes what a guard reported with an answer. */
+	recordReport(call: ClassifiedCall, origin: CallOrigin, report: GuardReport): void {
+		const {service, callName} = call.context;
+		const rank = this.#shedder.recordReport(service, callName, report, readMonotonicMs());
+		if (origin.kind === 'server') {
+			origin.parent.recordNeededRank(rank);
+		}
+	}
+
 	/** Chooses a server that this call has not tried. */
 	chooseServer(call: ClassifiedCall, excluded: ReadonlySet<string>): RouteChoice {
 		return this.router.choose(
@@ -272,3 +298,19 @@
 		});
 	}
 }
+
+/** Lists the servers of each service that take calls. */
+function listTakingServers(members: readonly Member[]): ServiceServers {
+	const servers = new Map<string, string[]>();
+	for (const member of members) {
+		if (member.state !== 'serving' && member.state !== 'cold') {
+			continue;
+		}
+
+		const list = servers.get(member.service) ?? [];
+		list.push(member.server);
+		servers.set(member.service, list);
+	}
+
+	return servers;
+}
--- a/src/daemon/guard/guard-task.ts
+++ b/src/daemon/guard/guard-task.ts
@@ -6,7 +6,7 @@
 import {type Admission} from '../../admission/types.ts';
 import {decodeContext, encodeReport, headerNames} from '../../call/headers.ts';
 import {type CallContext, type GuardReport, type GuardState} from '../../call/types.ts';
-import {type Policy, type ServicePolicy} from '../../policy/schema.ts';
+import {type CallRule, type Policy, type ServicePolicy} from '../../policy/schema.ts';
 import {type Logger} from '../../reporting/logger.ts';
 import {type Metrics} from '../../reporting/metrics.ts';
 import {Listener, type ListenerOptions} from '../http/listener.ts';
@@ -127,21 +127,32 @@
 		}
 	}
 
-	/** Reads the load facts that ride on every answer. */
-	readReport(): GuardReport {
+	/**
+	 * Reads the load facts that ride on every answer.
+	 *
+	 * @param neededRank - highest rank of the services that the answered call needed
+	 */
+	readReport(neededRank = 0): GuardReport {
 		const load = this.admission.readReport();
 		return {
 			server: this.#identity.server,
 			instanceId: this.#identity.instanceId,
 			state: this.#state,
+			neededRank,
 			...load,
 		};
 	}
 
+	/** Finds the size class that the policy in force gives a call. */
+	findSizeClass(callName: string): CallRule['sizeClass'] {
+		const rule = this.#findServicePolicy().calls.find(candidate => candidate.name === callName);
+		return rule?.sizeClass ?? 'learned';
+	}
+
 	/** Encodes the headers that every answer of the guard carries. */
-	encodeAnswerHeaders(context: CallContext, allowanceLeft: number) {
+	encodeAnswerHeaders(context: CallContext, allowanceLeft: number, neededRank = 0) {
 		return {
-			...encodeReport(this.readReport()),
+			...encodeReport(this.readReport(neededRank)),
 			[headerNames.attempt]: context.attemptId,
 			[headerNames.allowanceLeft]: String(allowanceLeft),
 		};
--- a/src/daemon/guard/guarded-call.ts
+++ b/src/daemon/guard/guarded-call.ts
@@ -99,7 +99,7 @@
 			attemptId: this.#context.attemptId,
 			callName: this.#context.callName,
 			importance: this.#context.importance,
-			sizeClass: this.#context.sizeClass,
+			sizeClass: this.#guard.findSizeClass(this.#context.callName),
 			deadlineAtMs: this.#deadlineAtMs,
 		});
 		switch (verdict.kind) {
@@ -200,7 +200,7 @@
 
 		this.#response.writeHead(head.status, {
 			...convertToEndToEnd(head.headers),
-			...this.#guard.encodeAnswerHeaders(this.#context, allowanceLeft),
+			...this.#encodeAnswerHeaders(allowanceLeft),
 		});
 		const end = await relayBody(exchange, this.#response);
 		if (end.kind === 'truncated') {
@@ -210,6 +210,11 @@
 		return head.status >= 500 ? 'failed' : 'answered';
 	}
 
+	#encodeAnswerHeaders(allowanceLeft: number) {
+		const neededRank = this.#running?.neededRank ?? 0;
+		return this.#guard.encodeAnswerHeaders(this.#context, allowanceLeft, neededRank);
+	}
+
 	#refuse(outcome: Refusal, detail: string): void {
 		this.#guard.metrics.countShed(this.#context.callName, outcome.reason);
 		const allowanceLeft = this.#allowance.close();
@@ -222,7 +227,7 @@
 				outcome,
 				requestId: this.#context.requestId,
 			},
-			this.#guard.encodeAnswerHeaders(this.#context, allowanceLeft),
+			this.#encodeAnswerHeaders(allowanceLeft),
 		);
 	}
 }
--- a/src/daemon/guard/running-calls.ts
+++ b/src/daemon/guard/running-calls.ts
@@ -21,6 +21,7 @@
 
 	readonly token = randomUUID();
 	readonly #children = new Set<() => void>();
+	#neededRank = 0;
 
 	private constructor(
 		readonly context: CallContext,
@@ -29,6 +30,15 @@
 		readonly deadlineAtMs: number,
 	) {}
 
+	/** Highest admission rank that the answers to child calls told. */
+	get neededRank(): number {
+		return this.#neededRank;
+	}
+
+	recordNeededRank(rank: number): void {
+		this.#neededRank = Math.max(this.#neededRank, rank);
+	}
+
 	/** Adds a child call that is cancelled with its parent; the returned function removes it. */
 	addChild(cancel: () => void): () => void {
 		this.#children.add(cancel);
--- a/src/routing/service-router.test.ts
+++ b/src/routing/service-router.test.ts
@@ -29,6 +29,8 @@
 		server: member.server,
 		instanceId: member.instanceId,
 		admissionLevel: importance.background,
+		shedShare: 0,
+		neededRank: 0,
 		slotsInUse: 0,
 		slotLimit: 10,
 		queued: 0,
