--- a/bench/routing-trial.ts
+++ b/bench/routing-trial.ts
@@ -68,6 +68,8 @@
 		instanceId: `s${index}-1`,
 		startedAtMs: 0,
 		incarnation: 0,
+		shedShare: 0,
+		neededRank: 0,
 		state: 'serving',
 		policyVersion: 1,
 	};
--- a/src/daemon/entry/attempt-runner.ts
+++ b/src/daemon/entry/attempt-runner.ts
@@ -10,11 +10,13 @@
 import {type RequestBody} from '../http/request-body.ts';
 import {convertToEndToEnd} from '../http/request-headers.ts';
 import {Attempt, type AttemptHead} from './attempt.ts';
+import {type CallOrigin} from './call-origin.ts';
 import {type ClassifiedCall} from './classify-call.ts';
 import {type EntryTask} from './entry-task.ts';
 
 export type AttemptRunnerInput = {
 	readonly call: ClassifiedCall;
+	readonly origin: CallOrigin;
 	readonly body: RequestBody;
 	readonly request: IncomingMessage;
 	readonly allowance: RetryAllowance;
@@ -89,6 +91,10 @@
 		}
 
 		this.#recordResult(attempt, head);
+		if (head.report !== undefined) {
+			this.#entry.recordReport(this.#input.call, this.#input.origin, head.report);
+		}
+
 		return head;
 	}
 
--- a/src/daemon/entry/entry-call.ts
+++ b/src/daemon/entry/entry-call.ts
@@ -66,7 +66,13 @@
 			origin.kind === 'server' && call.retryKind === 'allowance'
 				? origin.parent.allowance
 				: CallAllowance.create(call.context.retryAllowance);
-		this.#runner = AttemptRunner.create(entry, {call, request, body, allowance: this.#allowance});
+		this.#runner = AttemptRunner.create(entry, {
+			call,
+			origin,
+			request,
+			body,
+			allowance: this.#allowance,
+		});
 	}
 
 	/** Runs the call; resolves with its outcome once its answer has ended. */
@@ -117,6 +123,10 @@
 
 	/** Makes attempts until one gives the answer or no other is allowed. */
 	async #runAttempts(): Promise<Outcome> {
+		if (this.#entry.isShedEarly(this.#input.call, this.#input.origin)) {
+			return this.#refuse({kind: 'notRun', reason: 'overload'}, 'its guards shed such calls');
+		}
+
 		for (let attempts = 1; ; attempts++) {
 			const choice = this.#chooseServer();
 			if (choice.kind === 'refused') {
