Run once calls through the ledger: entry, guard and the peers' question

The entry claims a caller's key before it sends and asks the guard of a lost attempt to kill the nonce; the guard checks the nonce right before it sends. Keys minted by POST /primrosevalve/keys/SERVICE run on the guard that they name, also while the platform is down. A once call without a key gets 400, the same key with another body 422 (new reason 'key-mismatch' in call/types.ts), a repeat on its way 409. Once calls that were sent run to their end when the caller goes away. OnceTicket carries the fingerprint of the request, in a header of its own.

Found on the way: a call with an unproved attempt behind it could be told notRun when its last attempt, or the choice of a server, was refused; such a call is now told as unknown.

The daemon's table and objects are now behind retries and circuits.

--- a/src/call/headers.test.ts
+++ b/src/call/headers.test.ts
@@ -21,7 +21,7 @@
 	sizeClass: 'short',
 	idempotent: false,
 	policyVersion: 7,
-	once: {key: 'order/é 1', nonce: 'n-1'},
+	once: {key: 'order/é 1', nonce: 'n-1', fingerprint: 'f-1'},
 };
 
 test('a context survives the header codec', t => {
--- a/src/call/headers.ts
+++ b/src/call/headers.ts
@@ -35,6 +35,9 @@
 	version: 'primrosevalve-version',
 	onceKey: 'primrosevalve-once-key',
 	onceNonce: 'primrosevalve-once-nonce',
+	onceFingerprint: 'primrosevalve-once-fingerprint',
+	/** Tells a caller that an answer is the stored one of an earlier attempt. */
+	onceRepeated: 'primrosevalve-once-repeated',
 	/** The one opaque header that a backend server echoes on its outgoing calls. */
 	context: 'primrosevalve-context',
 	outcome: 'primrosevalve-outcome',
@@ -81,11 +84,12 @@
 function readOnceTicket(headers: IncomingHttpHeaders): OnceTicket | undefined {
 	const key = readText(headers, headerNames.onceKey);
 	const nonce = readText(headers, headerNames.onceNonce);
-	if (key === undefined || nonce === undefined) {
+	const fingerprint = readText(headers, headerNames.onceFingerprint);
+	if (key === undefined || nonce === undefined || fingerprint === undefined) {
 		return undefined;
 	}
 
-	return {key: decodeURIComponent(key), nonce};
+	return {key: decodeURIComponent(key), nonce, fingerprint};
 }
 
 /**
@@ -110,6 +114,7 @@
 	if (context.once !== undefined) {
 		headers[headerNames.onceKey] = encodeURIComponent(context.once.key);
 		headers[headerNames.onceNonce] = context.once.nonce;
+		headers[headerNames.onceFingerprint] = context.once.fingerprint;
 	}
 
 	return headers;
--- a/src/call/types.ts
+++ b/src/call/types.ts
@@ -48,6 +48,8 @@
 export type OnceTicket = {
 	readonly key: string;
 	readonly nonce: string;
+	/** Digest of the request, which tells a repeat from another request under the same key. */
+	readonly fingerprint: string;
 };
 
 /** Why a call was refused before any byte reached a backend server. */
@@ -63,6 +65,8 @@
 	linkBudget: 'link-budget',
 	cancelled: 'cancelled',
 	wrongInstance: 'wrong-instance',
+	/** The idempotency key was used before for a request with other content. */
+	keyMismatch: 'key-mismatch',
 	parentEnded: 'parent-ended',
 } as const;
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -4,7 +4,7 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as wait} from 'node:timers/promises';
 import {createAdmission} from '../admission/create-admission.ts';
-import {createPlatform, type Platform} from '../platform/create-platform.ts';
+import {createResilientPlatform, type ResilientPlatform} from '../platform/create-platform.ts';
 import {builtInVersion} from '../policy/built-in.ts';
 import {type Logger} from '../reporting/logger.ts';
 import {Metrics} from '../reporting/metrics.ts';
@@ -18,6 +18,7 @@
 import {type ListenerOptions} from './http/listener.ts';
 import {createIdentity, type Identity} from './identity.ts';
 import {type TaskMessage} from './messages.ts';
+import {EntryOnce} from './once/entry-once.ts';
 
 /** Time in which work that was sent before the announcement spread is still taken. */
 const leaveGraceMs = 1000;
@@ -46,11 +47,12 @@
 	readonly #settings: DaemonSettings;
 	readonly #logger: Logger;
 	readonly #identity: Identity;
-	readonly #platform: Platform;
+	readonly #platform: ResilientPlatform;
 	readonly #guard: GuardTask;
 	readonly #entry: EntryTask;
 	readonly #admin: AdminTask;
 	#control: TableControl | undefined;
+	#once: EntryOnce | undefined;
 	#isReady = false;
 	#stopping: Promise<void> | undefined;
 	#onStopped: (() => void) | undefined;
@@ -59,7 +61,7 @@
 		this.#settings = settings;
 		this.#logger = logger;
 		this.#identity = createIdentity(settings);
-		this.#platform = createPlatform(convertPlatformSettings(settings.platform));
+		this.#platform = createResilientPlatform(convertPlatformSettings(settings.platform));
 		const identity = this.#identity;
 		const metrics = Metrics.create({server: identity.server, data_centre: identity.dataCentre});
 		const peerKey = settings.keys.peer;
@@ -103,6 +105,7 @@
 	async start(): Promise<DaemonPorts> {
 		const {listeners} = this.#settings;
 		await this.#guard.open(this.#createListenerOptions('peer', listeners.peer_port));
+		this.#startOnce();
 		await this.#entry.open(
 			this.#createListenerOptions('caller', listeners.caller_port),
 			this.#createListenerOptions('local', listeners.local_port),
@@ -146,6 +149,7 @@
 			await wait(inFlightPollMs);
 		}
 
+		await this.#once?.waitForSettlements();
 		this.#control?.stop();
 		await Promise.all([this.#entry.closeCallers(), this.#guard.close(), this.#entry.close()]);
 		this.#admin.close();
@@ -154,6 +158,30 @@
 		this.#onStopped?.();
 	}
 
+	/** Puts once calls in service; claims name the peer port, which is known by now. */
+	#startOnce(): void {
+		const {address, instanceId} = this.#identity;
+		const once = EntryOnce.create({
+			self: {instanceId, address, peerPort: this.#guard.port},
+			table: this.#platform.table,
+			objects: this.#platform.objects,
+			pools: this.#entry.pools,
+			peerKey: this.#settings.keys.peer,
+			limits: builtInVersion.document.once,
+		});
+		this.#once = once;
+		this.#entry.setOnce(once);
+		this.#guard.setKillHandler(question => {
+			if (question.instanceId !== instanceId) {
+				return 'unreachable';
+			}
+
+			return question.role === 'holder'
+				? once.ledger.killNonce(question.nonce)
+				: this.#guard.once.killNonce(question.nonce);
+		});
+	}
+
 	#broadcast(message: TaskMessage): void {
 		this.#guard.receive(message);
 		this.#entry.receive(message);
--- a/src/daemon/entry/classify-call.ts
+++ b/src/daemon/entry/classify-call.ts
@@ -96,8 +96,13 @@
 	return {service: match[1], path: match[2] ?? '/'};
 }
 
-/** Finds the rule of the policy that forbids the origin to call the service. */
-function findForbidden(
+/**
+ * Finds the rule of the policy that forbids the origin to call the service.
+ *
+ * @example
+ * const refusal = findForbidden(matcher, origin, 'commandes');
+ */
+export function findForbidden(
 	matcher: PolicyMatcher,
 	origin: CallOrigin,
 	service: string,
@@ -156,7 +161,13 @@
 	};
 }
 
-function findCallerName(origin: CallOrigin): string {
+/**
+ * Finds the name under which an origin's calls are counted and claimed.
+ *
+ * @example
+ * findCallerName({kind: 'caller', policy: undefined}); // 'anonymous'
+ */
+export function findCallerName(origin: CallOrigin): string {
 	switch (origin.kind) {
 		case 'caller': {
 			return origin.policy?.name ?? 'anonymous';
--- a/src/daemon/entry/entry-call.ts
+++ b/src/daemon/entry/entry-call.ts
@@ -5,7 +5,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {setTimeout as wait} from 'node:timers/promises';
 import {headerNames} from '../../call/headers.ts';
-import {type Outcome} from '../../call/types.ts';
+import {type OnceTicket, type Outcome} from '../../call/types.ts';
 import {type Member} from '../../membership/types.ts';
 import {CallAllowance} from '../../retry/allowance.ts';
 import {choosePerHopRetry} from '../../retry/per-hop-decision.ts';
@@ -17,6 +17,7 @@
 import {relayBody} from '../http/relay.ts';
 import {type RequestBody} from '../http/request-body.ts';
 import {convertToEndToEnd} from '../http/request-headers.ts';
+import {relayAndCollect, type AnswerCollector} from '../once/answer-collector.ts';
 import {Attempt, type AttemptHead} from './attempt.ts';
 import {type CallOrigin} from './call-origin.ts';
 import {type ClassifiedCall} from './classify-call.ts';
@@ -30,6 +31,16 @@
 	readonly body: RequestBody;
 	readonly request: IncomingMessage;
 	readonly response: ServerResponse;
+	readonly once?: OnceSending;
+};
+
+/** How a once call is sent. */
+export type OnceSending = {
+	readonly ticket: OnceTicket;
+	/** The one instance on which a minted key may run. */
+	readonly onlyInstanceId?: string;
+	/** Copies the answer of a claimed call. */
+	readonly collector?: AnswerCollector;
 };
 
 /** Time beyond the deadline in which a guard's own word on it may still arrive. */
@@ -54,6 +65,8 @@
 	readonly #tried = new Set<string>();
 	#attempt: Attempt | undefined;
 	#ended: 'no' | 'deadline' | 'cancelled' = 'no';
+	/** Whether anything but the last outcome forbids to tell that the call was not run. */
+	#mayHaveRun: boolean;
 
 	private constructor(entry: EntryTask, input: EntryCallInput) {
 		this.#entry = entry;
@@ -68,6 +81,8 @@
 				? call.context.retryAllowance
 				: this.#loanOwner.lend(this.#loanId);
 		this.#allowance = CallAllowance.create(granted);
+		// A minted key may have run before; only the instance that it names can tell.
+		this.#mayHaveRun = input.once?.onlyInstanceId !== undefined;
 	}
 
 	/** Runs the call; resolves with its outcome once its answer has ended. */
@@ -85,7 +100,8 @@
 
 		const removeChild = origin.kind === 'server' ? origin.parent.addChild(cancel) : undefined;
 		response.once('close', () => {
-			if (!response.writableFinished) {
+			// A once call runs to its end, so that it is not left half done.
+			if (!response.writableFinished && this.#input.once === undefined) {
 				cancel();
 			}
 		});
@@ -116,6 +132,7 @@
 			}
 
 			const head = await this.#runAttempt(choice.member);
+			this.#recordProof(head);
 			if (head.answer !== undefined && !this.#canImprove(head, attempts)) {
 				return this.#relay(head);
 			}
@@ -136,8 +153,9 @@
 
 	/** Without an allowance a hop doesn't remember which servers it has tried. */
 	#chooseServer(): RouteChoice {
-		const {call} = this.#input;
-		return this.#entry.chooseServer(call, call.retryKind === 'perHop' ? noServers : this.#tried);
+		const {call, once} = this.#input;
+		const excluded = call.retryKind === 'perHop' ? noServers : this.#tried;
+		return this.#entry.chooseServer(call, excluded, once?.onlyInstanceId);
 	}
 
 	/** Whether an answer that says "not now" is better dropped and asked for elsewhere. */
@@ -194,6 +212,7 @@
 			member,
 			context: {
 				...call.context,
+				...(this.#input.once === undefined ? {} : {once: this.#input.once.ticket}),
 				attemptId,
 				deadlineMs: Math.max(1, call.deadlineAtMs - nowMs),
 				retryAllowance: loan,
@@ -210,7 +229,27 @@
 		}
 
 		this.#recordResult(member, head);
-		return head;
+		return this.#settleLost(member, head);
+	}
+
+	/** Asks the guard about a lost once call; only its word proves that nothing was and will be sent. */
+	async #settleLost(member: Member, head: AttemptHead): Promise<AttemptHead> {
+		const {once} = this.#input;
+		if (
+			once === undefined ||
+			once.onlyInstanceId !== undefined ||
+			head.outcome.kind !== 'unknown'
+		) {
+			return head;
+		}
+
+		const verdict = await this.#entry.askGuard(member, once.ticket.nonce);
+		if (verdict !== 'neverSent') {
+			return head;
+		}
+
+		const reason = this.#ended === 'no' ? 'connect' : this.#ended;
+		return {...head, outcome: {kind: 'notRun', reason}};
 	}
 
 	/** Takes a loan back, or counts it as spent when the answer was lost. */
@@ -237,23 +276,45 @@
 	}
 
 	async #relay(head: AttemptHead): Promise<Outcome> {
-		const {response, call} = this.#input;
+		const {response, call, once} = this.#input;
 		const {answer} = head;
 		const attempt = this.#attempt;
-		if (answer === undefined || attempt === undefined || response.destroyed) {
+		const isWanted = !response.destroyed || once !== undefined;
+		if (answer === undefined || attempt === undefined || !isWanted) {
 			attempt?.cancel();
 			return {kind: 'unknown', reason: 'cancelled'};
 		}
 
-		response.writeHead(answer.status, {
-			...convertToEndToEnd(answer.headers),
-			[headerNames.request]: call.context.requestId,
-			[headerNames.version]: String(call.context.policyVersion),
-		});
-		const end = await relayBody(attempt.exchange, response);
+		const headers = convertToEndToEnd(answer.headers);
+		once?.collector?.start(answer.status, headers);
+		if (!response.destroyed) {
+			response.writeHead(answer.status, {
+				...headers,
+				[headerNames.request]: call.context.requestId,
+				[headerNames.version]: String(call.context.policyVersion),
+			});
+		}
+
+		const end =
+			once === undefined
+				? await relayBody(attempt.exchange, response)
+				: await relayAndCollect(attempt.exchange, response, once.collector);
 		return end.kind === 'whole' ? head.outcome : {kind: 'unknown', reason: 'truncated'};
 	}
 
+	/** Records what an attempt proves about this and earlier attempts. */
+	#recordProof(head: AttemptHead): void {
+		if (head.outcome.kind !== 'notRun') {
+			this.#mayHaveRun = true;
+			return;
+		}
+
+		// The guard of a minted key speaks for all attempts with it.
+		if (this.#input.once?.onlyInstanceId !== undefined && head.report !== undefined) {
+			this.#mayHaveRun = false;
+		}
+	}
+
 	/** A call that ended early is told as not run only on proof. */
 	#settleOutcome(outcome: Outcome): Refusal {
 		if (outcome.kind === 'answered') {
@@ -267,8 +328,11 @@
 		return outcome;
 	}
 
-	#refuse(outcome: Refusal, detail: string): Outcome {
+	/** Ends the call without an answer; an earlier attempt that may have run takes the proof away. */
+	#refuse(last: Refusal, detail: string): Outcome {
 		const {call, response} = this.#input;
+		const outcome: Refusal =
+			last.kind === 'notRun' && this.#mayHaveRun ? {kind: 'unknown', reason: last.reason} : last;
 		answerProblem(
 			response,
 			{
@@ -307,14 +371,20 @@
 	return length === undefined ? 0 : Number(length);
 }
 
+/** Statuses of unknown outcomes that callers treat in their own way. */
+const unknownStatuses: ReadonlyMap<string, number> = new Map([
+	['deadline', 504],
+	['in-progress', 409],
+]);
+
 function chooseStatus(outcome: Refusal): number {
 	switch (outcome.kind) {
 		case 'notRun': {
-			return 503;
+			return outcome.reason === 'key-mismatch' ? 422 : 503;
 		}
 
 		case 'unknown': {
-			return outcome.reason === 'deadline' ? 504 : 502;
+			return unknownStatuses.get(outcome.reason) ?? 502;
 		}
 
 		case 'failed': {
--- a/src/daemon/entry/entry-task.ts
+++ b/src/daemon/entry/entry-task.ts
@@ -4,6 +4,8 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {headerNames} from '../../call/headers.ts';
 import {type Outcome} from '../../call/types.ts';
+import {type Member} from '../../membership/types.ts';
+import {type KillVerdict} from '../../once/types.ts';
 import {PolicyMatcher} from '../../policy/match.ts';
 import {type PolicyVersion} from '../../policy/types.ts';
 import {type Logger} from '../../reporting/logger.ts';
@@ -13,12 +15,16 @@
 import {type RunningCalls} from '../guard/running-calls.ts';
 import {Listener, type ListenerOptions} from '../http/listener.ts';
 import {answerProblem} from '../http/problem.ts';
-import {readRequestBody} from '../http/request-body.ts';
+import {collectBody, readRequestBody} from '../http/request-body.ts';
+import {type EntryOnce} from '../once/entry-once.ts';
+import {type RequestBodyError} from '../errors.ts';
 import {type Identity} from '../identity.ts';
 import {type Task, type TaskMessage} from '../messages.ts';
 import {type CallOrigin} from './call-origin.ts';
 import {classifyCall, type CallRefusal, type ClassifiedCall} from './classify-call.ts';
-import {EntryCall} from './entry-call.ts';
+import {EntryCall, type EntryCallInput} from './entry-call.ts';
+import {keysPath, mintKey} from './mint-key.ts';
+import {OnceCall} from './once-call.ts';
 import {PeerPools} from './peer-pools.ts';
 
 export type EntryOptions = {
@@ -52,6 +58,7 @@
 	#policyVersion: number;
 	#callerListener: Listener | undefined;
 	#localListener: Listener | undefined;
+	#once: EntryOnce | undefined;
 	#inFlight = 0;
 	#isRefusing = false;
 
@@ -113,6 +120,7 @@
 				this.#matcher = PolicyMatcher.create(message.policy.document);
 				this.#policyVersion = message.policy.version;
 				this.router.applyPolicy(message.policy.document);
+				this.#once?.applyLimits(message.policy.document.once);
 				break;
 			}
 
@@ -128,7 +136,11 @@
 	}
 
 	/** Chooses a server that this call has not tried. */
-	chooseServer(call: ClassifiedCall, excluded: ReadonlySet<string>): RouteChoice {
+	chooseServer(
+		call: ClassifiedCall,
+		excluded: ReadonlySet<string>,
+		onlyInstanceId?: string,
+	): RouteChoice {
 		return this.router.choose(
 			{
 				service: call.context.service,
@@ -136,11 +148,22 @@
 				needs: call.rule.needs,
 				expectedBytes: 0,
 				excluded,
+				...(onlyInstanceId === undefined ? {} : {onlyInstanceId}),
 			},
 			readMonotonicMs(),
 		);
 	}
 
+	/** Puts once calls in service; they need the peer port of this daemon. */
+	setOnce(once: EntryOnce): void {
+		this.#once = once;
+	}
+
+	/** Asks a guard whether it sent anything under a nonce. */
+	async askGuard(member: Member, nonce: string): Promise<KillVerdict> {
+		return this.#once?.askGuard(member, nonce) ?? 'unreachable';
+	}
+
 	#findCaller(request: IncomingMessage): CallOrigin | 'badToken' {
 		const {authorization} = request.headers;
 		if (authorization === undefined) {
@@ -202,6 +225,16 @@
 			return;
 		}
 
+		if (request.url?.startsWith(keysPath)) {
+			const input = {matcher: this.#matcher, router: this.router, once: this.#once, origin};
+			const refusal = mintKey(request, response, input);
+			if (refusal !== undefined) {
+				this.#refuse(response, refusal);
+			}
+
+			return;
+		}
+
 		const call = classifyCall(request, {
 			matcher: this.#matcher,
 			policyVersion: this.#policyVersion,
@@ -229,17 +262,36 @@
 	): Promise<Outcome> {
 		const body = await readRequestBody(request, call.rule.maxBodyBytes);
 		if (body.isErr()) {
+			return this.#refuseBody(response, body.error);
+		}
+
+		const input = {call, origin, body: body.value, request, response};
+		return call.rule.once && this.#once !== undefined
+			? this.#runOnce(this.#once, input)
+			: EntryCall.create(this, input).run();
+	}
+
+	/** A once call is digested before it is claimed, so its body is read whole. */
+	async #runOnce(once: EntryOnce, input: EntryCallInput): Promise<Outcome> {
+		const body = await collectBody(input.body, input.call.rule.maxBodyBytes);
+		return body.isErr()
+			? this.#refuseBody(input.response, body.error)
+			: OnceCall.create(this, once, {...input, body: body.value}).run();
+	}
+
+	#refuseBody(response: ServerResponse, error: RequestBodyError): Outcome {
+		const isTooLarge = error.kind === 'tooLarge';
+		if (!response.headersSent) {
 			response.setHeader('connection', 'close');
-			this.#refuse(response, {
-				status: body.error.kind === 'tooLarge' ? 413 : 400,
-				title: body.error.kind === 'tooLarge' ? 'Content Too Large' : 'Bad Request',
-				detail: body.error.message,
-				reason: 'bad-request',
-			});
-			return {kind: 'notRun', reason: 'bad-request'};
 		}
 
-		return EntryCall.create(this, {call, origin, body: body.value, request, response}).run();
+		this.#refuse(response, {
+			status: isTooLarge ? 413 : 400,
+			title: isTooLarge ? 'Content Too Large' : 'Bad Request',
+			detail: error.message,
+			reason: 'bad-request',
+		});
+		return {kind: 'notRun', reason: 'bad-request'};
 	}
 
 	#countCall(call: ClassifiedCall, outcome: Outcome, latencyMs: number): void {
--- /dev/null
+++ b/src/daemon/entry/once-call.ts
@@ -0,0 +1,126 @@
+/**
+ * A once call at the entry: its key, its claim and the answers to repeats.
+ */
+import {headerNames} from '../../call/headers.ts';
+import {type Outcome} from '../../call/types.ts';
+import {computeFingerprint} from '../../once/fingerprint.ts';
+import {mintedKeyPrefix, verifyMintedKey, type MintedKey} from '../../once/minted-key.ts';
+import {type SendEnd} from '../../once/types.ts';
+import {answerProblem} from '../http/problem.ts';
+import {answerRepeat} from '../once/once-answers.ts';
+import {type EntryOnce} from '../once/entry-once.ts';
+import {EntryCall, type EntryCallInput} from './entry-call.ts';
+import {type EntryTask} from './entry-task.ts';
+
+/** Header in which callers name their idempotency key. */
+export const idempotencyKeyHeader = 'idempotency-key';
+
+const keyPattern = /^[\u0021-\u007E]{1,200}$/v;
+
+/** Runs one once call; its body has been read whole. */
+export class OnceCall {
+	/**
+	 * @example
+	 * const outcome = await OnceCall.create(entry, once, input).run();
+	 */
+	static create(entry: EntryTask, once: EntryOnce, input: EntryCallInput): OnceCall {
+		return new OnceCall(entry, once, input);
+	}
+
+	readonly #entry: EntryTask;
+	readonly #once: EntryOnce;
+	readonly #input: EntryCallInput;
+
+	private constructor(entry: EntryTask, once: EntryOnce, input: EntryCallInput) {
+		this.#entry = entry;
+		this.#once = once;
+		this.#input = input;
+	}
+
+	async run(): Promise<Outcome> {
+		const key = this.#input.request.headers[idempotencyKeyHeader];
+		if (typeof key !== 'string' || !keyPattern.test(key)) {
+			return this.#refuseKey(
+				`a once call needs the header "${idempotencyKeyHeader}" with 1 to 200 visible ASCII characters`,
+			);
+		}
+
+		const {service, caller} = this.#input.call.context;
+		if (!key.startsWith(mintedKeyPrefix)) {
+			return this.#runClaimed(key);
+		}
+
+		const minted = verifyMintedKey(key, service, caller, this.#once.secret);
+		return minted === undefined
+			? this.#refuseKey(
+					`keys that begin with "${mintedKeyPrefix}" are minted by daemons; this one was not minted for caller "${caller}" and service "${service}"`,
+				)
+			: this.#runMinted(key, minted);
+	}
+
+	/** Runs a call under a claim in the table. */
+	async #runClaimed(key: string): Promise<Outcome> {
+		const {call, response} = this.#input;
+		const {service, caller, requestId} = call.context;
+		const fingerprint = this.#computeFingerprint();
+		let outcome: Outcome | undefined;
+		const result = await this.#once.ledger.run(
+			{service, caller, key, fingerprint},
+			async (nonce): Promise<SendEnd> => {
+				const collector = this.#once.createCollector();
+				const once = {ticket: {key, nonce, fingerprint}, collector};
+				outcome = await EntryCall.create(this.#entry, {...this.#input, once}).run();
+				const record = collector.finish();
+				switch (outcome.kind) {
+					case 'answered': {
+						return {kind: 'answered', record};
+					}
+
+					case 'notRun': {
+						return outcome;
+					}
+
+					case 'unknown':
+					case 'failed': {
+						return {kind: 'unknown', reason: outcome.reason};
+					}
+				}
+			},
+		);
+		if (outcome !== undefined || result.kind === 'ran') {
+			return outcome ?? {kind: 'unknown', reason: 'internal-error'};
+		}
+
+		return answerRepeat(response, result, requestId, this.#createHeaders());
+	}
+
+	/** Runs a call on the one instance that its key names. */
+	async #runMinted(key: string, minted: MintedKey): Promise<Outcome> {
+		const {instanceId, nonce} = minted;
+		const ticket = {key, nonce, fingerprint: this.#computeFingerprint()};
+		const once = {ticket, onlyInstanceId: instanceId};
+		return EntryCall.create(this.#entry, {...this.#input, once}).run();
+	}
+
+	#computeFingerprint(): string {
+		const {request, call, body} = this.#input;
+		const bytes = body.kind === 'whole' ? body.bytes : new Uint8Array();
+		return computeFingerprint(request.method ?? 'GET', call.path, bytes);
+	}
+
+	#createHeaders() {
+		const {requestId, policyVersion} = this.#input.call.context;
+		return {[headerNames.request]: requestId, [headerNames.version]: String(policyVersion)};
+	}
+
+	#refuseKey(detail: string): Outcome {
+		const outcome = {kind: 'notRun', reason: 'bad-request'} as const;
+		const {requestId} = this.#input.call.context;
+		answerProblem(
+			this.#input.response,
+			{status: 400, title: 'Bad Request', detail, outcome, requestId},
+			this.#createHeaders(),
+		);
+		return outcome;
+	}
+}
--- a/src/daemon/entry/peer-pools.ts
+++ b/src/daemon/entry/peer-pools.ts
@@ -26,7 +26,7 @@
 	}
 
 	/** Finds or opens the pool of a member's peer port. */
-	open(member: Member, nowMs: number): Pool {
+	open(member: Pick<Member, 'address' | 'peerPort'>, nowMs: number): Pool {
 		const origin = `http://${member.address}:${member.peerPort}`;
 		const found = this.#pools.get(origin);
 		if (found !== undefined) {
--- a/src/daemon/guard/guard-task.ts
+++ b/src/daemon/guard/guard-task.ts
@@ -14,6 +14,9 @@
 import {SecretKey} from '../http/secret.ts';
 import {type Identity} from '../identity.ts';
 import {type Task, type TaskMessage} from '../messages.ts';
+import {GuardOnce} from '../once/guard-once.ts';
+import {answerRepeat} from '../once/once-answers.ts';
+import {handleKill, killPath, type KillHandler} from '../once/kill-messages.ts';
 import {GuardedCall} from './guarded-call.ts';
 import {RunningCalls} from './running-calls.ts';
 
@@ -47,17 +50,20 @@
 	readonly pool: Pool;
 	readonly metrics: Metrics;
 	readonly logger: Logger;
+	readonly once: GuardOnce;
 	readonly #identity: Identity;
 	readonly #peerKey: SecretKey;
 	#policy: Policy;
 	#state: GuardState = 'cold';
 	#listener: Listener | undefined;
 	#controlHandler: ControlHandler | undefined;
+	#killHandler: KillHandler | undefined;
 	#inFlight = 0;
 
 	private constructor(options: GuardOptions, policy: Policy) {
 		this.#identity = options.identity;
 		this.#peerKey = SecretKey.create(options.peerKey);
+		this.once = GuardOnce.create(options.identity.instanceId, options.peerKey);
 		this.#policy = policy;
 		this.logger = options.logger;
 		this.metrics = options.metrics;
@@ -102,6 +108,11 @@
 		await this.pool.close();
 	}
 
+	/** Sets who answers the questions of peers about once calls. */
+	setKillHandler(handler: KillHandler): void {
+		this.#killHandler = handler;
+	}
+
 	/** Sets the handler of control requests between daemons. */
 	setControlHandler(handler: ControlHandler): void {
 		this.#controlHandler = handler;
@@ -165,6 +176,11 @@
 			return;
 		}
 
+		if (request.url === killPath && this.#killHandler !== undefined) {
+			void handleKill(request, response, this.#killHandler);
+			return;
+		}
+
 		if (request.url?.startsWith('/primrosevalve/') && this.#controlHandler !== undefined) {
 			this.#controlHandler(request, response);
 			return;
@@ -187,17 +203,7 @@
 	/** Refuses a call while draining, and otherwise runs it to its end. */
 	#handleCall(context: CallContext, request: IncomingMessage, response: ServerResponse): void {
 		if (this.#state === 'draining') {
-			answerProblem(
-				response,
-				{
-					status: 503,
-					title: 'Service Unavailable',
-					detail: `server "${this.#identity.server}" is leaving`,
-					outcome: {kind: 'notRun', reason: 'draining'},
-					requestId: context.requestId,
-				},
-				this.encodeAnswerHeaders(context, context.retryAllowance),
-			);
+			this.#refuseDraining(context, response);
 			return;
 		}
 
@@ -205,6 +211,30 @@
 		void this.#runCall(context, request, response);
 	}
 
+	/** Refuses a call as not run; a minted key that came before is told what became of it. */
+	#refuseDraining(context: CallContext, response: ServerResponse): void {
+		const headers = this.encodeAnswerHeaders(context, context.retryAllowance);
+		const turn = this.once.open(context);
+		const begun = turn?.begin();
+		turn?.close();
+		if (begun !== undefined && begun.kind !== 'run') {
+			answerRepeat(response, begun, context.requestId, headers);
+			return;
+		}
+
+		answerProblem(
+			response,
+			{
+				status: 503,
+				title: 'Service Unavailable',
+				detail: `server "${this.#identity.server}" is leaving`,
+				outcome: {kind: 'notRun', reason: 'draining'},
+				requestId: context.requestId,
+			},
+			headers,
+		);
+	}
+
 	async #runCall(
 		context: CallContext,
 		request: IncomingMessage,
--- a/src/daemon/guard/guarded-call.ts
+++ b/src/daemon/guard/guarded-call.ts
@@ -1,18 +1,21 @@
 /**
  * One call of a peer, from admission to the last byte of its answer.
  */
-import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type IncomingMessage, type OutgoingHttpHeaders, type ServerResponse} from 'node:http';
 import {type SlotResult} from '../../admission/types.ts';
 import {headerNames} from '../../call/headers.ts';
 import {type CallContext, type NotRunReason, type Outcome} from '../../call/types.ts';
 import {CallAllowance} from '../../retry/allowance.ts';
 import {type RetryAllowance} from '../../retry/types.ts';
 import {readMonotonicMs} from '../clock.ts';
-import {Exchange, type ExchangeHead} from '../http/exchange.ts';
+import {Exchange, type BodyEnd, type ExchangeHead} from '../http/exchange.ts';
 import {answerProblem} from '../http/problem.ts';
 import {relayBody} from '../http/relay.ts';
 import {readRequestBody, type RequestBody} from '../http/request-body.ts';
 import {convertToEndToEnd} from '../http/request-headers.ts';
+import {relayAndCollect} from '../once/answer-collector.ts';
+import {type GuardTurn} from '../once/guard-once.ts';
+import {answerRepeat} from '../once/once-answers.ts';
 import {type GuardTask} from './guard-task.ts';
 import {RunningCall} from './running-calls.ts';
 
@@ -41,6 +44,7 @@
 	readonly #response: ServerResponse;
 	readonly #allowance: RetryAllowance;
 	readonly #deadlineAtMs: number;
+	readonly #once: GuardTurn | undefined;
 	#exchange: Exchange | undefined;
 	#running: RunningCall | undefined;
 	#ended: 'no' | 'deadline' | 'cancelled' = 'no';
@@ -56,6 +60,7 @@
 		this.#request = request;
 		this.#response = response;
 		this.#allowance = CallAllowance.create(context.retryAllowance);
+		this.#once = guard.once.open(context);
 		this.#deadlineAtMs = readMonotonicMs() + context.deadlineMs;
 	}
 
@@ -65,13 +70,16 @@
 			this.#stop('deadline');
 		}, this.#context.deadlineMs);
 		this.#response.once('close', () => {
-			if (!this.#response.writableFinished) {
+			// A once call that was sent runs to its end, so that it is not left half done.
+			const mustEnd = this.#once !== undefined && this.#exchange !== undefined;
+			if (!this.#response.writableFinished && !mustEnd) {
 				this.#stop('cancelled');
 			}
 		});
 		try {
 			await this.#admitAndForward();
 		} finally {
+			this.#once?.close();
 			clearTimeout(timer);
 		}
 	}
@@ -89,6 +97,13 @@
 	}
 
 	async #admitAndForward(): Promise<void> {
+		const begun = this.#once?.begin();
+		if (begun !== undefined && begun.kind !== 'run') {
+			const headers = this.#guard.encodeAnswerHeaders(this.#context, this.#allowance.close());
+			answerRepeat(this.#response, begun, this.#context.requestId, headers);
+			return;
+		}
+
 		const body = await readRequestBody(this.#request, maxGuardBodyBytes);
 		if (body.isErr()) {
 			this.#refuse({kind: 'notRun', reason: 'cancelled'}, body.error.message);
@@ -140,6 +155,17 @@
 			return 'cancelled';
 		}
 
+		const verdict = this.#once?.startSend() ?? 'send';
+		if (verdict !== 'send') {
+			this.#refuse(
+				verdict === 'neverSent'
+					? {kind: 'notRun', reason: 'cancelled'}
+					: {kind: 'unknown', reason: 'nonce-used'},
+				'the nonce of this once call may not be sent',
+			);
+			return 'cancelled';
+		}
+
 		const running = RunningCall.create(this.#context, this.#allowance, this.#deadlineAtMs);
 		this.#running = running;
 		this.#guard.running.add(running);
@@ -193,16 +219,20 @@
 
 	async #relay(exchange: Exchange, head: ExchangeHead): Promise<SlotResult['kind']> {
 		const allowanceLeft = this.#allowance.close();
-		if (this.#response.destroyed) {
+		if (this.#response.destroyed && this.#once === undefined) {
 			exchange.cancel();
 			return 'cancelled';
 		}
 
-		this.#response.writeHead(head.status, {
-			...convertToEndToEnd(head.headers),
-			...this.#guard.encodeAnswerHeaders(this.#context, allowanceLeft),
-		});
-		const end = await relayBody(exchange, this.#response);
+		const headers = convertToEndToEnd(head.headers);
+		if (!this.#response.destroyed) {
+			this.#response.writeHead(head.status, {
+				...headers,
+				...this.#guard.encodeAnswerHeaders(this.#context, allowanceLeft),
+			});
+		}
+
+		const end = await this.#relayBody(exchange, head.status, headers);
 		if (end.kind === 'truncated') {
 			return this.#ended === 'cancelled' ? 'cancelled' : 'failed';
 		}
@@ -210,7 +240,29 @@
 		return head.status >= 500 ? 'failed' : 'answered';
 	}
 
+	/** Relays the body; that of a minted call is kept for repeats. */
+	async #relayBody(
+		exchange: Exchange,
+		status: number,
+		headers: OutgoingHttpHeaders,
+	): Promise<BodyEnd> {
+		if (this.#once === undefined) {
+			return relayBody(exchange, this.#response);
+		}
+
+		const collector = this.#once.createCollector();
+		collector?.start(status, headers);
+		const end = await relayAndCollect(exchange, this.#response, collector);
+		const record = collector?.finish();
+		this.#once.finish(end.kind === 'whole' ? record : undefined);
+		return end;
+	}
+
 	#refuse(outcome: Refusal, detail: string): void {
+		if (outcome.kind === 'notRun') {
+			this.#once?.cancel();
+		}
+
 		this.#guard.metrics.countShed(this.#context.callName, outcome.reason);
 		const allowanceLeft = this.#allowance.close();
 		answerProblem(
--- a/src/daemon/http/request-body.ts
+++ b/src/daemon/http/request-body.ts
@@ -69,6 +69,35 @@
 	});
 }
 
+/**
+ * Reads the rest of a body that came as a stream, so that it can be digested and sent again.
+ *
+ * @returns the whole body, or `tooLarge` or `aborted`
+ * @example
+ * const whole = await collectBody(body, rule.maxBodyBytes);
+ */
+export async function collectBody(
+	body: RequestBody,
+	maxBytes: number,
+): Promise<Result<RequestBody, RequestBodyError>> {
+	if (body.kind !== 'stream') {
+		return ok(body);
+	}
+
+	try {
+		const chunks: Uint8Array[] = [];
+		for await (const chunk of body.stream as AsyncIterable<Uint8Array>) {
+			chunks.push(chunk);
+		}
+
+		return ok({kind: 'whole', bytes: Buffer.concat(chunks)});
+	} catch (error) {
+		return err(
+			error instanceof RequestBodyError ? error : RequestBodyError.create('aborted', maxBytes),
+		);
+	}
+}
+
 /**
  * Reads the body of a request.
  *
--- a/src/platform/create-platform.ts
+++ b/src/platform/create-platform.ts
@@ -2,6 +2,8 @@
  * Builds the platform adapters of one process.
  */
 import {DynamoTable} from './dynamo-table.ts';
+import {ResilientObjects} from './resilient-objects.ts';
+import {ResilientTable} from './resilient-table.ts';
 import {S3Objects} from './s3-objects.ts';
 import {type PlatformSettings} from './settings.ts';
 import {type ObjectStore, type Table} from './types.ts';
@@ -13,6 +15,30 @@
 	close(): Promise<void>;
 };
 
+/** Adapters behind retries and circuits. */
+export type ResilientPlatform = {
+	readonly table: ResilientTable;
+	readonly objects: ResilientObjects;
+	/** Closes all connections; requests in flight fail. */
+	close(): Promise<void>;
+};
+
+/**
+ * Creates the table and the object store with retries, circuits and usage counts.
+ *
+ * @example
+ * const platform = createResilientPlatform(settings);
+ * platform.table.resilience.readUsage();
+ */
+export function createResilientPlatform(settings: PlatformSettings): ResilientPlatform {
+	const inner = createPlatform(settings);
+	return {
+		table: ResilientTable.create(inner.table),
+		objects: ResilientObjects.create(inner.objects),
+		close: async () => inner.close(),
+	};
+}
+
 /**
  * Creates the table and the object store over their HTTP APIs.
  *
--- a/src/retry/retry-decision.ts
+++ b/src/retry/retry-decision.ts
@@ -68,6 +68,7 @@
 		case 'link-budget':
 		case 'cancelled':
 		case 'wrong-instance':
+		case 'key-mismatch':
 		case 'parent-ended': {
 			return 'never';
 		}
