--- /dev/null
+++ b/bench/fuzz/once-traffic.ts
@@ -0,0 +1,146 @@
+/**
+ * Callers that send once calls through any daemon, repeat them and sometimes hang up.
+ */
+import {setTimeout as wait} from 'node:timers/promises';
+import {Agent, request} from 'undici';
+import {type TestBed} from '../harness/test-bed.ts';
+import {type AttemptEnd, type OnceOracle} from './once-oracle.ts';
+import {type Random} from './random.ts';
+
+const callTimeoutMs = 4000;
+const mintTimeoutMs = 1000;
+const pauseMs = 5;
+const newKeyShare = 0.5;
+const mintedShare = 0.2;
+const hangUpShare = 0.05;
+const maxHangUpMs = 20;
+const rememberedKeys = 12;
+const service = 'commandes';
+
+/** Sends calls until it is stopped. */
+export class OnceTraffic {
+	/**
+	 * @example
+	 * const traffic = OnceTraffic.create(bed, oracle, random);
+	 * const done = traffic.run(8);
+	 */
+	static create(bed: TestBed, oracle: OnceOracle, random: Random): OnceTraffic {
+		return new OnceTraffic(bed, oracle, random);
+	}
+
+	readonly #agent = new Agent({connections: 32, connect: {timeout: 1000}});
+	readonly #bed: TestBed;
+	readonly #oracle: OnceOracle;
+	readonly #random: Random;
+	readonly #recentKeys: string[] = [];
+	#isStopped = false;
+	#serial = 0;
+
+	private constructor(bed: TestBed, oracle: OnceOracle, random: Random) {
+		this.#bed = bed;
+		this.#oracle = oracle;
+		this.#random = random;
+	}
+
+	/** Runs a number of callers until `stop`. */
+	async run(callers: number): Promise<void> {
+		await Promise.all(Array.from({length: callers}, async () => this.#runCaller()));
+	}
+
+	stop(): void {
+		this.#isStopped = true;
+	}
+
+	async close(): Promise<void> {
+		await this.#agent.destroy();
+	}
+
+	/** Sends one attempt under a key through one daemon's caller port. */
+	async send(port: number, key: string, hangUpMs?: number): Promise<AttemptEnd> {
+		const attempt = this.#oracle.addAttempt(key);
+		const end = await this.#exchange(port, key, attempt.name, hangUpMs);
+		attempt.end(end);
+		return end;
+	}
+
+	async #runCaller(): Promise<void> {
+		while (!this.#isStopped) {
+			const port = this.#random.pick(this.#bed.listCallerPorts());
+			const key = await this.#chooseKey(port);
+			if (key !== undefined) {
+				const isHangUp = this.#random.has(hangUpShare);
+				await this.send(port, key, isHangUp ? this.#random.pickNumber(1, maxHangUpMs) : undefined);
+			}
+
+			await wait(pauseMs);
+		}
+	}
+
+	async #chooseKey(port: number): Promise<string | undefined> {
+		if (this.#recentKeys.length > 0 && !this.#random.has(newKeyShare)) {
+			return this.#random.pick(this.#recentKeys);
+		}
+
+		const key = this.#random.has(mintedShare) ? await this.#mintKey(port) : `k${++this.#serial}`;
+		if (key !== undefined) {
+			this.#recentKeys.push(key);
+			this.#recentKeys.splice(0, this.#recentKeys.length - rememberedKeys);
+		}
+
+		return key;
+	}
+
+	async #mintKey(port: number): Promise<string | undefined> {
+		try {
+			const answer = await request(`http://127.0.0.1:${port}/primrosevalve/keys/${service}`, {
+				method: 'POST',
+				dispatcher: this.#agent,
+				signal: AbortSignal.timeout(mintTimeoutMs),
+			});
+			const {key} = (await answer.body.json()) as {readonly key?: string};
+			return key;
+		} catch {
+			return undefined;
+		}
+	}
+
+	async #exchange(
+		port: number,
+		key: string,
+		name: string,
+		hangUpMs: number | undefined,
+	): Promise<AttemptEnd> {
+		try {
+			const answer = await request(`http://127.0.0.1:${port}/${service}/orders`, {
+				method: 'POST',
+				dispatcher: this.#agent,
+				headers: {'idempotency-key': key, 'x-attempt': name},
+				body: `order ${key}`,
+				signal: AbortSignal.timeout(hangUpMs ?? callTimeoutMs),
+			});
+			const body = await answer.body.text();
+			return readEnd(answer.headers, body);
+		} catch {
+			return {kind: 'lost'};
+		}
+	}
+}
+
+/** Reads what an answer says about its attempt. */
+function readEnd(headers: Readonly<Record<string, string | string[] | undefined>>, body: string) {
+	const kind = headers['primrosevalve-outcome'];
+	const reason = String(headers['primrosevalve-reason'] ?? '');
+	switch (kind) {
+		case undefined: {
+			return {kind: 'answered', body} as const;
+		}
+
+		case 'notRun': {
+			return {kind, reason} as const;
+		}
+
+		default: {
+			return {kind: 'unknown', reason} as const;
+		}
+	}
+}
--- /dev/null
+++ b/bench/fuzz/process-faults.ts
@@ -0,0 +1,120 @@
+/**
+ * Faults of real processes: killed, frozen and restarted daemons, and a platform that fails.
+ */
+import {setTimeout as wait} from 'node:timers/promises';
+import {request} from 'undici';
+import {type RunningServer, type TestBed} from '../harness/test-bed.ts';
+import {type Random} from './random.ts';
+
+const faultKinds = [
+	'kill',
+	'kill',
+	'freeze',
+	'freeze',
+	'drain',
+	'platform-fail',
+	'platform-stall',
+	'platform-cut',
+	'platform-loseAnswer',
+	'platform-lateEffect',
+	'truncate',
+] as const;
+
+export type ProcessFault = (typeof faultKinds)[number];
+
+const minFreezeMs = 200;
+const maxFreezeMs = 3000;
+const minPlatformMs = 300;
+const maxPlatformMs = 2000;
+const lateEffectMs = 1500;
+
+/** Injects one fault after the other and counts them. */
+export class ProcessFaults {
+	/**
+	 * @example
+	 * const faults = ProcessFaults.create(bed, random);
+	 */
+	static create(bed: TestBed, random: Random): ProcessFaults {
+		return new ProcessFaults(bed, random);
+	}
+
+	readonly counts: Partial<Record<ProcessFault, number>> = {};
+	/** Daemons that did not exit with 0 after SIGTERM. */
+	badExits = 0;
+	readonly #bed: TestBed;
+	readonly #random: Random;
+
+	private constructor(bed: TestBed, random: Random) {
+		this.#bed = bed;
+		this.#random = random;
+	}
+
+	/** Injects one fault and ends it again. */
+	async runStep(): Promise<void> {
+		const fault = this.#random.pick(faultKinds);
+		this.counts[fault] = (this.counts[fault] ?? 0) + 1;
+		const server = this.#random.pick(this.#bed.servers);
+		switch (fault) {
+			case 'kill': {
+				server.daemon.kill('SIGKILL');
+				await server.daemon.waitForExit();
+				await this.#bed.restartDaemon(server);
+				return;
+			}
+
+			case 'freeze': {
+				await this.#freeze(server);
+				return;
+			}
+
+			case 'drain': {
+				server.daemon.kill('SIGTERM');
+				this.badExits += (await server.daemon.waitForExit()) === 0 ? 0 : 1;
+				await this.#bed.restartDaemon(server);
+				return;
+			}
+
+			case 'truncate': {
+				await this.#bed.setBehaviour(server, {truncateShare: 0.5});
+				await wait(this.#random.pickNumber(minPlatformMs, maxPlatformMs));
+				await this.#bed.setBehaviour(server, {truncateShare: 0});
+				return;
+			}
+
+			case 'platform-fail':
+			case 'platform-stall':
+			case 'platform-cut':
+			case 'platform-loseAnswer':
+			case 'platform-lateEffect': {
+				await this.#breakPlatform(fault.slice('platform-'.length));
+			}
+		}
+	}
+
+	async #freeze(server: RunningServer): Promise<void> {
+		server.daemon.kill('SIGSTOP');
+		await wait(this.#random.pickNumber(minFreezeMs, maxFreezeMs));
+		server.daemon.kill('SIGCONT');
+	}
+
+	async #breakPlatform(kind: string): Promise<void> {
+		const share = this.#random.pick([0.3, 1]);
+		await this.#setFaults({
+			kind,
+			share,
+			seed: this.#random.pickNumber(1, 1_000_000),
+			delayMs: lateEffectMs,
+			operations: kind === 'lateEffect' ? ['PutItem', 'DeleteItem', 'PutObject'] : [],
+		});
+		await wait(this.#random.pickNumber(minPlatformMs, maxPlatformMs));
+		await this.#setFaults({kind: 'none'});
+	}
+
+	async #setFaults(plan: Record<string, unknown>): Promise<void> {
+		const answer = await request(`${this.#bed.platformUrl}/faults`, {
+			method: 'POST',
+			body: JSON.stringify(plan),
+		});
+		await answer.body.dump();
+	}
+}
--- /dev/null
+++ b/bench/fuzz/random.ts
@@ -0,0 +1,39 @@
+/**
+ * Seeded choices of a randomised run.
+ */
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {type RandomGenerator} from 'pure-rand/types/RandomGenerator';
+
+/** One stream of random numbers. */
+export class Random {
+	/**
+	 * @example
+	 * const random = Random.create(1);
+	 */
+	static create(seed: number): Random {
+		return new Random(xoroshiro128plus(seed));
+	}
+
+	readonly #generator: RandomGenerator;
+
+	private constructor(generator: RandomGenerator) {
+		this.#generator = generator;
+	}
+
+	/** True with a probability of `share`. */
+	has(share: number): boolean {
+		return uniformFloat64(this.#generator) < share;
+	}
+
+	/** A whole number from `min` to `max`, both included. */
+	pickNumber(min: number, max: number): number {
+		return uniformInt(this.#generator, min, max);
+	}
+
+	/** One element of a list that is not empty. */
+	pick<Value>(values: readonly Value[]): Value {
+		return values[this.pickNumber(0, values.length - 1)]!;
+	}
+}
--- a/stand-ins/backend/backend-stand-in.ts
+++ b/stand-ins/backend/backend-stand-in.ts
@@ -21,6 +21,8 @@
 const stallPollMs = 10;
 /** Age of the load report in milliseconds. */
 const reportLagMs = 2000;
+/** A caller's own name for an attempt, which the ledger keeps. */
+const attemptHeader = 'x-attempt';
 const contextHeader = 'primrosevalve-context';
 
 /** One stand-in server process. */
@@ -127,7 +129,8 @@
 
 			const key = request.headers['idempotency-key'];
 			if (typeof key === 'string') {
-				this.ledger.add(key);
+				const attempt = request.headers[attemptHeader];
+				this.ledger.add(key, typeof attempt === 'string' ? attempt : '');
 			}
 
 			await this.#work(request, response, body, cancel.signal);
--- a/stand-ins/backend/run-ledger.ts
+++ b/stand-ins/backend/run-ledger.ts
@@ -2,7 +2,12 @@
  * Counts how often each idempotency key was run.
  */
 
-export type LedgerEntry = {readonly key: string; readonly runs: number};
+export type LedgerEntry = {
+	readonly key: string;
+	readonly runs: number;
+	/** Names of the attempts that ran, where the caller gave them. */
+	readonly attempts: readonly string[];
+};
 
 /** The runs of a stand-in server by key. */
 export class RunLedger {
@@ -14,20 +19,22 @@
 		return new RunLedger();
 	}
 
-	readonly #runs = new Map<string, number>();
+	readonly #runs = new Map<string, string[]>();
 
 	private constructor() {
 		// Made by create.
 	}
 
-	add(key: string): void {
-		this.#runs.set(key, (this.#runs.get(key) ?? 0) + 1);
+	add(key: string, attempt = ''): void {
+		const attempts = this.#runs.get(key) ?? [];
+		attempts.push(attempt);
+		this.#runs.set(key, attempts);
 	}
 
 	list(): LedgerEntry[] {
 		const entries: LedgerEntry[] = [];
-		for (const [key, runs] of this.#runs) {
-			entries.push({key, runs});
+		for (const [key, attempts] of this.#runs) {
+			entries.push({key, runs: attempts.length, attempts});
 		}
 
 		return entries;
