--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -8,6 +8,7 @@
 import {builtInVersion} from '../policy/built-in.ts';
 import {type Logger} from '../reporting/logger.ts';
 import {Metrics} from '../reporting/metrics.ts';
+import {addPlatformMetrics, type PlatformSource} from '../reporting/platform-metrics.ts';
 import {ServiceRouter} from '../routing/service-router.ts';
 import {type DaemonSettings} from '../settings/daemon-settings.ts';
 import {type PlatformSection} from '../settings/platform-settings.ts';
@@ -64,6 +65,7 @@
 		this.#platform = createResilientPlatform(convertPlatformSettings(settings.platform));
 		const identity = this.#identity;
 		const metrics = Metrics.create({server: identity.server, data_centre: identity.dataCentre});
+		addPlatformMetrics(metrics.registry, listPlatformSources(this.#platform));
 		const peerKey = settings.keys.peer;
 		const clock = {readNowMs: () => performance.now()};
 		this.#guard = GuardTask.create(
@@ -212,6 +214,20 @@
 	}
 }
 
+function listPlatformSources(platform: ResilientPlatform): PlatformSource[] {
+	const sources: PlatformSource[] = [];
+	for (const service of ['table', 'objects'] as const) {
+		const {resilience} = platform[service];
+		sources.push({
+			service,
+			readUsage: () => resilience.readUsage(),
+			readCircuitState: () => resilience.readCircuitState(),
+		});
+	}
+
+	return sources;
+}
+
 function convertPlatformSettings(section: PlatformSection) {
 	return {
 		tableUrl: section.table_url,
--- a/src/daemon/once/once-calls.test.ts
+++ b/src/daemon/once/once-calls.test.ts
@@ -159,6 +159,12 @@
 		return ((await answer.body.json()) as {key: string}).key;
 	}
 
+	async readMetrics(entry: number): Promise<string> {
+		const {admin} = this.servers[entry]!.ports;
+		const answer = await request(`http://127.0.0.1:${admin}/metrics`);
+		return answer.body.text();
+	}
+
 	countRuns(key: string): number {
 		let runs = 0;
 		for (const {backend} of this.servers) {
@@ -236,6 +242,7 @@
 		fixture.platform.setFaults({kind: 'cut'});
 		const refused = await fixture.send(0, {'idempotency-key': 'k3'});
 		t.is(readOutcome(refused), '503 notRun claim-unavailable');
+		t.regex(await fixture.readMetrics(0), /kind="failures",.* [1-9]/v);
 		t.is(fixture.countRuns('k3'), 0);
 		const minted = await fixture.send(1, {'idempotency-key': key});
 		t.is(readOutcome(minted), '200 answered');
