--- a/src/once/testing/world.ts
+++ b/bench/fuzz/once/world.ts
@@ -1,166 +1,33 @@
 /**
- * A small world for tests of once calls: a table, daemons, guards and a backend server that counts.
+ * A small world for once calls: a table, daemons, a guard and a backend server that counts.
  *
  * Every message between them waits at a gate until the test lets it pass, so a test decides about every
  * order of events.
  */
 import {Buffer} from 'node:buffer';
-import {errAsync, okAsync, ResultAsync, type Result} from 'neverthrow';
-import {PlatformError, type PlatformErrorKind} from '../../platform/errors.ts';
-import {
-	type ObjectStore,
-	type RowKey,
-	type Table,
-	type TableRow,
-	type TableWrite,
-} from '../../platform/types.ts';
-import {computeRowKey, decodeClaim} from '../claim-row.ts';
-import {NonceRegistry} from '../nonce-registry.ts';
-import {OnceLedger} from '../once-ledger.ts';
+import {errAsync, okAsync, type ResultAsync} from 'neverthrow';
+import {computeRowKey, decodeClaim} from '../../../src/once/claim-row.ts';
+import {NonceRegistry} from '../../../src/once/nonce-registry.ts';
 import {
 	type Holder,
 	type KillVerdict,
 	type OnceRequest,
-	type OnceResult,
 	type SendEnd,
-} from '../types.ts';
-
-export type TableFault = 'ok' | 'unreachable' | 'fail' | 'lose' | 'late';
-
-type Gate = {
-	readonly owner: string;
-	readonly pass: () => void;
-	readonly canPass: () => boolean;
-};
-
-export type Attempt = {
-	readonly request: OnceRequest;
-	readonly entry: string;
-	/** Set when the attempt's call reached the backend server. */
-	runs: number;
-	result?: OnceResult;
-};
-
-/** The network and the platform belong to nobody that can crash. */
-const network = 'network';
-const maxNonces = 1000;
-const stepMs = 2000;
-const limits = {keepSeconds: 3600, maxTableAnswerBytes: 8, maxAnswerBytes: 1000};
-
-/** Names a request's key and caller. */
-function formatRequest(request: OnceRequest): string {
-	return `${request.caller} ${request.key}`;
-}
-
-/**
- * The answer of the backend server to one run of a request.
- *
- * @example
- * createAnswer(request, 1);
- */
-export function createAnswer(request: OnceRequest, run: number): string {
-	return request.key.length > 1 ? `run ${run} of ${formatRequest(request)}` : `run ${run}`;
-}
-
-/** A table behind gates, with faults on command. */
-class WorldTable implements Table {
-	static create(world: World, owner: string): WorldTable {
-		return new WorldTable(world, owner);
-	}
-
-	private constructor(
-		private readonly world: World,
-		private readonly owner: string,
-	) {}
-
-	get(key: RowKey): ResultAsync<TableRow | undefined, PlatformError> {
-		return this.exchange(() => okAsync(this.world.rows.get(key.partition)));
-	}
-
-	write(write: TableWrite): ResultAsync<void, PlatformError> {
-		return this.exchange(() => this.world.applyWrite(write), true);
-	}
-
-	transact(): ResultAsync<void, PlatformError> {
-		throw new Error('not used by once calls');
-	}
-
-	query(): ResultAsync<readonly TableRow[], PlatformError> {
-		throw new Error('not used by once calls');
-	}
-
-	private exchange<Value>(
-		run: () => ResultAsync<Value, PlatformError>,
-		isWrite = false,
-	): ResultAsync<Value, PlatformError> {
-		return new ResultAsync(this.pass(run, isWrite));
-	}
-
-	private async pass<Value>(
-		run: () => ResultAsync<Value, PlatformError>,
-		isWrite: boolean,
-	): Promise<Result<Value, PlatformError>> {
-		const {fault} = this.world;
-		if (fault === 'unreachable') {
-			return this.fail('unreachable');
-		}
-
-		if (fault === 'late' && isWrite) {
-			this.world.lateEffects.push(() => {
-				void run();
-			});
-			await this.world.wait(this.owner);
-			return this.fail('lostAnswer');
-		}
-
-		await this.world.wait(network);
-		const result = fault === 'fail' ? undefined : await run();
-		await this.world.wait(this.owner);
-		return result === undefined || fault === 'lose' ? this.fail('lostAnswer') : result;
-	}
-
-	private async fail<Value>(kind: PlatformErrorKind): Promise<Result<Value, PlatformError>> {
-		return errAsync<Value, PlatformError>(PlatformError.create(kind, 'test', 'row', 'injected'));
-	}
-}
-
-/** One daemon that takes calls; a restart makes a new instance. */
-class Entry {
-	static create(world: World, name: string, instance: number): Entry {
-		return new Entry(world, name, `${name}.${instance}`);
-	}
+} from '../../../src/once/types.ts';
+import {PlatformError} from '../../../src/platform/errors.ts';
+import {type TableRow, type TableWrite} from '../../../src/platform/types.ts';
+import {Gates} from './gates.ts';
+import {
+	createAnswer,
+	formatRequest,
+	maxNonces,
+	network,
+	type Attempt,
+	type TableFault,
+} from './types.ts';
+import {WorldEntry} from './world-entry.ts';
 
-	readonly ledger: OnceLedger;
-	frozen = false;
-
-	private constructor(
-		world: World,
-		readonly name: string,
-		readonly instanceId: string,
-	) {
-		const store: ObjectStore = {
-			put(key, body) {
-				world.objects.set(key, body);
-				return okAsync(undefined);
-			},
-			get: key => okAsync(world.objects.get(key)),
-			list: () => okAsync([]),
-		};
-		this.ledger = OnceLedger.create(
-			{instanceId, address: name, peerPort: 1},
-			{
-				table: WorldTable.create(world, instanceId),
-				objects: store,
-				holders: {killNonce: async (holder, nonce) => world.askHolder(instanceId, holder, nonce)},
-				readNowMs: () => world.nowMs,
-				readRandom: () => world.createRandom(),
-				wait: async () => world.wait(instanceId),
-			},
-			limits,
-			NonceRegistry.create(maxNonces),
-		);
-	}
-}
+const stepMs = 2000;
 
 /** Everything outside the code under test. */
 export class World {
@@ -185,8 +52,8 @@
 	/** Keys that were handed to a guard. */
 	readonly sentKeys = new Set<string>();
 	readonly faults = {crashes: 0, freezes: 0, restarts: 0, cuts: 0, tableFaults: 0, lateEffects: 0};
-	private readonly entries = new Map<string, Entry>();
-	private gates: Gate[] = [];
+	private readonly entries = new Map<string, WorldEntry>();
+	private readonly gates = Gates.create();
 	private connections: Array<() => void> = [];
 	private guard = NonceRegistry.create(maxNonces);
 	private guardStart = 0;
@@ -194,27 +61,21 @@
 
 	private constructor(entryNames: readonly string[]) {
 		for (const name of entryNames) {
-			this.entries.set(name, Entry.create(this, name, 0));
+			this.entries.set(name, WorldEntry.create(this, name, 0));
 		}
 	}
 
 	/** Waits until the test lets a message of `owner` pass. */
 	async wait(owner: string, canPass: () => boolean = () => true): Promise<void> {
-		return new Promise(resolve => {
-			this.gates.push({owner, pass: resolve, canPass});
-		});
+		return this.gates.wait(owner, canPass);
 	}
 
 	/** Lets one waiting message pass and everything that follows from it happen. */
 	async step(index: number): Promise<boolean> {
-		const open = this.gates.filter(gate => gate.canPass() && !this.isFrozen(gate.owner));
-		const gate = open[index % Math.max(1, open.length)];
-		if (gate === undefined) {
+		if (!this.gates.pass(index, owner => this.isFrozen(owner))) {
 			return false;
 		}
 
-		this.gates.splice(this.gates.indexOf(gate), 1);
-		gate.pass();
 		this.nowMs += stepMs;
 		await this.flush();
 		return true;
@@ -279,8 +140,8 @@
 	/** Replaces a daemon by a new instance; its messages on the wire still arrive. */
 	crash(entryName: string): void {
 		const old = this.entries.get(entryName)!;
-		this.gates = this.gates.filter(gate => gate.owner !== old.instanceId);
-		this.entries.set(entryName, Entry.create(this, entryName, ++this.sequence));
+		this.gates.remove(old.instanceId);
+		this.entries.set(entryName, WorldEntry.create(this, entryName, ++this.sequence));
 		this.faults.crashes++;
 	}
 
@@ -343,14 +204,14 @@
 		return this.entries.get(state.holder.address)?.instanceId === state.holder.instanceId;
 	}
 
-	private async runAttempt(entry: Entry, attempt: Attempt): Promise<void> {
+	private async runAttempt(entry: WorldEntry, attempt: Attempt): Promise<void> {
 		attempt.result = await entry.ledger.run(attempt.request, async nonce =>
 			this.sendToGuard(entry, attempt, nonce),
 		);
 	}
 
 	/** The way from an entry to the guard, whose connection may be cut. */
-	private async sendToGuard(entry: Entry, attempt: Attempt, nonce: string): Promise<SendEnd> {
+	private async sendToGuard(entry: WorldEntry, attempt: Attempt, nonce: string): Promise<SendEnd> {
 		this.sentKeys.add(formatRequest(attempt.request));
 		const {guardStart} = this;
 		const cut = new Promise<undefined>(resolve => {
@@ -391,7 +252,11 @@
 	}
 
 	/** Asks the guard after a lost connection; one that restarted can't prove anything. */
-	private async killAtGuard(entry: Entry, guardStart: number, nonce: string): Promise<SendEnd> {
+	private async killAtGuard(
+		entry: WorldEntry,
+		guardStart: number,
+		nonce: string,
+	): Promise<SendEnd> {
 		await this.wait(network);
 		const isSame = guardStart === this.guardStart;
 		const verdict = isSame ? this.guard.kill(nonce) : 'unreachable';
--- a/src/once/once-ledger.test.ts
+++ b/src/once/once-ledger.test.ts
@@ -1,209 +1,21 @@
-import {Buffer} from 'node:buffer';
 import test from 'ava';
-import fc from 'fast-check';
-import {createAnswer, World, type Attempt, type TableFault} from './testing/world.ts';
-import {type OnceRequest} from './types.ts';
-
-const entryNames = ['a', 'b', 'c'];
-const request: OnceRequest = {
-	service: 'commandes',
-	caller: 'x',
-	key: 'k1',
-	fingerprint: 'f',
-};
-const requests: readonly OnceRequest[] = [
+import {
+	callUntilServed,
+	entryNames,
 	request,
-	{...request, key: 'k'},
-	{...request, caller: 'y'},
-];
-
-type Model = Record<string, never>;
-
-/** Checks every attempt that has ended against the count of runs. */
-function assertAttempts(world: World): void {
-	for (const {runs, result, request: attempted} of world.attempts) {
-		const keyRuns = world.countRuns(attempted);
-		if (keyRuns > 1) {
-			throw new Error(`${attempted.key} ran ${keyRuns} times`);
-		}
-
-		switch (result?.kind) {
-			case undefined:
-			case 'inProgress':
-			case 'unknown': {
-				break;
-			}
-
-			case 'notRun': {
-				if (runs > 0) {
-					throw new Error(`${attempted.key} was told notRun (${result.reason}) and ran`);
-				}
-
-				break;
-			}
-
-			case 'ran':
-			case 'repeated': {
-				assertAnswer(attempted, result.kind === 'ran' ? result.record : result);
-				break;
-			}
-
-			case 'mismatch': {
-				throw new Error('the same request was told to differ');
-			}
-		}
-	}
-}
-
-/** Checks an answer byte for byte. */
-function assertAnswer(attempted: OnceRequest, given: Record<string, unknown>): void {
-	const {answer} = given as {answer?: {body: Uint8Array}};
-	if (Buffer.from(answer?.body ?? []).toString() !== createAnswer(attempted, 1)) {
-		throw new Error(`${attempted.key} got another answer`);
-	}
-}
-
-/** A command that changes the world and then checks it. */
-class Step implements fc.AsyncCommand<Model, World> {
-	static create(name: string, change: (world: World) => Promise<unknown> | void): Step {
-		return new Step(name, change);
-	}
-
-	private constructor(
-		private readonly name: string,
-		private readonly change: (world: World) => Promise<unknown> | void,
-	) {}
-
-	check(): boolean {
-		return true;
-	}
-
-	async run(_model: Model, world: World): Promise<void> {
-		await this.change(world);
-		assertAttempts(world);
-	}
-
-	toString(): string {
-		return this.name;
-	}
-}
-
-const entryName = fc.constantFrom(...entryNames);
-const calls = fc
-	.tuple(entryName, fc.constantFrom(...requests))
-	.map(([name, called]) =>
-		Step.create(`call ${name} ${called.caller}/${called.key}`, async world =>
-			world.call(name, called),
-		),
-	);
-const steps = fc
-	.nat(20)
-	.map(index => Step.create(`step ${index}`, async world => world.step(index)));
-const tableFaults = fc
-	.constantFrom<TableFault>('ok', 'ok', 'ok', 'unreachable', 'fail', 'lose', 'late')
-	.map(fault =>
-		Step.create(`table ${fault}`, world => {
-			world.setFault(fault);
-		}),
-	);
-const lateEffects = fc.nat(5).map(index =>
-	Step.create(`late effect ${index}`, world => {
-		world.applyLateEffect(index);
-	}),
-);
-const crashes = entryName.map(name =>
-	Step.create(`crash ${name}`, world => {
-		world.crash(name);
-	}),
-);
-const freezes = fc.tuple(entryName, fc.boolean()).map(([name, frozen]) =>
-	Step.create(`${frozen ? 'freeze' : 'thaw'} ${name}`, world => {
-		world.setFrozen(name, frozen);
-	}),
-);
-const guardFaults = fc.boolean().map(isRestart =>
-	Step.create(isRestart ? 'restart guard' : 'cut connections', world => {
-		if (isRestart) {
-			world.restartGuard();
-		} else {
-			world.cutConnections();
-		}
-	}),
-);
-const commands = fc.commands(
-	[
-		calls,
-		calls,
-		steps,
-		steps,
-		steps,
-		steps,
-		steps,
-		tableFaults,
-		lateEffects,
-		crashes,
-		freezes,
-		guardFaults,
-	],
-	{maxCommands: 80, size: 'max'},
-);
-
-/** Calls until the guard does not shed the call. */
-async function callUntilServed(world: World, repeated: OnceRequest): Promise<Attempt> {
-	for (;;) {
-		const attempt = await world.call('a', repeated);
-		await world.heal();
-		if (attempt.result?.kind !== 'notRun' || attempt.result.reason !== 'overload') {
-			return attempt;
-		}
-	}
-}
-
-/** After all faults have ended, a key that was never sent runs, and one that ran does not run again. */
-async function assertUsable(world: World): Promise<void> {
-	await world.heal();
-	assertAttempts(world);
-	for (const repeated of requests) {
-		const mustRun = !world.isSent(repeated) && world.isHolderAlive(repeated);
-		const attempt = await callUntilServed(world, repeated);
-		assertAttempts(world);
-		const kind = attempt.result?.kind;
-		if (mustRun && kind !== 'ran') {
-			throw new Error(`${repeated.key} was never sent and is stuck: ${kind}`);
-		}
-
-		if (kind !== 'ran' && kind !== 'repeated' && kind !== 'unknown') {
-			throw new Error(`${repeated.key} is stuck: ${kind}`);
-		}
-	}
-}
+	runSequences,
+} from '../../bench/fuzz/once/sequences.ts';
+import {World} from '../../bench/fuzz/once/world.ts';
 
 test('a once call runs at most once, whatever fails and in whatever order', async t => {
-	const faults: Record<string, number> = {};
-	const kinds: Record<string, number> = {};
-	await fc.assert(
-		fc.asyncProperty(commands, async sequence => {
-			const world = World.create(entryNames);
-			await fc.asyncModelRun(() => ({model: {}, real: world}), sequence);
-			await assertUsable(world);
-			for (const [kind, count] of Object.entries(world.faults)) {
-				faults[kind] = (faults[kind] ?? 0) + count;
-			}
-
-			for (const {result} of world.attempts) {
-				const kind = result?.kind ?? 'none';
-				kinds[kind] = (kinds[kind] ?? 0) + 1;
-			}
-		}),
-		{seed: 20_261_204, numRuns: 400},
-	);
-	t.log({faults, kinds});
+	const {faults, ends} = await runSequences(20_261_204, 400);
+	t.log({faults, ends});
 	for (const [kind, count] of Object.entries(faults)) {
 		t.true(count > 0, `no fault of kind ${kind} was injected`);
 	}
 
 	for (const kind of ['ran', 'repeated', 'notRun', 'inProgress', 'unknown']) {
-		t.true((kinds[kind] ?? 0) > 0, `no attempt ended as ${kind}`);
+		t.true((ends[kind] ?? 0) > 0, `no attempt ended as ${kind}`);
 	}
 });
 
