--- a/src/reporting/burn/render-page.ts
+++ b/src/reporting/burn/render-page.ts
@@ -1,12 +1,12 @@
 /**
  * Renders a burn report as one HTML page that loads nothing else.
  */
-import {convertToHtml} from '../../html/escape.ts';
+import {Html, renderHtml} from '../../html/template.ts';
 import {formatBudget, formatBurn, formatPairState} from './format-text.ts';
 import {renderBurnPlot} from './plot.ts';
 import {type BurnReport, type ObjectiveReport, type PairReport} from './types.ts';
 
-const pageStyle = `
+const pageStyle = Html.create(`
 body { font: 16px/1.5 system-ui, sans-serif; color: #1b1b1b; background: #fff; max-width: 60rem; margin: 2rem auto; padding: 0 1rem; }
 table { border-collapse: collapse; margin: 0.5rem 0 1rem; }
 th, td { border: 1px solid #c8c8c8; padding: 0.3rem 0.7rem; text-align: left; }
@@ -14,9 +14,9 @@
 .firing { background: #fbe3e4; font-weight: 600; }
 .gap { background: #ececec; }
 svg { max-width: 100%; height: auto; }
-`;
+`);
 
-function renderPair(pair: PairReport): string {
+function renderPair(pair: PairReport): Html {
 	const cells = [
 		pair.name,
 		formatBurn(pair.short),
@@ -24,23 +24,21 @@
 		`${pair.threshold.toFixed(1)}x`,
 		formatPairState(pair.state, pair.severity),
 	];
-	const row = cells.map(cell => `<td>${convertToHtml(cell)}</td>`).join('');
-	return `<tr class="${pair.state.kind}">${row}</tr>`;
+	return renderHtml`<tr class="${pair.state.kind}">${cells.map(cell => renderHtml`<td>${cell}</td>`)}</tr>`;
 }
 
-async function renderObjective(objective: ObjectiveReport): Promise<string> {
-	const title = `${objective.service}, caller ${objective.caller}`;
+async function renderObjective(objective: ObjectiveReport): Promise<Html> {
 	const target = `${(objective.target * 100).toFixed(3)} % good in ${objective.windowDays} days`;
-	return `<section>
-<h2>${convertToHtml(title)}</h2>
-<p>Objective: ${convertToHtml(target)}. Error budget: ${convertToHtml(formatBudget(objective.budget))}.</p>
+	return renderHtml`<section>
+<h2>${objective.service}, caller ${objective.caller}</h2>
+<p>Objective: ${target}. Error budget: ${formatBudget(objective.budget)}.</p>
 <table>
 <thead><tr><th scope="col">pair</th><th scope="col">short window</th><th scope="col">long window</th><th scope="col">threshold</th><th scope="col">state</th></tr></thead>
 <tbody>
-${objective.pairs.map(pair => renderPair(pair)).join('\n')}
+${objective.pairs.map(pair => renderPair(pair))}
 </tbody>
 </table>
-${await renderBurnPlot(objective)}
+${Html.create(await renderBurnPlot(objective))}
 </section>`;
 }
 
@@ -51,14 +49,14 @@
  * await writeFile('burn.html', await renderBurnPage(report));
  */
 export async function renderBurnPage(report: BurnReport): Promise<string> {
-	const sections: string[] = [];
+	const sections: Html[] = [];
 	for (const objective of report.objectives) {
 		sections.push(await renderObjective(objective));
 	}
 
 	const at = new Date(report.atMs).toISOString();
-	const empty = '<p>The policy has no objectives.</p>';
-	return `<!doctype html>
+	const empty = renderHtml`<p>The policy has no objectives.</p>`;
+	return renderHtml`<!doctype html>
 <html lang="en">
 <head>
 <meta charset="utf-8">
@@ -69,8 +67,8 @@
 <body>
 <h1>Service-level burn</h1>
 <p>${at}, policy version ${report.policyVersion}. A burn rate of 1 (dashed line) spends the whole budget in the objective's window.</p>
-${sections.length === 0 ? empty : sections.join('\n')}
+${sections.length === 0 ? empty : sections}
 </body>
 </html>
-`;
+`.text;
 }
--- /dev/null
+++ b/stand-ins/platform/start-platform.ts
@@ -0,0 +1,39 @@
+/**
+ * Starts a platform stand-in with the adapters that speak to it, for tests and the demo.
+ */
+import {createPlatform, type Platform} from '../../src/platform/create-platform.ts';
+import {defaultStandInOptions, PlatformStandIn} from './platform-stand-in.ts';
+
+export type StartedPlatform = {
+	readonly standIn: PlatformStandIn;
+	readonly platform: Platform;
+	readonly url: string;
+	close(): Promise<void>;
+};
+
+/**
+ * Starts a stand-in on a port that the kernel chooses.
+ *
+ * @example
+ * const {platform, close} = await startPlatform();
+ */
+export async function startPlatform(): Promise<StartedPlatform> {
+	const standIn = PlatformStandIn.create();
+	const url = await standIn.listen(0);
+	const platform = createPlatform({
+		...defaultStandInOptions,
+		tableUrl: url,
+		objectsUrl: url,
+		awsRegion: 'qc-est',
+		timeoutMs: 5000,
+	});
+	return {
+		standIn,
+		platform,
+		url,
+		async close() {
+			await platform.close();
+			await standIn.close();
+		},
+	};
+}
