Serve call counters to administration and count good calls by their objective

GET /admin/counters lists calls and good calls by service and caller, with the start they count from, so that the burn report needs no parser of the metrics text. A call was good whatever its latency; now it must also be within the objective of its caller or, without one, of its service.

--- a/src/daemon/admin/admin-task.ts
+++ b/src/daemon/admin/admin-task.ts
@@ -6,13 +6,16 @@
 import {type PolicyVersion} from '../../policy/types.ts';
 import {type GuardReport} from '../../call/types.ts';
 import {type Member} from '../../membership/types.ts';
+import {adminKeyHeader, type AdminCounters, type AdminStatus} from '../../operator/admin/types.ts';
 import {type Metrics} from '../../reporting/metrics.ts';
 import {Listener, type ListenerOptions} from '../http/listener.ts';
 import {answerProblem} from '../http/problem.ts';
 import {SecretKey} from '../http/secret.ts';
+import {type Identity} from '../identity.ts';
 
 /** What administration may read and do. */
 export type AdminPort = {
+	readonly identity: Identity;
 	readonly readPolicy: () => PolicyVersion;
 	readonly readMembers: () => readonly Member[];
 	readonly readReport: () => GuardReport;
@@ -27,8 +30,6 @@
 	readonly port: AdminPort;
 };
 
-const adminKeyHeader = 'primrosevalve-admin-key';
-
 /** Owns the administration listener. */
 export class AdminTask {
 	/**
@@ -84,6 +85,9 @@
 		app.get('/admin/members', (_request, response) => {
 			answerJson(response, port.readMembers());
 		});
+		app.get('/admin/counters', async (_request, response) => {
+			answerJson(response, await listCounters(port, metrics));
+		});
 		app.post('/admin/drain', (_request, response) => {
 			answerJson(response, {draining: true});
 			port.drain();
@@ -98,7 +102,14 @@
 	}
 }
 
-function createStatus(port: AdminPort) {
+/** Lists the call counters with the start that they count from. */
+async function listCounters(port: AdminPort, metrics: Metrics): Promise<AdminCounters> {
+	const {server, instanceId, startedAtMs} = port.identity;
+	const counters = await metrics.listCallCounters();
+	return counters.map(counter => ({server, instanceId, startedAtMs, ...counter}));
+}
+
+function createStatus(port: AdminPort): AdminStatus {
 	const {version, digest, appliedAtMs} = port.readPolicy();
 	return {policy: {version, digest, appliedAtMs}, guard: port.readReport()};
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -88,6 +88,7 @@
 			adminKey: settings.keys.admin,
 			metrics,
 			port: {
+				identity,
 				readPolicy: () => this.#control?.policy ?? builtInVersion,
 				readMembers: () => this.#control?.members ?? [],
 				readReport: () => this.#guard.readReport(),
--- a/src/daemon/entry/entry-task.ts
+++ b/src/daemon/entry/entry-task.ts
@@ -4,6 +4,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {headerNames} from '../../call/headers.ts';
 import {type Outcome} from '../../call/types.ts';
+import {LatencyObjectives} from '../../policy/latency-objectives.ts';
 import {PolicyMatcher} from '../../policy/match.ts';
 import {type PolicyVersion} from '../../policy/types.ts';
 import {type Logger} from '../../reporting/logger.ts';
@@ -49,6 +50,7 @@
 	readonly peerKey: string;
 	readonly #options: EntryOptions;
 	#matcher: PolicyMatcher;
+	#objectives: LatencyObjectives;
 	#policyVersion: number;
 	#callerListener: Listener | undefined;
 	#localListener: Listener | undefined;
@@ -61,6 +63,7 @@
 		this.metrics = options.metrics;
 		this.peerKey = options.peerKey;
 		this.#matcher = PolicyMatcher.create(policy.document);
+		this.#objectives = LatencyObjectives.create(policy.document);
 		this.#policyVersion = policy.version;
 		this.router.applyPolicy(policy.document);
 		setInterval(() => {
@@ -111,6 +114,7 @@
 
 			case 'policy': {
 				this.#matcher = PolicyMatcher.create(message.policy.document);
+				this.#objectives = LatencyObjectives.create(message.policy.document);
 				this.#policyVersion = message.policy.version;
 				this.router.applyPolicy(message.policy.document);
 				break;
@@ -244,7 +248,10 @@
 
 	#countCall(call: ClassifiedCall, outcome: Outcome, latencyMs: number): void {
 		const {service, caller} = call.context;
-		const isGood = outcome.kind === 'answered' && outcome.status < 500;
+		const isGood =
+			outcome.kind === 'answered' &&
+			outcome.status < 500 &&
+			latencyMs <= this.#objectives.findLatencyMs(service, caller);
 		this.metrics.countCall({service, caller, outcome: outcome.kind, good: isGood, latencyMs});
 		if (isGood) {
 			return;
--- /dev/null
+++ b/src/operator/errors.ts
@@ -0,0 +1,36 @@
+/**
+ * Errors of the operators' tools.
+ */
+
+/** Exit codes of the operators' tools. */
+export const exitCodes = {ok: 0, failed: 1, usage: 2, conflict: 3} as const;
+
+export type ExitCode = (typeof exitCodes)[keyof typeof exitCodes];
+
+export type OperatorErrorKind = Exclude<keyof typeof exitCodes, 'ok'>;
+
+/** An operation that did not succeed; the message ends in what to do next. */
+export class OperatorError extends Error {
+	/**
+	 * @param nextStep - what the operator can do, as a sentence
+	 * @example
+	 * OperatorError.create('failed', 'no daemon answered', 'Check the addresses under [admin] urls.');
+	 */
+	static create(kind: OperatorErrorKind, message: string, nextStep: string): OperatorError {
+		return new OperatorError(kind, message, nextStep);
+	}
+
+	override readonly name = 'OperatorError';
+
+	private constructor(
+		readonly kind: OperatorErrorKind,
+		message: string,
+		readonly nextStep: string,
+	) {
+		super(message);
+	}
+
+	get exitCode(): ExitCode {
+		return exitCodes[this.kind];
+	}
+}
--- a/src/reporting/metrics.ts
+++ b/src/reporting/metrics.ts
@@ -15,6 +15,14 @@
 	readonly latencyMs: number;
 };
 
+/** Calls of one service and caller since the start. */
+export type CallCounters = {
+	readonly service: string;
+	readonly caller: string;
+	readonly total: number;
+	readonly good: number;
+};
+
 /** Owns the registry; one for each daemon. */
 export class Metrics {
 	/**
@@ -97,8 +105,40 @@
 		this.#gauge.set({name}, value);
 	}
 
+	/** Lists the calls since the start by service and caller. */
+	async listCallCounters(): Promise<readonly CallCounters[]> {
+		const calls = await this.#calls.get();
+		const goodCalls = await this.#goodCalls.get();
+		const counters = new Map<
+			string,
+			{service: string; caller: string; total: number; good: number}
+		>();
+		for (const {labels, value} of calls.values) {
+			const {service, caller} = readOwner(labels);
+			const key = `${service} ${caller}`;
+			const known = counters.get(key) ?? {service, caller, total: 0, good: 0};
+			known.total += value;
+			counters.set(key, known);
+		}
+
+		for (const {labels, value} of goodCalls.values) {
+			const {service, caller} = readOwner(labels);
+			const known = counters.get(`${service} ${caller}`);
+			if (known !== undefined) {
+				known.good = value;
+			}
+		}
+
+		return [...counters.values()];
+	}
+
 	/** Renders every metric as text. */
 	async renderText(): Promise<string> {
 		return this.registry.metrics();
 	}
 }
+
+/** Reads whose calls a counter counts. */
+function readOwner(labels: Partial<Record<string, string | number>>) {
+	return {service: String(labels.service ?? ''), caller: String(labels.caller ?? '')};
+}
