Add primrosevalvectl: configuration, status, servers, drain and burn

Commands hold options and help alone; the work behind each is loaded when it runs. Exit codes are 0 done, 1 refused or failed, 2 wrong usage or settings, 3 conflict; each error ends in what to do next.

The daemons are asked through [admin] urls, and with [admin] port through every member's address. Ruled out: an administration port in the member record, which each gossip message would carry for the operators alone.

--- a/bench/demo.ts
+++ b/bench/demo.ts
@@ -1,7 +1,9 @@
 /**
  * The demo: a small Lachance on stand-ins, a policy, real traffic and a table of what came of it.
+ * With `--keep` everything runs on until it is interrupted.
  */
 import process from 'node:process';
+import {parseArgs} from 'node:util';
 import {callerTokens, lachancePolicy, listLachanceServers} from './lachance.ts';
 import {TestBed} from './harness/test-bed.ts';
 import {computeQuantile, LoadGenerator} from './load/load-generator.ts';
@@ -73,9 +75,23 @@
 	return `${lines.join('\n')}\n`;
 }
 
+/** Keeps everything running until the user ends it. */
+async function waitForInterrupt(settingsFile: string): Promise<void> {
+	process.stdout.write(
+		`\neverything keeps running; in another shell:\n  export PRIMROSEVALVE_SETTINGS=${settingsFile}\n  node dist/bin/primrosevalvectl.js status\nend with Ctrl-C\n`,
+	);
+	await new Promise<void>(resolve => {
+		process.once('SIGINT', resolve);
+		process.once('SIGTERM', resolve);
+	});
+}
+
+const {values: options} = parseArgs({options: {keep: {type: 'boolean', default: false}}});
+const isKept = options.keep;
 process.stdout.write('starting the platform stand-in, 6 backend servers and 6 daemons\n');
 const bed = await TestBed.start({servers: listLachanceServers(), policy: lachancePolicy, seed: 1});
 try {
+	const settingsFile = isKept ? bed.writeOperatorSettings() : '';
 	process.stdout.write(
 		`policy version 1 is in force on every daemon; sending calls for ${durationMs / 1000} s\n`,
 	);
@@ -88,6 +104,9 @@
 	process.stdout.write(renderTable(result.samples));
 	const hasWhole = result.samples.some(sample => sample.result === 'whole');
 	process.exitCode = hasWhole ? 0 : 1;
+	if (isKept) {
+		await waitForInterrupt(settingsFile);
+	}
 } finally {
 	await bed.stop();
 }
--- a/bench/harness/daemon-settings-file.ts
+++ b/bench/harness/settings-files.ts
@@ -1,5 +1,5 @@
 /**
- * Writes the settings file of one daemon of a test bed.
+ * Writes the settings files of a test bed.
  */
 import {writeFileSync} from 'node:fs';
 import path from 'node:path';
@@ -52,3 +52,27 @@
 	writeFileSync(file, stringify(content));
 	return file;
 }
+
+/**
+ * Writes the settings of the operators' tools and returns the file's path.
+ *
+ * @example
+ * const file = writeOperatorSettings(folder, [7400], platformUrl);
+ */
+export function writeOperatorSettings(
+	folder: string,
+	adminPorts: readonly number[],
+	platformUrl: string,
+): string {
+	const file = path.join(folder, 'operator.ini');
+	const content = {
+		platform: createPlatformSection(platformUrl),
+		admin: {
+			key: benchKeys.admin,
+			urls: adminPorts.map(port => `http://127.0.0.1:${port}`).join(', '),
+		},
+		console: {port: 0},
+	};
+	writeFileSync(file, stringify(content));
+	return file;
+}
--- a/bench/harness/test-bed.ts
+++ b/bench/harness/test-bed.ts
@@ -12,7 +12,12 @@
 import {policySchema, type PolicyInput} from '../../src/policy/schema.ts';
 import {type PolicyVersion} from '../../src/policy/types.ts';
 import {BenchProcess} from './child-process.ts';
-import {benchKeys, createPlatformSection, writeDaemonSettings} from './daemon-settings-file.ts';
+import {
+	benchKeys,
+	createPlatformSection,
+	writeDaemonSettings,
+	writeOperatorSettings,
+} from './settings-files.ts';
 import {type ServerSpec, type TestBedSpec} from './types.ts';
 
 const projectRoot = path.resolve(import.meta.dirname, '..', '..');
@@ -157,6 +162,12 @@
 		await this.setBehaviour(server, {localPort: ports.local});
 	}
 
+	/** Writes a settings file for the operators' tools and returns its path. */
+	writeOperatorSettings(): string {
+		const adminPorts = this.servers.map(server => server.ports.admin);
+		return writeOperatorSettings(this.folder, adminPorts, this.platformUrl);
+	}
+
 	/** Ends every process of this test bed. */
 	async stop(): Promise<void> {
 		const processes = [this.platformProcess];
--- /dev/null
+++ b/src/bin/primrosevalvectl.ts
@@ -0,0 +1,9 @@
+#!/usr/bin/env node
+/**
+ * The operators' command line.
+ */
+import process from 'node:process';
+import {controlProgram} from '../operator/commands/registry.ts';
+import {runCli} from '../operator/commands/run-cli.ts';
+
+process.exitCode = await runCli(controlProgram, process.argv.slice(2), process);
--- /dev/null
+++ b/src/operator/commands/commands.test.ts
@@ -0,0 +1,203 @@
+import {mkdtempSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {PassThrough} from 'node:stream';
+import test from 'ava';
+import {stringify} from 'ini';
+import {AdminStandIn, standInAdminKey} from '../../../stand-ins/daemon/admin-stand-in.ts';
+import {
+	defaultStandInOptions,
+	type PlatformStandIn,
+} from '../../../stand-ins/platform/platform-stand-in.ts';
+import {startPlatform} from '../../../stand-ins/platform/start-platform.ts';
+import {type BurnReport} from '../../reporting/burn/types.ts';
+import {controlProgram} from './registry.ts';
+import {runCli} from './run-cli.ts';
+
+type Run = {readonly code: number; readonly stdout: string; readonly stderr: string};
+type Fixture = {
+	readonly standIn: PlatformStandIn;
+	readonly daemon: AdminStandIn;
+	readonly run: (...args: readonly string[]) => Promise<Run>;
+	readonly writeText: (name: string, text: string) => string;
+	readonly writeSettings: (key: string) => string;
+};
+
+function readStream(stream: PassThrough): string {
+	return ((stream.read() ?? '') as Uint8Array | string).toString();
+}
+
+async function runCommand(args: readonly string[]): Promise<Run> {
+	const stdout = new PassThrough();
+	const stderr = new PassThrough();
+	const code = await runCli(controlProgram, args, {stdout, stderr});
+	return {code, stdout: readStream(stdout), stderr: readStream(stderr)};
+}
+
+async function runWithFleet(check: (fixture: Fixture) => Promise<void>): Promise<void> {
+	const {standIn, url, close} = await startPlatform();
+	const daemon = await AdminStandIn.open();
+	const folder = mkdtempSync(path.join(tmpdir(), 'primrosevalvectl-'));
+	const writeText = (name: string, text: string) => {
+		const file = path.join(folder, name);
+		writeFileSync(file, text);
+		return file;
+	};
+
+	const writeSettings = (key: string) =>
+		writeText(
+			`${key}.ini`,
+			stringify({
+				platform: {
+					table_url: url,
+					objects_url: url,
+					table_name: defaultStandInOptions.tableName,
+					bucket: defaultStandInOptions.bucket,
+					aws_region: 'local',
+					access_key_id: defaultStandInOptions.accessKeyId,
+					secret_access_key: defaultStandInOptions.secretAccessKey,
+				},
+				admin: {key, urls: daemon.url},
+			}),
+		);
+	const settings = writeSettings(standInAdminKey);
+	try {
+		await check({
+			standIn,
+			daemon,
+			run: async (...args) => runCommand([...args, '--settings', settings]),
+			writeText,
+			writeSettings,
+		});
+	} finally {
+		daemon.close();
+		await close();
+	}
+}
+
+const policy = (slotsPerServer: number) =>
+	JSON.stringify({
+		services: [{name: 'commandes', slotsPerServer}],
+		objectives: [{service: 'commandes', target: 0.99}],
+	});
+
+test('a document goes from validation to history', async t => {
+	await runWithFleet(async ({run, writeText}) => {
+		const file = writeText('policy.json', policy(12));
+		const valid = await run('config', 'validate', file);
+		t.is(valid.code, 0);
+		const applied = await run('config', 'apply', file, '--base', '0', '--author', 'amelie');
+		t.is(applied.code, 0);
+		t.regex(applied.stdout, /version 1 applied/v);
+		const shown = await run('config', 'show', '--json');
+		t.is((JSON.parse(shown.stdout) as {version: number}).version, 1);
+		const diff = await run('config', 'diff', writeText('next.json', policy(14)));
+		t.regex(diff.stdout, /services\[commandes\]\.slotsPerServer +12 +14/v);
+		const history = await run('config', 'history');
+		t.regex(history.stdout, /1 +\S+ +amelie/v);
+	});
+});
+
+test('a conflict exits with 3, names the fields and writes nothing', async t => {
+	await runWithFleet(async ({run, writeText}) => {
+		await run('config', 'apply', writeText('a.json', policy(12)), '--base', '0');
+		await run('config', 'apply', writeText('b.json', policy(13)), '--base', '1');
+		const late = await run('config', 'apply', writeText('c.json', policy(14)), '--base', '1');
+		t.is(late.code, 3);
+		t.regex(late.stderr, /changed on both sides: services\[commandes\]\.slotsPerServer/v);
+		t.regex(late.stderr, /--base 2/v);
+		const shown = await run('config', 'show');
+		t.regex(shown.stdout, /"slotsPerServer": 13/v);
+	});
+});
+
+test('an unknown outcome is settled by the same change id', async t => {
+	await runWithFleet(async ({run, writeText, standIn}) => {
+		const file = writeText('policy.json', policy(12));
+		standIn.setFaults({kind: 'loseAnswer', operations: ['TransactWriteItems', 'GetItem']});
+		const lost = await run('config', 'apply', file, '--base', '0', '--change-id', 'c-1');
+		t.is(lost.code, 1);
+		standIn.setFaults({kind: 'none'});
+		const first = await run('config', 'apply', file, '--base', '0', '--change-id', 'c-1');
+		const again = await run('config', 'apply', file, '--base', '0', '--change-id', 'c-1');
+		t.deepEqual([first.code, again.code], [0, 0]);
+		t.is(first.stdout, again.stdout);
+	});
+});
+
+test('wrong usage and settings exit with 2, refusals with 1, and say what to do', async t => {
+	await runWithFleet(async ({run, writeText, standIn}) => {
+		const unknown = await run('config', 'burn');
+		t.is(unknown.code, 2);
+		const settings = await runCommand(['status', '--settings', '/nonexistent.ini']);
+		t.is(settings.code, 2);
+		t.regex(settings.stderr, /docs\/SETTINGS\.md/v);
+		const base = await run('config', 'apply', writeText('p.json', policy(1)), '--base', 'one');
+		t.is(base.code, 2);
+		const invalid = await run('config', 'validate', writeText('bad.json', policy(0)));
+		t.is(invalid.code, 1);
+		t.regex(invalid.stderr, /services\[0\]\.slotsPerServer: 0: .*\n.*docs\/POLICY\.md/v);
+		const json = await run('config', 'show', '9', '--json');
+		t.is(json.code, 1);
+		t.is((JSON.parse(json.stderr) as {error: {kind: string}}).error.kind, 'failed');
+		standIn.setFaults({kind: 'fail'});
+		const down = await run('config', 'history');
+		t.is(down.code, 1);
+		t.regex(down.stderr, /Try again once the table answers/v);
+	});
+});
+
+test('status shows each daemon, and a wrong key is told nothing', async t => {
+	await runWithFleet(async ({run, writeSettings, daemon}) => {
+		const status = await run('status');
+		t.is(status.code, 0);
+		t.regex(status.stdout, /est-a +commandes +commandes-1 +serving +0 +high +4\/10 +2/v);
+		const servers = await run('servers', '--service', 'catalogue');
+		t.notRegex(servers.stdout, /commandes-1/v);
+		const wrong = writeSettings('admin-key-0123456780');
+		const refused = await runCommand(['status', '--settings', wrong]);
+		t.is(refused.code, 1);
+		t.regex(refused.stderr, /refuses the key/v);
+		const drain = await runCommand(['drain', 'commandes-1', '--settings', wrong]);
+		t.is(drain.code, 1);
+		t.is(daemon.drainCount, 0);
+	});
+});
+
+test('drain waits until the daemon has stopped and names an unknown server', async t => {
+	await runWithFleet(async ({run, daemon}) => {
+		const unknown = await run('drain', 'commandes-9');
+		t.is(unknown.code, 1);
+		t.regex(unknown.stderr, /List the servers with "servers"/v);
+		t.is(daemon.drainCount, 0);
+		const drained = await run('drain', 'commandes-1');
+		t.is(drained.code, 0);
+		t.is(daemon.drainCount, 1);
+	});
+});
+
+test('burn keeps what it reads and reports from it when no daemon answers', async t => {
+	await runWithFleet(async ({run, daemon, writeText}) => {
+		await run('config', 'apply', writeText('policy.json', policy(12)), '--base', '0');
+		const call = {service: 'commandes', caller: 'retailer', latencyMs: 5, outcome: 'answered'};
+		daemon.metrics.countCall({...call, good: true});
+		daemon.metrics.countCall({...call, good: false});
+		const collected = await run('burn');
+		t.is(collected.code, 0);
+		daemon.close();
+		const silent = await run('burn');
+		t.is(silent.code, 1);
+		const kept = await run('burn', '--no-collect', '--json');
+		const report = JSON.parse(kept.stdout) as BurnReport;
+		t.is(report.policyVersion, 1);
+		t.is(report.objectives[0]!.service, 'commandes');
+	});
+});
+
+test('every command has a help text with an example and exit codes', t => {
+	for (const command of controlProgram.commands) {
+		const usage = command.usage!;
+		t.regex(usage.details!, /Exit codes: 0 done/v);
+		t.true(usage.examples!.length > 0);
+	}
+});
--- /dev/null
+++ b/src/operator/commands/fleet-actions.ts
@@ -0,0 +1,280 @@
+/**
+ * Work of the commands over the running daemons.
+ */
+import {setTimeout as wait} from 'node:timers/promises';
+import {err, ok, type Result} from 'neverthrow';
+import {importance, type GuardReport} from '../../call/types.ts';
+import {type Member} from '../../membership/types.ts';
+import {type AdminClient, type DaemonAnswer} from '../admin/admin-client.ts';
+import {type AdminStatus} from '../admin/types.ts';
+import {OperatorError} from '../errors.ts';
+import {formatTable} from '../table.ts';
+import {openWorkspace} from '../workspace.ts';
+import {type CommandResult} from './operator-command.ts';
+
+const pollMs = 250;
+const maxWaitSeconds = 3600;
+const unknownCell = '-';
+
+/** A member and, if its daemon could be asked, what it says of itself. */
+type ServerStatus = {
+	readonly member: Member;
+	readonly status: AdminStatus | undefined;
+};
+
+function compareMembers(a: Member, b: Member): number {
+	return (
+		a.dataCentre.localeCompare(b.dataCentre) ||
+		a.service.localeCompare(b.service) ||
+		a.server.localeCompare(b.server)
+	);
+}
+
+function joinStatuses(
+	members: readonly Member[],
+	answers: ReadonlyArray<DaemonAnswer<AdminStatus>>,
+): readonly ServerStatus[] {
+	const statuses = new Map<string, AdminStatus>();
+	for (const {answer} of answers) {
+		if (answer.kind === 'answered') {
+			statuses.set(answer.value.guard.server, answer.value);
+		}
+	}
+
+	return members
+		.toSorted(compareMembers)
+		.map(member => ({member, status: statuses.get(member.server)}));
+}
+
+function formatLevel(guard: GuardReport): string {
+	for (const [name, level] of Object.entries(importance)) {
+		if (level === guard.admissionLevel) {
+			return name;
+		}
+	}
+
+	return String(guard.admissionLevel);
+}
+
+function formatStatusRow({member, status}: ServerStatus): readonly string[] {
+	const guard = status?.guard;
+	return [
+		member.dataCentre,
+		member.service,
+		member.server,
+		guard?.state ?? member.state,
+		String(status?.policy.version ?? member.policyVersion),
+		guard === undefined ? unknownCell : formatLevel(guard),
+		guard === undefined ? unknownCell : `${guard.slotsInUse}/${guard.slotLimit}`,
+		guard === undefined ? unknownCell : String(guard.queued),
+	];
+}
+
+function formatSilent(answers: ReadonlyArray<DaemonAnswer<unknown>>): string {
+	let text = '';
+	for (const {answer} of answers) {
+		if (answer.kind === 'failed') {
+			text += `${answer.detail}\n`;
+		}
+	}
+
+	return text;
+}
+
+/** Tells how many daemons have the newest version that any of them has. */
+function formatAdoption(statuses: readonly ServerStatus[]): string {
+	const versions = statuses.map(
+		({member, status}) => status?.policy.version ?? member.policyVersion,
+	);
+	const newest = Math.max(0, ...versions);
+	const adopted = versions.filter(version => version === newest).length;
+	return `version ${newest} is in force on ${adopted} of ${versions.length} daemons\n`;
+}
+
+/**
+ * Shows members by data centre with version, admission level and slots.
+ *
+ * @example
+ * const result = await showStatus('operator.ini');
+ */
+export async function showStatus(settingsFile: string): Promise<CommandResult> {
+	const workspace = openWorkspace(settingsFile);
+	if (workspace.isErr()) {
+		return err(workspace.error);
+	}
+
+	const {admin} = workspace.value;
+	const members = await admin.readMembers();
+	if (members.isErr()) {
+		return err(members.error);
+	}
+
+	const answers = await admin.readStatuses(members.value);
+	const statuses = joinStatuses(members.value, answers);
+	const head = [
+		'data centre',
+		'service',
+		'server',
+		'state',
+		'version',
+		'admits',
+		'slots',
+		'queued',
+	];
+	const rows = statuses.map(status => formatStatusRow(status));
+	const text = formatTable(head, rows) + formatAdoption(statuses) + formatSilent(answers);
+	return ok({text, data: {daemons: statuses, unanswered: listUnanswered(answers)}});
+}
+
+function listUnanswered(answers: ReadonlyArray<DaemonAnswer<unknown>>): readonly string[] {
+	return answers.filter(({answer}) => answer.kind === 'failed').map(({url}) => url);
+}
+
+/**
+ * Lists backend servers as a daemon knows them.
+ *
+ * @example
+ * const result = await listServers('operator.ini', 'commandes');
+ */
+export async function listServers(
+	settingsFile: string,
+	service: string | undefined,
+): Promise<CommandResult> {
+	const workspace = openWorkspace(settingsFile);
+	if (workspace.isErr()) {
+		return err(workspace.error);
+	}
+
+	const read = await workspace.value.admin.readMembers();
+	return read.map(all => {
+		const members = all
+			.filter(member => service === undefined || member.service === service)
+			.toSorted(compareMembers);
+		const rows = members.map(member => [
+			member.server,
+			member.service,
+			member.region,
+			member.dataCentre,
+			`${member.address}:${member.peerPort}`,
+			member.state,
+			new Date(member.startedAtMs).toISOString(),
+		]);
+		const head = [
+			'server',
+			'service',
+			'region',
+			'data centre',
+			'peer address',
+			'state',
+			'started at',
+		];
+		return {text: formatTable(head, rows), data: members};
+	});
+}
+
+/** Finds the administration address of a server's daemon. */
+async function findDaemon(
+	admin: AdminClient,
+	server: string,
+): Promise<Result<string, OperatorError>> {
+	const members = await admin.readMembers();
+	if (members.isErr()) {
+		return err(members.error);
+	}
+
+	const answers = await admin.readStatuses(members.value);
+	for (const {url, answer} of answers) {
+		if (answer.kind === 'answered' && answer.value.guard.server === server) {
+			return ok(url);
+		}
+	}
+
+	const isMember = members.value.some(member => member.server === server);
+	return err(
+		isMember
+			? OperatorError.create(
+					'failed',
+					`the daemon of "${server}" can't be reached through its administration port`,
+					'Add its address to [admin] urls or set [admin] port.',
+				)
+			: OperatorError.create(
+					'failed',
+					`no server is called "${server}"`,
+					'List the servers with "servers".',
+				),
+	);
+}
+
+function parseWaitMs(text: string): Result<number, OperatorError> {
+	const seconds = /^\d{1,4}$/v.test(text) ? Number(text) : Number.NaN;
+	return seconds <= maxWaitSeconds
+		? ok(seconds * 1000)
+		: err(
+				OperatorError.create(
+					'usage',
+					`--wait "${text}" is not a number of seconds`,
+					`Give a whole number up to ${maxWaitSeconds}.`,
+				),
+			);
+}
+
+/** Waits until a daemon answers no more; false when it still does after the time given. */
+async function waitForStop(admin: AdminClient, url: string, waitMs: number): Promise<boolean> {
+	const startedAtMs = performance.now();
+	while (performance.now() - startedAtMs < waitMs) {
+		if (!(await admin.isAnswering(url))) {
+			return true;
+		}
+
+		await wait(pollMs);
+	}
+
+	return false;
+}
+
+/**
+ * Drains a server and waits until its daemon has stopped.
+ *
+ * @param waitSeconds - longest time to wait
+ * @example
+ * const result = await drainServer('operator.ini', 'commandes-1', '60');
+ */
+export async function drainServer(
+	settingsFile: string,
+	server: string,
+	waitSeconds: string,
+): Promise<CommandResult> {
+	const waitMs = parseWaitMs(waitSeconds);
+	if (waitMs.isErr()) {
+		return err(waitMs.error);
+	}
+
+	const workspace = openWorkspace(settingsFile);
+	if (workspace.isErr()) {
+		return err(workspace.error);
+	}
+
+	const {admin} = workspace.value;
+	const url = await findDaemon(admin, server);
+	if (url.isErr()) {
+		return err(url.error);
+	}
+
+	const drained = await admin.drain(url.value);
+	if (drained.isErr()) {
+		return err(drained.error);
+	}
+
+	return (await waitForStop(admin, url.value, waitMs.value))
+		? ok({
+				text: `"${server}" has left; its work in flight has ended\n`,
+				data: {server, stopped: true},
+			})
+		: err(
+				OperatorError.create(
+					'failed',
+					`"${server}" is leaving and gets no new work, but has work in flight after ${waitSeconds} s`,
+					'Wait on with the same command and a longer --wait; "status" shows its slots in use.',
+				),
+			);
+}
--- /dev/null
+++ b/src/operator/commands/registry.ts
@@ -0,0 +1,29 @@
+/**
+ * The commands of primrosevalvectl. Each loads its work only when it runs.
+ */
+import {BurnCommand} from './burn-commands.ts';
+import {
+	ConfigApplyCommand,
+	ConfigDiffCommand,
+	ConfigHistoryCommand,
+	ConfigShowCommand,
+	ConfigValidateCommand,
+} from './config-commands.ts';
+import {DrainCommand, ServersCommand, StatusCommand} from './fleet-commands.ts';
+import {type CliProgram} from './run-cli.ts';
+
+export const controlProgram: CliProgram = {
+	binaryName: 'primrosevalvectl',
+	binaryLabel: 'primrosevalve control',
+	commands: [
+		ConfigValidateCommand,
+		ConfigDiffCommand,
+		ConfigApplyCommand,
+		ConfigHistoryCommand,
+		ConfigShowCommand,
+		StatusCommand,
+		ServersCommand,
+		DrainCommand,
+		BurnCommand,
+	],
+};
--- /dev/null
+++ b/src/operator/workspace.ts
@@ -0,0 +1,58 @@
+/**
+ * What an operators' tool works with: the platform, the policy store and the daemons.
+ */
+import {err, ok, type Result} from 'neverthrow';
+import {createPlatform, type Platform} from '../platform/create-platform.ts';
+import {PolicyStore} from '../policy/policy-store.ts';
+import {SampleStore} from '../reporting/burn/sample-store.ts';
+import {loadSettings} from '../settings/load.ts';
+import {operatorSettingsSchema, type OperatorSettings} from '../settings/operator-settings.ts';
+import {type PlatformSection} from '../settings/platform-settings.ts';
+import {AdminClient} from './admin/admin-client.ts';
+import {OperatorError} from './errors.ts';
+
+export type Workspace = {
+	readonly settings: OperatorSettings;
+	readonly platform: Platform;
+	readonly policies: PolicyStore;
+	readonly samples: SampleStore;
+	readonly admin: AdminClient;
+};
+
+function createOwnPlatform(section: PlatformSection): Platform {
+	return createPlatform({
+		tableUrl: section.table_url,
+		objectsUrl: section.objects_url,
+		tableName: section.table_name,
+		bucket: section.bucket,
+		awsRegion: section.aws_region,
+		accessKeyId: section.access_key_id,
+		secretAccessKey: section.secret_access_key,
+		timeoutMs: section.timeout_ms,
+	});
+}
+
+/**
+ * Opens the workspace that a settings file describes.
+ *
+ * @example
+ * const workspace = openWorkspace('operator.ini');
+ */
+export function openWorkspace(settingsFile: string): Result<Workspace, OperatorError> {
+	const loaded = loadSettings(settingsFile, operatorSettingsSchema);
+	if (loaded.isErr()) {
+		const nextStep = 'Correct the file, or name another with --settings; see docs/SETTINGS.md.';
+		return err(OperatorError.create('usage', loaded.error.message, nextStep));
+	}
+
+	const settings = loaded.value;
+	const platform = createOwnPlatform(settings.platform);
+	const {key, urls, port, timeout_ms: timeoutMs} = settings.admin;
+	return ok({
+		settings,
+		platform,
+		policies: PolicyStore.create(platform.table, {readTimeMs: () => Date.now()}),
+		samples: SampleStore.create(platform.objects, settings.burn.collector),
+		admin: AdminClient.create({key, urls, port, timeoutMs}),
+	});
+}
--- a/src/reporting/burn/format-text.ts
+++ b/src/reporting/burn/format-text.ts
@@ -14,6 +14,9 @@
 const hourMs = 60 * minuteMs;
 const dayMs = 24 * hourMs;
 
+/** Share of a window with readings above which it is shown as whole. */
+const wholeCoverage = 0.95;
+
 /**
  * Formats a share as a percentage.
  *
@@ -39,16 +42,29 @@
 }
 
 /**
- * Formats the burn of one window; a gap and a window without calls are said so.
+ * Formats the burn of one window; a gap, a window without calls and a part without readings are said so.
  *
  * @example
  * formatBurn(pair.long); // '1h 2.50x'
  */
 export function formatBurn(burn: WindowBurn): string {
 	const name = formatWindow(burn.windowMs);
-	return burn.burnRate === undefined
-		? `${name} ${burn.counts.kind === 'gap' ? 'no data' : 'no calls'}`
-		: `${name} ${burn.burnRate.toFixed(2)}x`;
+	switch (burn.counts.kind) {
+		case 'gap': {
+			return `${name} no data`;
+		}
+
+		case 'idle': {
+			return `${name} no calls`;
+		}
+
+		case 'measured': {
+			const {coveredShare} = burn.counts;
+			const covered =
+				coveredShare < wholeCoverage ? ` (${Math.floor(coveredShare * 100)} % covered)` : '';
+			return `${name} ${(burn.burnRate ?? 0).toFixed(2)}x${covered}`;
+		}
+	}
 }
 
 /**
@@ -100,7 +116,7 @@
 function formatPair(pair: PairReport): string {
 	const windows = `${formatBurn(pair.short)}, ${formatBurn(pair.long)}`;
 	const state = formatPairState(pair.state, pair.severity);
-	return `  ${pair.name.padEnd(6)} ${windows.padEnd(28)} over ${pair.threshold.toFixed(1)}x  ${state}`;
+	return `  ${pair.name.padEnd(6)} ${windows.padEnd(44)} over ${pair.threshold.toFixed(1)}x  ${state}`;
 }
 
 function formatObjective(objective: ObjectiveReport): string {
--- /dev/null
+++ b/stand-ins/daemon/admin-stand-in.ts
@@ -0,0 +1,95 @@
+/**
+ * A daemon's administration port without the daemon behind it, for tests of the operators' tools.
+ */
+import {AdminTask} from '../../src/daemon/admin/admin-task.ts';
+import {type Identity} from '../../src/daemon/identity.ts';
+import {type Member} from '../../src/membership/types.ts';
+import {builtInVersion} from '../../src/policy/built-in.ts';
+import {type PolicyVersion} from '../../src/policy/types.ts';
+import {Metrics} from '../../src/reporting/metrics.ts';
+
+export const standInAdminKey = 'admin-key-0123456789';
+
+const listenerOptions = {
+	listenerName: 'admin',
+	address: '127.0.0.1',
+	port: 0,
+	headerTimeoutMs: 5000,
+	requestTimeoutMs: 5000,
+	maxHeaderBytes: 16_384,
+	maxConnections: 10,
+	keepAliveMs: 1000,
+};
+
+const identity: Identity = {
+	server: 'commandes-1',
+	service: 'commandes',
+	dataCentre: 'est-a',
+	region: 'qc-est',
+	address: '127.0.0.1',
+	instanceId: 'i-1',
+	startedAtMs: Date.UTC(2026, 0, 1),
+};
+
+/** One administration port with counters that a test can raise. */
+export class AdminStandIn {
+	/**
+	 * @example
+	 * const daemon = await AdminStandIn.open();
+	 */
+	static async open(): Promise<AdminStandIn> {
+		const standIn = new AdminStandIn();
+		await standIn.#admin.open(listenerOptions);
+		return standIn;
+	}
+
+	readonly metrics = Metrics.create({server: identity.server});
+	policy: PolicyVersion = builtInVersion;
+	/** Orders to drain that arrived. */
+	drainCount = 0;
+	readonly #admin: AdminTask;
+
+	private constructor() {
+		this.#admin = AdminTask.create({
+			adminKey: standInAdminKey,
+			metrics: this.metrics,
+			port: {
+				identity,
+				readPolicy: () => this.policy,
+				readMembers: () => [this.#createMember()],
+				readReport: () => ({
+					server: identity.server,
+					instanceId: identity.instanceId,
+					admissionLevel: 3,
+					slotsInUse: 4,
+					slotLimit: 10,
+					queued: 2,
+					state: 'serving',
+				}),
+				isReady: () => true,
+				drain: () => {
+					this.drainCount++;
+					this.close();
+				},
+			},
+		});
+	}
+
+	get url(): string {
+		return `http://127.0.0.1:${this.#admin.port}`;
+	}
+
+	close(): void {
+		this.#admin.close();
+	}
+
+	#createMember(): Member {
+		return {
+			...identity,
+			peerPort: 1,
+			incarnation: 1,
+			state: 'serving',
+			policyVersion: this.policy.version,
+		};
+	}
+}
