--- /dev/null
+++ b/src/bin/primrosevalve-report.ts
@@ -0,0 +1,9 @@
+#!/usr/bin/env node
+/**
+ * Collects counters and writes the service-level burn report.
+ */
+import process from 'node:process';
+import {reportProgram} from '../operator/commands/report-commands.ts';
+import {runCli} from '../operator/commands/run-cli.ts';
+
+process.exitCode = await runCli(reportProgram, process.argv.slice(2), process);
--- a/src/operator/commands/burn-actions.ts
+++ b/src/operator/commands/burn-actions.ts
@@ -3,6 +3,7 @@
  */
 import {err, ok, type Result} from 'neverthrow';
 import {type Policy} from '../../policy/schema.ts';
+import {type BurnError} from '../../reporting/burn/errors.ts';
 import {formatBurnText} from '../../reporting/burn/format-text.ts';
 import {computeBurnReport} from '../../reporting/burn/report.ts';
 import {type BurnReport, type CounterSample} from '../../reporting/burn/types.ts';
@@ -68,12 +69,14 @@
 /**
  * Computes the report from kept readings and the policy in force.
  *
+ * @param given - readings to use in place of those in the object store
  * @example
  * const report = await computeStoredBurn(workspace, Date.now());
  */
 export async function computeStoredBurn(
 	workspace: Workspace,
 	nowMs: number,
+	given?: readonly CounterSample[],
 ): Promise<Result<BurnReport, OperatorError>> {
 	const {policies, samples} = workspace;
 	const version = await policies.readHead().andThen(head => policies.readVersion(head.version));
@@ -82,7 +85,10 @@
 	}
 
 	const {document} = version.value;
-	const read = await samples.readSince(nowMs - findLongestWindowMs(document));
+	const read =
+		given === undefined
+			? await samples.readSince(nowMs - findLongestWindowMs(document))
+			: ok<readonly CounterSample[], BurnError>(given);
 	return read
 		.map(kept =>
 			computeBurnReport({
--- a/src/operator/commands/commands.test.ts
+++ b/src/operator/commands/commands.test.ts
@@ -1,79 +1,7 @@
-import {mkdtempSync, writeFileSync} from 'node:fs';
-import {tmpdir} from 'node:os';
-import path from 'node:path';
-import {PassThrough} from 'node:stream';
 import test from 'ava';
-import {stringify} from 'ini';
-import {AdminStandIn, standInAdminKey} from '../../../stand-ins/daemon/admin-stand-in.ts';
-import {
-	defaultStandInOptions,
-	type PlatformStandIn,
-} from '../../../stand-ins/platform/platform-stand-in.ts';
-import {startPlatform} from '../../../stand-ins/platform/start-platform.ts';
+import {runCommand, runWithFleet} from '../../../stand-ins/daemon/operator-fixture.ts';
 import {type BurnReport} from '../../reporting/burn/types.ts';
 import {controlProgram} from './registry.ts';
-import {runCli} from './run-cli.ts';
-
-type Run = {readonly code: number; readonly stdout: string; readonly stderr: string};
-type Fixture = {
-	readonly standIn: PlatformStandIn;
-	readonly daemon: AdminStandIn;
-	readonly run: (...args: readonly string[]) => Promise<Run>;
-	readonly writeText: (name: string, text: string) => string;
-	readonly writeSettings: (key: string) => string;
-};
-
-function readStream(stream: PassThrough): string {
-	return ((stream.read() ?? '') as Uint8Array | string).toString();
-}
-
-async function runCommand(args: readonly string[]): Promise<Run> {
-	const stdout = new PassThrough();
-	const stderr = new PassThrough();
-	const code = await runCli(controlProgram, args, {stdout, stderr});
-	return {code, stdout: readStream(stdout), stderr: readStream(stderr)};
-}
-
-async function runWithFleet(check: (fixture: Fixture) => Promise<void>): Promise<void> {
-	const {standIn, url, close} = await startPlatform();
-	const daemon = await AdminStandIn.open();
-	const folder = mkdtempSync(path.join(tmpdir(), 'primrosevalvectl-'));
-	const writeText = (name: string, text: string) => {
-		const file = path.join(folder, name);
-		writeFileSync(file, text);
-		return file;
-	};
-
-	const writeSettings = (key: string) =>
-		writeText(
-			`${key}.ini`,
-			stringify({
-				platform: {
-					table_url: url,
-					objects_url: url,
-					table_name: defaultStandInOptions.tableName,
-					bucket: defaultStandInOptions.bucket,
-					aws_region: 'local',
-					access_key_id: defaultStandInOptions.accessKeyId,
-					secret_access_key: defaultStandInOptions.secretAccessKey,
-				},
-				admin: {key, urls: daemon.url},
-			}),
-		);
-	const settings = writeSettings(standInAdminKey);
-	try {
-		await check({
-			standIn,
-			daemon,
-			run: async (...args) => runCommand([...args, '--settings', settings]),
-			writeText,
-			writeSettings,
-		});
-	} finally {
-		daemon.close();
-		await close();
-	}
-}
 
 const policy = (slotsPerServer: number) =>
 	JSON.stringify({
@@ -82,7 +10,7 @@
 	});
 
 test('a document goes from validation to history', async t => {
-	await runWithFleet(async ({run, writeText}) => {
+	await runWithFleet(controlProgram, async ({run, writeText}) => {
 		const file = writeText('policy.json', policy(12));
 		const valid = await run('config', 'validate', file);
 		t.is(valid.code, 0);
@@ -99,7 +27,7 @@
 });
 
 test('a conflict exits with 3, names the fields and writes nothing', async t => {
-	await runWithFleet(async ({run, writeText}) => {
+	await runWithFleet(controlProgram, async ({run, writeText}) => {
 		await run('config', 'apply', writeText('a.json', policy(12)), '--base', '0');
 		await run('config', 'apply', writeText('b.json', policy(13)), '--base', '1');
 		const late = await run('config', 'apply', writeText('c.json', policy(14)), '--base', '1');
@@ -112,7 +40,7 @@
 });
 
 test('an unknown outcome is settled by the same change id', async t => {
-	await runWithFleet(async ({run, writeText, standIn}) => {
+	await runWithFleet(controlProgram, async ({run, writeText, standIn}) => {
 		const file = writeText('policy.json', policy(12));
 		standIn.setFaults({kind: 'loseAnswer', operations: ['TransactWriteItems', 'GetItem']});
 		const lost = await run('config', 'apply', file, '--base', '0', '--change-id', 'c-1');
@@ -126,10 +54,10 @@
 });
 
 test('wrong usage and settings exit with 2, refusals with 1, and say what to do', async t => {
-	await runWithFleet(async ({run, writeText, standIn}) => {
+	await runWithFleet(controlProgram, async ({run, writeText, standIn}) => {
 		const unknown = await run('config', 'burn');
 		t.is(unknown.code, 2);
-		const settings = await runCommand(['status', '--settings', '/nonexistent.ini']);
+		const settings = await runCommand(controlProgram, ['status', '--settings', '/nonexistent.ini']);
 		t.is(settings.code, 2);
 		t.regex(settings.stderr, /docs\/SETTINGS\.md/v);
 		const base = await run('config', 'apply', writeText('p.json', policy(1)), '--base', 'one');
@@ -148,24 +76,24 @@
 });
 
 test('status shows each daemon, and a wrong key is told nothing', async t => {
-	await runWithFleet(async ({run, writeSettings, daemon}) => {
+	await runWithFleet(controlProgram, async ({run, writeSettings, daemon}) => {
 		const status = await run('status');
 		t.is(status.code, 0);
 		t.regex(status.stdout, /est-a +commandes +commandes-1 +serving +0 +high +4\/10 +2/v);
 		const servers = await run('servers', '--service', 'catalogue');
 		t.notRegex(servers.stdout, /commandes-1/v);
 		const wrong = writeSettings('admin-key-0123456780');
-		const refused = await runCommand(['status', '--settings', wrong]);
+		const refused = await runCommand(controlProgram, ['status', '--settings', wrong]);
 		t.is(refused.code, 1);
 		t.regex(refused.stderr, /refuses the key/v);
-		const drain = await runCommand(['drain', 'commandes-1', '--settings', wrong]);
+		const drain = await runCommand(controlProgram, ['drain', 'commandes-1', '--settings', wrong]);
 		t.is(drain.code, 1);
 		t.is(daemon.drainCount, 0);
 	});
 });
 
 test('drain waits until the daemon has stopped and names an unknown server', async t => {
-	await runWithFleet(async ({run, daemon}) => {
+	await runWithFleet(controlProgram, async ({run, daemon}) => {
 		const unknown = await run('drain', 'commandes-9');
 		t.is(unknown.code, 1);
 		t.regex(unknown.stderr, /List the servers with "servers"/v);
@@ -177,7 +105,7 @@
 });
 
 test('burn keeps what it reads and reports from it when no daemon answers', async t => {
-	await runWithFleet(async ({run, daemon, writeText}) => {
+	await runWithFleet(controlProgram, async ({run, daemon, writeText}) => {
 		await run('config', 'apply', writeText('policy.json', policy(12)), '--base', '0');
 		const call = {service: 'commandes', caller: 'retailer', latencyMs: 5, outcome: 'answered'};
 		daemon.metrics.countCall({...call, good: true});
