--- a/ava.config.js
+++ b/ava.config.js
@@ -1,6 +1,11 @@
 /** Test runner settings: specs stand beside the sources and run as TypeScript. */
 const avaConfig = {
-	files: ['src/**/*.test.ts', 'stand-ins/**/*.test.ts', 'bench/**/*.test.ts'],
+	files: [
+		'src/**/*.test.ts',
+		'stand-ins/**/*.test.ts',
+		'bench/**/*.test.ts',
+		'scripts/**/*.test.ts',
+	],
 	extensions: {ts: 'module'},
 	nodeArguments: ['--import=tsx'],
 	workerThreads: false,
--- /dev/null
+++ b/scripts/docs/pages.test.ts
@@ -0,0 +1,12 @@
+import {readFileSync} from 'node:fs';
+import path from 'node:path';
+import test from 'ava';
+import {listReferencePages} from './pages.ts';
+
+const docsFolder = path.resolve(import.meta.dirname, '..', '..', 'docs');
+
+test('the committed reference pages are those that the schemas give', async t => {
+	for (const {file, text} of await listReferencePages()) {
+		t.is(readFileSync(path.join(docsFolder, file), 'utf8'), text, `${file}: run "npm run docs"`);
+	}
+});
--- a/src/policy/schema.ts
+++ b/src/policy/schema.ts
@@ -10,104 +10,218 @@
 
 /** One rule for calls of a service; the first whose method and path match decides. */
 export const callRuleSchema = z.strictObject({
-	name: nameSchema,
+	name: nameSchema.describe('Name of the rule, unique in its service'),
 	method: z
 		.string()
 		.regex(/^[A-Z]+$|^\*$/v, 'use an HTTP method or *')
-		.default('*'),
-	/** Path template; `:name` matches one segment and a trailing `*` the rest. */
-	path: z.string().startsWith('/', 'a path starts with /').default('/*'),
-	importance: importanceSchema.default('normal'),
-	/** A once call runs at most once per idempotency key. */
-	once: z.boolean().default(false),
-	idempotent: z.boolean().default(false),
-	sizeClass: z.enum(['short', 'long', 'learned']).default('learned'),
-	/** Milliseconds from the origin to the last byte. */
-	deadlineMs: z.int().min(10).max(600_000).default(2000),
-	maxBodyBytes: z.int().min(0).max(1_073_741_824).default(1_048_576),
-	hedge: z.boolean().default(false),
-	/** Services that this call is known to need further down. */
-	needs: z.array(nameSchema).default([]),
+		.default('*')
+		.describe('HTTP method that the rule matches, or * for any'),
+	path: z
+		.string()
+		.startsWith('/', 'a path starts with /')
+		.default('/*')
+		.describe('Path template; `:name` matches one segment and a trailing `*` the rest'),
+	importance: importanceSchema
+		.default('normal')
+		.describe('How late calls of the rule are shed under overload'),
+	once: z.boolean().default(false).describe('Whether a call runs at most once per idempotency key'),
+	idempotent: z
+		.boolean()
+		.default(false)
+		.describe('Whether a call may run twice without harm, and so be retried'),
+	sizeClass: z
+		.enum(['short', 'long', 'learned'])
+		.default('learned')
+		.describe('How long a call holds a slot; `learned` is decided by measurement'),
+	deadlineMs: z
+		.int()
+		.min(10)
+		.max(600_000)
+		.default(2000)
+		.describe('Milliseconds from the origin to the last byte'),
+	maxBodyBytes: z
+		.int()
+		.min(0)
+		.max(1_073_741_824)
+		.default(1_048_576)
+		.describe('Largest request body in bytes'),
+	hedge: z
+		.boolean()
+		.default(false)
+		.describe('Whether a slow call may be sent to a second server; idempotent calls only'),
+	needs: z
+		.array(nameSchema)
+		.default([])
+		.describe('Services that the call is known to need further down'),
 });
 
 export const admissionSchema = z.strictObject({
-	kind: z.enum(['none', 'fixed', 'adaptive']).default('adaptive'),
-	maxQueued: z.int().min(0).max(100_000).default(200),
-	/** Longest queueing delay in milliseconds that is not taken for overload. */
-	targetDelayMs: z.int().min(1).max(10_000).default(20),
-	/** Share of the slots that long calls may hold. */
-	longShare: z.number().min(0.05).max(1).default(0.5),
+	kind: z
+		.enum(['none', 'fixed', 'adaptive'])
+		.default('adaptive')
+		.describe('Limit on running calls: none, the fixed slots, or adapted to measured latency'),
+	maxQueued: z
+		.int()
+		.min(0)
+		.max(100_000)
+		.default(200)
+		.describe('Most requests that wait for a slot'),
+	targetDelayMs: z
+		.int()
+		.min(1)
+		.max(10_000)
+		.default(20)
+		.describe('Longest queueing delay in milliseconds that is not taken for overload'),
+	longShare: z
+		.number()
+		.min(0.05)
+		.max(1)
+		.default(0.5)
+		.describe('Share of the slots that long calls may hold'),
 });
 
 export const serviceSchema = z.strictObject({
-	name: nameSchema,
-	slotsPerServer: z.int().min(1).max(10_000).default(100),
-	connectionsPerServer: z.int().min(1).max(100_000).default(700),
-	admission: admissionSchema.prefault({}),
-	/** Whether calls may go to the other region when the own one has no server for them. */
-	otherRegion: z.boolean().default(false),
-	/** Largest share of a service's servers that may be ejected at once. */
-	maxEjectedShare: z.number().min(0).max(0.9).default(0.3),
-	calls: z.array(callRuleSchema).default([]),
+	name: nameSchema.describe("Name of the service; the first segment of a caller's path"),
+	slotsPerServer: z
+		.int()
+		.min(1)
+		.max(10_000)
+		.default(100)
+		.describe('Requests that one backend server runs at the same time'),
+	connectionsPerServer: z
+		.int()
+		.min(1)
+		.max(100_000)
+		.default(700)
+		.describe('Connections that one backend server accepts'),
+	admission: admissionSchema.prefault({}).describe('Admission control in front of each server'),
+	otherRegion: z
+		.boolean()
+		.default(false)
+		.describe('Whether calls may go to the other region when the own one has no server for them'),
+	maxEjectedShare: z
+		.number()
+		.min(0)
+		.max(0.9)
+		.default(0.3)
+		.describe('Largest share of the servers that may be ejected at once'),
+	calls: z
+		.array(callRuleSchema)
+		.default([])
+		.describe('Call rules; the first whose method and path match decides'),
 });
 
 export const callerSchema = z.strictObject({
-	name: nameSchema,
-	/** SHA-256 of the caller's bearer token, in lower-case hexadecimal. */
-	tokenSha256: z.string().regex(/^[\da-f]{64}$/v, 'use 64 hexadecimal digits'),
-	/** Ceiling on the importance of this caller's calls. */
-	maxImportance: importanceSchema.default('critical'),
-	/** Services that this caller may call; empty means all. */
-	services: z.array(nameSchema).default([]),
+	name: nameSchema.describe('Name of the caller'),
+	tokenSha256: z
+		.string()
+		.regex(/^[\da-f]{64}$/v, 'use 64 hexadecimal digits')
+		.describe("SHA-256 of the caller's bearer token, in lower-case hexadecimal"),
+	maxImportance: importanceSchema
+		.default('critical')
+		.describe("Ceiling on the importance of this caller's calls"),
+	services: z
+		.array(nameSchema)
+		.default([])
+		.describe('Services that this caller may call; empty means all'),
 });
 
 export const objectiveSchema = z.strictObject({
-	service: nameSchema,
-	/** Caller name or `*`. */
-	caller: z.string().default('*'),
-	/** Share of requests that must get a whole answer in time. */
-	target: z.number().min(0.5).max(0.999_99).default(0.999),
-	latencyMs: z.int().min(1).max(600_000).default(1000),
-	windowDays: z.int().min(1).max(90).default(30),
+	service: nameSchema.describe('Service that the objective is about'),
+	caller: z.string().default('*').describe('Caller name, or `*` for all callers'),
+	target: z
+		.number()
+		.min(0.5)
+		.max(0.999_99)
+		.default(0.999)
+		.describe('Share of calls that must get a whole answer in time'),
+	latencyMs: z
+		.int()
+		.min(1)
+		.max(600_000)
+		.default(1000)
+		.describe('Milliseconds within which an answer is in time'),
+	windowDays: z
+		.int()
+		.min(1)
+		.max(90)
+		.default(30)
+		.describe('Days over which the error budget counts'),
 });
 
 export const policySchema = z.strictObject({
-	services: z.array(serviceSchema).min(1),
-	callers: z.array(callerSchema).default([]),
+	services: z.array(serviceSchema).min(1).describe('The services'),
+	callers: z.array(callerSchema).default([]).describe('The callers that have a token'),
 	anonymous: z
 		.strictObject({
-			allowed: z.boolean().default(true),
-			maxImportance: importanceSchema.default('low'),
+			allowed: z.boolean().default(true).describe('Whether callers without a token are served'),
+			maxImportance: importanceSchema
+				.default('low')
+				.describe('Ceiling on the importance of their calls'),
 		})
-		.prefault({}),
+		.prefault({})
+		.describe('Callers without a token'),
 	retries: z
 		.strictObject({
-			/** `allowance` bounds a whole chain; `perHop` lets each hop retry, as a baseline to measure against. */
-			kind: z.enum(['allowance', 'perHop']).default('allowance'),
-			/** Retries and hedges that one original request, or with `perHop` each hop, may cause. */
-			perRequest: z.int().min(0).max(20).default(3),
-			/** Longest chain of calls. */
-			maxDepth: z.int().min(1).max(32).default(8),
+			kind: z
+				.enum(['allowance', 'perHop'])
+				.default('allowance')
+				.describe(
+					'`allowance` bounds a whole chain; `perHop` lets each hop retry, as a baseline to measure against',
+				),
+			perRequest: z
+				.int()
+				.min(0)
+				.max(20)
+				.default(3)
+				.describe(
+					'Retries and hedges that one original request, or with `perHop` each hop, may cause',
+				),
+			maxDepth: z.int().min(1).max(32).default(8).describe('Longest chain of calls'),
 		})
-		.prefault({}),
+		.prefault({})
+		.describe('Bound on retries'),
 	link: z
 		.strictObject({
-			bitsPerSecond: z.int().min(1000).max(100_000_000_000).default(30_000_000),
-			/** Share of the region link that calls may use. */
-			callShare: z.number().min(0).max(1).default(0.8),
+			bitsPerSecond: z
+				.int()
+				.min(1000)
+				.max(100_000_000_000)
+				.default(30_000_000)
+				.describe('Capacity of the region link in bits a second'),
+			callShare: z
+				.number()
+				.min(0)
+				.max(1)
+				.default(0.8)
+				.describe('Share of the region link that calls may use'),
 		})
-		.prefault({}),
+		.prefault({})
+		.describe('Link between the regions'),
 	once: z
 		.strictObject({
-			/** Seconds after which a finished claim and its answer are removed. */
-			keepSeconds: z.int().min(3600).max(31_536_000).default(604_800),
-			/** Largest answer in bytes that is stored in the table. */
-			maxTableAnswerBytes: z.int().min(0).max(300_000).default(16_384),
-			/** Largest answer in bytes that is stored at all. */
-			maxAnswerBytes: z.int().min(0).max(104_857_600).default(4_194_304),
+			keepSeconds: z
+				.int()
+				.min(3600)
+				.max(31_536_000)
+				.default(604_800)
+				.describe('Seconds after which a finished claim and its answer are removed'),
+			maxTableAnswerBytes: z
+				.int()
+				.min(0)
+				.max(300_000)
+				.default(16_384)
+				.describe('Largest answer in bytes that is stored in the table'),
+			maxAnswerBytes: z
+				.int()
+				.min(0)
+				.max(104_857_600)
+				.default(4_194_304)
+				.describe('Largest answer in bytes that is stored at all'),
 		})
-		.prefault({}),
-	objectives: z.array(objectiveSchema).default([]),
+		.prefault({})
+		.describe('Records of calls that run at most once'),
+	objectives: z.array(objectiveSchema).default([]).describe('Service-level objectives'),
 });
 
 export type Policy = z.infer<typeof policySchema>;
--- a/src/settings/daemon-settings.ts
+++ b/src/settings/daemon-settings.ts
@@ -7,34 +7,44 @@
 
 export const daemonSettingsSchema = z.strictObject({
 	daemon: z.strictObject({
-		/** Name of the backend server beside the daemon. */
-		server: name(),
-		service: name(),
-		data_centre: name(),
-		region: name(),
-		/** Address that other daemons use. */
-		address: ipAddress(),
+		server: name().check(z.describe('Name of the backend server beside the daemon')),
+		service: name().check(z.describe('Service that the backend server belongs to')),
+		data_centre: name().check(z.describe('Data centre of the daemon')),
+		region: name().check(z.describe('Region of the data centre')),
+		address: ipAddress().check(
+			z.describe('IPv4 address on which the daemon listens and that other daemons use'),
+		),
 	}),
 	listeners: z.strictObject({
-		caller_port: port(),
-		local_port: port(),
-		peer_port: port(),
-		admin_port: port(),
+		caller_port: port().check(z.describe('Port for callers')),
+		local_port: port().check(
+			z.describe('Port on 127.0.0.1 for the outgoing calls of the local backend server'),
+		),
+		peer_port: port().check(z.describe('Port for other daemons')),
+		admin_port: port().check(z.describe('Port for health, metrics and administration')),
 	}),
 	backend: z.strictObject({
-		port: port(),
+		port: port().check(z.describe('Port of the backend server on 127.0.0.1')),
 	}),
 	keys: z.strictObject({
-		peer: secret(),
-		admin: secret(),
+		peer: secret().check(z.describe('Key that daemons show one another')),
+		admin: secret().check(z.describe('Key of administration')),
 	}),
 	platform: platformSection,
 	limits: z._default(
 		z.strictObject({
-			header_timeout_ms: z._default(wholeNumber(100, 600_000), 5000),
-			body_timeout_ms: z._default(wholeNumber(100, 600_000), 30_000),
-			max_header_bytes: z._default(wholeNumber(1024, 65_536), 16_384),
-			max_connections: z._default(wholeNumber(1, 65_535), 4000),
+			header_timeout_ms: z
+				._default(wholeNumber(100, 600_000), 5000)
+				.check(z.describe('Longest time in milliseconds for the head of a request')),
+			body_timeout_ms: z
+				._default(wholeNumber(100, 600_000), 30_000)
+				.check(z.describe('Longest time in milliseconds for the body of a request after its head')),
+			max_header_bytes: z
+				._default(wholeNumber(1024, 65_536), 16_384)
+				.check(z.describe('Largest head of a request in bytes')),
+			max_connections: z
+				._default(wholeNumber(1, 65_535), 4000)
+				.check(z.describe('Most connections for each listener')),
 		}),
 		{
 			header_timeout_ms: 5000,
@@ -45,7 +55,9 @@
 	),
 	log: z._default(
 		z.strictObject({
-			level: z._default(z.enum(['debug', 'info', 'warn', 'error']), 'info'),
+			level: z
+				._default(z.enum(['debug', 'info', 'warn', 'error']), 'info')
+				.check(z.describe('Least level that is logged')),
 		}),
 		{level: 'info'},
 	),
--- a/src/settings/operator-settings.ts
+++ b/src/settings/operator-settings.ts
@@ -22,25 +22,40 @@
 export const operatorSettingsSchema = z.strictObject({
 	platform: platformSection,
 	admin: z.strictObject({
-		key: secret(),
-		/** Administration ports to ask; the first that answers tells of the other daemons. */
-		urls: urlList(),
-		/** Administration port of every other daemon; 0 asks only the daemons in `urls`. */
-		port: z._default(port(), 0),
-		timeout_ms: z._default(wholeNumber(10, 60_000), 2000),
+		key: secret().check(z.describe('Key of administration, the same as the daemons have')),
+		urls: urlList().check(
+			z.describe(
+				'Administration ports to ask, separated by commas; the first that answers tells of the other daemons',
+			),
+		),
+		port: z
+			._default(port(), 0)
+			.check(
+				z.describe('Administration port of every other daemon; 0 asks only the daemons in urls'),
+			),
+		timeout_ms: z
+			._default(wholeNumber(10, 60_000), 2000)
+			.check(z.describe('Longest time in milliseconds for one request to a daemon')),
 	}),
 	console: z._default(
 		z.strictObject({
-			address: z._default(ipAddress(), '127.0.0.1'),
-			port: z._default(port(), 8480),
+			address: z
+				._default(ipAddress(), '127.0.0.1')
+				.check(z.describe('IPv4 address on which the console listens')),
+			port: z._default(port(), 8480).check(z.describe('Port of the console')),
 		}),
 		{address: '127.0.0.1', port: 8480},
 	),
 	burn: z._default(
 		z.strictObject({
-			/** Name of the process that collects counters; each collector needs its own. */
-			collector: z._default(name(), 'collector'),
-			interval_seconds: z._default(wholeNumber(5, 300), 60),
+			collector: z
+				._default(name(), 'collector')
+				.check(
+					z.describe('Name of the process that collects counters; each collector needs its own'),
+				),
+			interval_seconds: z
+				._default(wholeNumber(5, 300), 60)
+				.check(z.describe('Time between two readings in seconds')),
 		}),
 		{collector: 'collector', interval_seconds: 60},
 	),
