--- a/src/daemon/admin/admin-task.test.ts
+++ b/src/daemon/admin/admin-task.test.ts
@@ -62,3 +62,12 @@
 		]);
 	});
 });
+
+test('metrics tell the facts of the moment', async t => {
+	await runWithAdmin(async ({url}) => {
+		const {text} = await send(`${url}/metrics`, 'GET');
+		for (const line of [/policy_version".*\} 0/v, /members".*\} 1/v, /slots_in_use".*\} 4/v]) {
+			t.regex(text, line);
+		}
+	});
+});
--- a/src/daemon/admin/admin-task.ts
+++ b/src/daemon/admin/admin-task.ts
@@ -76,6 +76,7 @@
 			answerText(response, isReady ? 200 : 503, isReady ? 'ready\n' : 'not ready\n');
 		});
 		app.get('/metrics', async (_request, response) => {
+			updateState(port, metrics);
 			response.setHeader('content-type', metrics.registry.contentType);
 			response.end(await metrics.renderText());
 		});
@@ -102,6 +103,18 @@
 	}
 }
 
+/** Sets the facts that hold at the time of the reading. */
+function updateState(port: AdminPort, metrics: Metrics): void {
+	const report = port.readReport();
+	metrics.setState('policy_version', port.readPolicy().version);
+	metrics.setState('members', port.readMembers().length);
+	metrics.setState('ready', port.isReady() ? 1 : 0);
+	metrics.setState('admission_level', report.admissionLevel);
+	metrics.setState('slots_in_use', report.slotsInUse);
+	metrics.setState('slot_limit', report.slotLimit);
+	metrics.setState('queued', report.queued);
+}
+
 /** Lists the call counters with the start that they count from. */
 async function listCounters(port: AdminPort, metrics: Metrics): Promise<AdminCounters> {
 	const {server, instanceId, startedAtMs} = port.identity;
