--- a/src/operator/commands/commands.test.ts
+++ b/src/operator/commands/commands.test.ts
@@ -129,3 +129,14 @@
 		t.true(usage.examples!.length > 0);
 	}
 });
+
+test('a conflict with the same change says that nothing is left to do', async t => {
+	await runWithFleet(controlProgram, async ({run, writeText}) => {
+		const file = writeText('policy.json', policy(12));
+		await run('config', 'apply', writeText('base.json', policy(11)), '--base', '0');
+		await run('config', 'apply', file, '--base', '1');
+		const again = await run('config', 'apply', file, '--base', '1');
+		t.is(again.code, 3);
+		t.regex(again.stderr, /version 2 has your changes already/v);
+	});
+});
--- a/src/operator/convert-error.ts
+++ b/src/operator/convert-error.ts
@@ -1,13 +1,18 @@
 /**
  * Turns errors of the policy layer into errors that tell an operator what to do.
  */
-import {formatProblem, type PolicyError} from '../policy/errors.ts';
+import {formatProblem, type ConflictFields, type PolicyError} from '../policy/errors.ts';
 import {OperatorError} from './errors.ts';
 
 function formatPaths(label: string, paths: readonly string[]): string {
 	return `${label}: ${paths.length === 0 ? 'none' : paths.join(', ')}`;
 }
 
+/** Tells whether the version in force made the same changes to the same values. */
+function isAlreadyInForce({mine, inForce, overlapping}: ConflictFields): boolean {
+	return overlapping.length === 0 && mine.every(path => inForce.includes(path));
+}
+
 /**
  * Converts a policy error.
  *
@@ -25,7 +30,9 @@
 				formatPaths('  changed meanwhile', inForce),
 				formatPaths('  changed on both sides', overlapping),
 			].join('\n');
-			const nextStep = `Take their changes over ("config show" prints them) and apply again with --base ${fault.versionInForce}.`;
+			const nextStep = isAlreadyInForce(fault.fields)
+				? `Nothing is left to do: version ${fault.versionInForce} has your changes already.`
+				: `Take their changes over ("config show" prints them) and apply again with --base ${fault.versionInForce}.`;
 			return OperatorError.create('conflict', message, nextStep);
 		}
 
