--- /dev/null
+++ b/bench/fuzz/once/world.ts
@@ -0,0 +1,296 @@
+/**
+ * A small world for once calls: a table, daemons, a guard and a backend server that counts.
+ *
+ * Every message between them waits at a gate until the test lets it pass, so a test decides about every
+ * order of events.
+ */
+import {Buffer} from 'node:buffer';
+import {errAsync, okAsync, type ResultAsync} from 'neverthrow';
+import {computeRowKey, decodeClaim} from '../../../src/once/claim-row.ts';
+import {NonceRegistry} from '../../../src/once/nonce-registry.ts';
+import {
+	type Holder,
+	type KillVerdict,
+	type OnceRequest,
+	type SendEnd,
+} from '../../../src/once/types.ts';
+import {PlatformError} from '../../../src/platform/errors.ts';
+import {type TableRow, type TableWrite} from '../../../src/platform/types.ts';
+import {Gates} from './gates.ts';
+import {
+	createAnswer,
+	formatRequest,
+	maxNonces,
+	network,
+	type Attempt,
+	type TableFault,
+} from './types.ts';
+import {WorldEntry} from './world-entry.ts';
+
+const stepMs = 2000;
+
+/** Everything outside the code under test. */
+export class World {
+	/**
+	 * @example
+	 * const world = World.create(['a', 'b']);
+	 */
+	static create(entryNames: readonly string[]): World {
+		return new World(entryNames);
+	}
+
+	fault: TableFault = 'ok';
+	/** Whether the guard sheds; undefined sheds every fourth call. */
+	isShedding: boolean | undefined;
+	nowMs = 1_700_000_000_000;
+	readonly rows = new Map<string, TableRow>();
+	readonly objects = new Map<string, Uint8Array>();
+	readonly lateEffects: Array<() => void> = [];
+	readonly attempts: Attempt[] = [];
+	/** Runs on the backend server, by caller and key. */
+	readonly runs = new Map<string, number>();
+	/** Keys that were handed to a guard. */
+	readonly sentKeys = new Set<string>();
+	readonly faults = {crashes: 0, freezes: 0, restarts: 0, cuts: 0, tableFaults: 0, lateEffects: 0};
+	private readonly entries = new Map<string, WorldEntry>();
+	private readonly gates = Gates.create();
+	private connections: Array<() => void> = [];
+	private guard = NonceRegistry.create(maxNonces);
+	private guardStart = 0;
+	private sequence = 0;
+
+	private constructor(entryNames: readonly string[]) {
+		for (const name of entryNames) {
+			this.entries.set(name, WorldEntry.create(this, name, 0));
+		}
+	}
+
+	/** Waits until the test lets a message of `owner` pass. */
+	async wait(owner: string, canPass: () => boolean = () => true): Promise<void> {
+		return this.gates.wait(owner, canPass);
+	}
+
+	/** Lets one waiting message pass and everything that follows from it happen. */
+	async step(index: number): Promise<boolean> {
+		if (!this.gates.pass(index, owner => this.isFrozen(owner))) {
+			return false;
+		}
+
+		this.nowMs += stepMs;
+		await this.flush();
+		return true;
+	}
+
+	/** Starts a call. */
+	async call(entryName: string, request: OnceRequest): Promise<Attempt> {
+		const entry = this.entries.get(entryName)!;
+		const attempt: Attempt = {request, entry: entry.instanceId, runs: 0};
+		this.attempts.push(attempt);
+		void this.runAttempt(entry, attempt);
+		await this.flush();
+		return attempt;
+	}
+
+	applyWrite(write: TableWrite): ResultAsync<void, PlatformError> {
+		const key = write.kind === 'put' ? write.row : write.key;
+		const current = this.rows.get(key.partition);
+		const {condition} = write;
+		const isMet =
+			condition.kind === 'none' ||
+			(condition.kind === 'absent'
+				? current === undefined
+				: current?.revision === condition.revision);
+		if (!isMet) {
+			return errAsync(PlatformError.create('conditionFailed', 'test', key.partition, ''));
+		}
+
+		if (write.kind === 'put') {
+			this.rows.set(key.partition, write.row);
+		} else {
+			this.rows.delete(key.partition);
+		}
+
+		return okAsync(undefined);
+	}
+
+	/** Carries a question to a holder; a holder that does not answer may still act on it later. */
+	async askHolder(asker: string, holder: Holder, nonce: string): Promise<KillVerdict> {
+		const verdict = await Promise.race([
+			this.deliverQuestion(holder, nonce),
+			this.answerTimeout(asker, holder),
+		]);
+		await this.wait(asker);
+		return verdict;
+	}
+
+	setFault(fault: TableFault): void {
+		this.fault = fault;
+		this.faults.tableFaults += fault === 'ok' ? 0 : 1;
+	}
+
+	/** Lets one late write take effect. */
+	applyLateEffect(index: number): void {
+		const [effect] = this.lateEffects.splice(index % Math.max(1, this.lateEffects.length), 1);
+		if (effect !== undefined) {
+			this.faults.lateEffects++;
+			effect();
+		}
+	}
+
+	/** Replaces a daemon by a new instance; its messages on the wire still arrive. */
+	crash(entryName: string): void {
+		const old = this.entries.get(entryName)!;
+		this.gates.remove(old.instanceId);
+		this.entries.set(entryName, WorldEntry.create(this, entryName, ++this.sequence));
+		this.faults.crashes++;
+	}
+
+	setFrozen(entryName: string, frozen: boolean): void {
+		this.entries.get(entryName)!.frozen = frozen;
+		this.faults.freezes += frozen ? 1 : 0;
+	}
+
+	/** Cuts the connections of all calls between entries and the guard. */
+	cutConnections(): void {
+		for (const cut of this.connections) {
+			cut();
+		}
+
+		this.faults.cuts += this.connections.length;
+		this.connections = [];
+	}
+
+	/** Replaces the guard; calls that wait there are lost. */
+	restartGuard(): void {
+		this.guard = NonceRegistry.create(maxNonces);
+		this.guardStart++;
+		this.faults.restarts++;
+	}
+
+	/** Ends every fault and lets everything happen that is still to happen. */
+	async heal(): Promise<void> {
+		this.fault = 'ok';
+		for (const entry of this.entries.values()) {
+			entry.frozen = false;
+		}
+
+		do {
+			while (this.lateEffects.length > 0) {
+				this.applyLateEffect(0);
+			}
+		} while (await this.step(0));
+	}
+
+	createRandom(): string {
+		return (++this.sequence).toString(16).padStart(16, '0');
+	}
+
+	countRuns(request: OnceRequest): number {
+		return this.runs.get(formatRequest(request)) ?? 0;
+	}
+
+	isSent(request: OnceRequest): boolean {
+		return this.sentKeys.has(formatRequest(request));
+	}
+
+	/** Tells whether the claim of a request, if there is one, can be asked about. */
+	isHolderAlive(request: OnceRequest): boolean {
+		const row = this.rows.get(computeRowKey(request).partition);
+		const state = row === undefined ? undefined : decodeClaim(row)?.state;
+		if (state?.kind !== 'claimed') {
+			return true;
+		}
+
+		return this.entries.get(state.holder.address)?.instanceId === state.holder.instanceId;
+	}
+
+	private async runAttempt(entry: WorldEntry, attempt: Attempt): Promise<void> {
+		attempt.result = await entry.ledger.run(attempt.request, async nonce =>
+			this.sendToGuard(entry, attempt, nonce),
+		);
+	}
+
+	/** The way from an entry to the guard, whose connection may be cut. */
+	private async sendToGuard(entry: WorldEntry, attempt: Attempt, nonce: string): Promise<SendEnd> {
+		this.sentKeys.add(formatRequest(attempt.request));
+		const {guardStart} = this;
+		const cut = new Promise<undefined>(resolve => {
+			this.connections.push(() => {
+				resolve(undefined);
+			});
+		});
+		const end = await Promise.race([this.passGuard(attempt, nonce), cut]);
+		await this.wait(entry.instanceId);
+		return end ?? this.killAtGuard(entry, guardStart, nonce);
+	}
+
+	/** The way through the guard to the backend server and back; undefined when the guard restarts. */
+	private async passGuard(attempt: Attempt, nonce: string): Promise<SendEnd | undefined> {
+		const {guard} = this;
+		await this.wait(network);
+		if (guard !== this.guard) {
+			return undefined;
+		}
+
+		const isShed = this.isShedding ?? (this.nowMs / stepMs) % 4 < 1;
+		if (isShed || !guard.startSend(nonce)) {
+			return {kind: 'notRun', reason: 'overload'};
+		}
+
+		attempt.runs++;
+		const name = formatRequest(attempt.request);
+		const run = (this.runs.get(name) ?? 0) + 1;
+		this.runs.set(name, run);
+		await this.wait(network);
+		guard.endSend(nonce);
+		if (guard !== this.guard) {
+			return undefined;
+		}
+
+		const body = Buffer.from(createAnswer(attempt.request, run));
+		return {kind: 'answered', record: {kind: 'kept', answer: {status: 200, headers: [], body}}};
+	}
+
+	/** Asks the guard after a lost connection; one that restarted can't prove anything. */
+	private async killAtGuard(
+		entry: WorldEntry,
+		guardStart: number,
+		nonce: string,
+	): Promise<SendEnd> {
+		await this.wait(network);
+		const isSame = guardStart === this.guardStart;
+		const verdict = isSame ? this.guard.kill(nonce) : 'unreachable';
+		await this.wait(entry.instanceId);
+		return verdict === 'neverSent'
+			? {kind: 'notRun', reason: 'connect'}
+			: {kind: 'unknown', reason: 'connection-lost'};
+	}
+
+	private async deliverQuestion(holder: Holder, nonce: string): Promise<KillVerdict> {
+		await this.wait(network, () => !this.isFrozen(holder.instanceId));
+		const entry = this.entries.get(holder.address);
+		return entry?.instanceId === holder.instanceId ? entry.ledger.killNonce(nonce) : 'unreachable';
+	}
+
+	private async answerTimeout(asker: string, holder: Holder): Promise<KillVerdict> {
+		await this.wait(asker, () => this.isFrozen(holder.instanceId));
+		return 'unreachable';
+	}
+
+	private isFrozen(owner: string): boolean {
+		for (const entry of this.entries.values()) {
+			if (entry.instanceId === owner) {
+				return entry.frozen;
+			}
+		}
+
+		return false;
+	}
+
+	/** Lets everything happen that waits for no gate. */
+	private async flush(): Promise<void> {
+		await new Promise(resolve => {
+			setImmediate(resolve);
+		});
+	}
+}
--- a/bench/harness/test-bed.ts
+++ b/bench/harness/test-bed.ts
@@ -12,15 +12,17 @@
 import {policySchema, type PolicyInput} from '../../src/policy/schema.ts';
 import {type PolicyVersion} from '../../src/policy/types.ts';
 import {BenchProcess} from './child-process.ts';
-import {benchKeys, createPlatformSection, writeDaemonSettings} from './daemon-settings-file.ts';
+import {
+	benchKeys,
+	createPlatformSection,
+	writeDaemonSettings,
+	writeOperatorSettings,
+} from './settings-files.ts';
 import {type ServerSpec, type TestBedSpec} from './types.ts';
 
 const projectRoot = path.resolve(import.meta.dirname, '..', '..');
 const daemonScript = path.join(projectRoot, 'dist', 'bin', 'primrosevalved.js');
 const standInScript = path.join(projectRoot, 'dist', 'bin', 'primrosevalve-standin.js');
-/** V8 options under which the daemon is meant to run. */
-export const daemonNodeArgs: readonly string[] = ['--max-semi-space-size=1'];
-
 const pollMs = 100;
 const readyTimeoutMs = 20_000;
 
@@ -157,6 +159,12 @@
 		await this.setBehaviour(server, {localPort: ports.local});
 	}
 
+	/** Writes a settings file for the operators' tools and returns its path. */
+	writeOperatorSettings(): string {
+		const adminPorts = this.servers.map(server => server.ports.admin);
+		return writeOperatorSettings(this.folder, adminPorts, this.platformUrl);
+	}
+
 	/** Ends every process of this test bed. */
 	async stop(): Promise<void> {
 		const processes = [this.platformProcess];
@@ -207,7 +215,6 @@
 		const daemon = BenchProcess.start({
 			script: daemonScript,
 			args: ['--settings', file],
-			nodeArgs: daemonNodeArgs,
 		});
 		const line = await daemon.waitForLine(candidate => candidate.msg === 'daemon is ready');
 		return {daemon, ports: line as unknown as Ports};
--- a/src/call/headers.test.ts
+++ b/src/call/headers.test.ts
@@ -21,7 +21,7 @@
 	sizeClass: 'short',
 	idempotent: false,
 	policyVersion: 7,
-	once: {key: 'order/é 1', nonce: 'n-1'},
+	once: {key: 'order/é 1', nonce: 'n-1', fingerprint: 'f-1'},
 };
 
 test('a context survives the header codec', t => {
@@ -43,6 +43,8 @@
 		server: 'catalogue-1',
 		instanceId: 'i-1',
 		admissionLevel: importance.normal,
+		shedShare: 0.125,
+		neededRank: 3.5,
 		slotsInUse: 3,
 		slotLimit: 10,
 		queued: 1,
--- a/src/call/types.ts
+++ b/src/call/types.ts
@@ -48,6 +48,8 @@
 export type OnceTicket = {
 	readonly key: string;
 	readonly nonce: string;
+	/** Digest of the request, which tells a repeat from another request under the same key. */
+	readonly fingerprint: string;
 };
 
 /** Why a call was refused before any byte reached a backend server. */
@@ -63,6 +65,8 @@
 	linkBudget: 'link-budget',
 	cancelled: 'cancelled',
 	wrongInstance: 'wrong-instance',
+	/** The idempotency key was used before for a request with other content. */
+	keyMismatch: 'key-mismatch',
 	parentEnded: 'parent-ended',
 } as const;
 
@@ -88,6 +92,10 @@
 	readonly instanceId: string;
 	/** Least importance that the guard admits at present. */
 	readonly admissionLevel: Importance;
+	/** Share, from 0 to 1, of the calls of exactly that importance which entries shed early. */
+	readonly shedShare: number;
+	/** Highest rank, level plus share, of the services that the answered call needed further down. */
+	readonly neededRank: number;
 	readonly slotsInUse: number;
 	readonly slotLimit: number;
 	readonly queued: number;
--- a/src/daemon/guard/guard-task.ts
+++ b/src/daemon/guard/guard-task.ts
@@ -2,11 +2,11 @@
  * The guard: admits calls of peers to the local backend server.
  */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {Pool} from 'undici';
+import {createPool, type HttpPool} from '../../http/pool.ts';
 import {type Admission} from '../../admission/types.ts';
 import {decodeContext, encodeReport, headerNames} from '../../call/headers.ts';
 import {type CallContext, type GuardReport, type GuardState} from '../../call/types.ts';
-import {type Policy, type ServicePolicy} from '../../policy/schema.ts';
+import {type CallRule, type Policy, type ServicePolicy} from '../../policy/schema.ts';
 import {type Logger} from '../../reporting/logger.ts';
 import {type Metrics} from '../../reporting/metrics.ts';
 import {Listener, type ListenerOptions} from '../http/listener.ts';
@@ -14,6 +14,9 @@
 import {SecretKey} from '../http/secret.ts';
 import {type Identity} from '../identity.ts';
 import {type Task, type TaskMessage} from '../messages.ts';
+import {GuardOnce} from '../once/guard-once.ts';
+import {answerRepeat} from '../once/once-answers.ts';
+import {handleKill, killPath, type KillHandler} from '../once/kill-messages.ts';
 import {GuardedCall} from './guarded-call.ts';
 import {RunningCalls} from './running-calls.ts';
 
@@ -44,26 +47,29 @@
 	/** Calls that run on the local backend server. */
 	readonly running = RunningCalls.create();
 	readonly admission: Admission;
-	readonly pool: Pool;
+	readonly pool: HttpPool;
 	readonly metrics: Metrics;
 	readonly logger: Logger;
+	readonly once: GuardOnce;
 	readonly #identity: Identity;
 	readonly #peerKey: SecretKey;
 	#policy: Policy;
 	#state: GuardState = 'cold';
 	#listener: Listener | undefined;
 	#controlHandler: ControlHandler | undefined;
+	#killHandler: KillHandler | undefined;
 	#inFlight = 0;
 
 	private constructor(options: GuardOptions, policy: Policy) {
 		this.#identity = options.identity;
 		this.#peerKey = SecretKey.create(options.peerKey);
+		this.once = GuardOnce.create(options.identity.instanceId, options.peerKey);
 		this.#policy = policy;
 		this.logger = options.logger;
 		this.metrics = options.metrics;
 		const service = this.#findServicePolicy();
 		this.admission = options.createAdmission(service);
-		this.pool = new Pool(`http://127.0.0.1:${options.backendPort}`, {
+		this.pool = createPool(`http://127.0.0.1:${options.backendPort}`, {
 			connections: service.connectionsPerServer,
 			pipelining: 1,
 			connectTimeout: 1000,
@@ -102,6 +108,11 @@
 		await this.pool.close();
 	}
 
+	/** Sets who answers the questions of peers about once calls. */
+	setKillHandler(handler: KillHandler): void {
+		this.#killHandler = handler;
+	}
+
 	/** Sets the handler of control requests between daemons. */
 	setControlHandler(handler: ControlHandler): void {
 		this.#controlHandler = handler;
@@ -127,21 +138,32 @@
 		}
 	}
 
-	/** Reads the load facts that ride on every answer. */
-	readReport(): GuardReport {
+	/**
+	 * Reads the load facts that ride on every answer.
+	 *
+	 * @param neededRank - highest rank of the services that the answered call needed
+	 */
+	readReport(neededRank = 0): GuardReport {
 		const load = this.admission.readReport();
 		return {
 			server: this.#identity.server,
 			instanceId: this.#identity.instanceId,
 			state: this.#state,
+			neededRank,
 			...load,
 		};
 	}
 
+	/** Finds the size class that the policy in force gives a call. */
+	findSizeClass(callName: string): CallRule['sizeClass'] {
+		const rule = this.#findServicePolicy().calls.find(candidate => candidate.name === callName);
+		return rule?.sizeClass ?? 'learned';
+	}
+
 	/** Encodes the headers that every answer of the guard carries. */
-	encodeAnswerHeaders(context: CallContext, allowanceLeft: number) {
+	encodeAnswerHeaders(context: CallContext, allowanceLeft: number, neededRank = 0) {
 		return {
-			...encodeReport(this.readReport()),
+			...encodeReport(this.readReport(neededRank)),
 			[headerNames.attempt]: context.attemptId,
 			[headerNames.allowanceLeft]: String(allowanceLeft),
 		};
@@ -165,6 +187,11 @@
 			return;
 		}
 
+		if (request.url === killPath && this.#killHandler !== undefined) {
+			void handleKill(request, response, this.#killHandler);
+			return;
+		}
+
 		if (request.url?.startsWith('/primrosevalve/') && this.#controlHandler !== undefined) {
 			this.#controlHandler(request, response);
 			return;
@@ -187,17 +214,7 @@
 	/** Refuses a call while draining, and otherwise runs it to its end. */
 	#handleCall(context: CallContext, request: IncomingMessage, response: ServerResponse): void {
 		if (this.#state === 'draining') {
-			answerProblem(
-				response,
-				{
-					status: 503,
-					title: 'Service Unavailable',
-					detail: `server "${this.#identity.server}" is leaving`,
-					outcome: {kind: 'notRun', reason: 'draining'},
-					requestId: context.requestId,
-				},
-				this.encodeAnswerHeaders(context, context.retryAllowance),
-			);
+			this.#refuseDraining(context, response);
 			return;
 		}
 
@@ -205,6 +222,30 @@
 		void this.#runCall(context, request, response);
 	}
 
+	/** Refuses a call as not run; a minted key that came before is told what became of it. */
+	#refuseDraining(context: CallContext, response: ServerResponse): void {
+		const headers = this.encodeAnswerHeaders(context, context.retryAllowance);
+		const turn = this.once.open(context);
+		const begun = turn?.begin();
+		turn?.close();
+		if (begun !== undefined && begun.kind !== 'run') {
+			answerRepeat(response, begun, context.requestId, headers);
+			return;
+		}
+
+		answerProblem(
+			response,
+			{
+				status: 503,
+				title: 'Service Unavailable',
+				detail: `server "${this.#identity.server}" is leaving`,
+				outcome: {kind: 'notRun', reason: 'draining'},
+				requestId: context.requestId,
+			},
+			headers,
+		);
+	}
+
 	async #runCall(
 		context: CallContext,
 		request: IncomingMessage,
--- /dev/null
+++ b/src/once/once-ledger.test.ts
@@ -0,0 +1,75 @@
+import test from 'ava';
+import {
+	callUntilServed,
+	entryNames,
+	request,
+	runSequences,
+} from '../../bench/fuzz/once/sequences.ts';
+import {World} from '../../bench/fuzz/once/world.ts';
+
+test('a once call runs at most once, whatever fails and in whatever order', async t => {
+	const {faults, ends} = await runSequences(20_261_204, 400);
+	t.log({faults, ends});
+	for (const [kind, count] of Object.entries(faults)) {
+		t.true(count > 0, `no fault of kind ${kind} was injected`);
+	}
+
+	for (const kind of ['ran', 'repeated', 'notRun', 'inProgress', 'unknown']) {
+		t.true((ends[kind] ?? 0) > 0, `no attempt ended as ${kind}`);
+	}
+});
+
+test('a release that arrives late does not remove the claim of a later attempt', async t => {
+	const world = World.create(entryNames);
+	world.isShedding = true;
+	const shed = await world.call('a', request);
+	for (let index = 0; index < 3; index++) {
+		await world.step(0);
+	}
+
+	world.setFault('late');
+	await world.step(0);
+	t.deepEqual(shed.result, {kind: 'notRun', reason: 'overload'});
+	t.is(world.lateEffects.length, 1, 'the release is on its way');
+
+	world.setFault('ok');
+	world.isShedding = false;
+	await world.call('b', request);
+	while (world.countRuns(request) === 0) {
+		await world.step(0);
+	}
+
+	world.applyLateEffect(0);
+	const third = await world.call('c', request);
+	await world.heal();
+	t.not(third.result?.kind, 'ran');
+	t.is(world.countRuns(request), 1);
+});
+
+test('the same key with another body is refused, unless the first was never sent', async t => {
+	const world = World.create(entryNames);
+	const other = {...request, fingerprint: 'g'};
+	await callUntilServed(world, request);
+	const differing = await world.call('b', other);
+	await world.heal();
+	t.is(differing.result?.kind, 'mismatch');
+
+	const orphaned = {...request, key: 'k'};
+	world.setFault('late');
+	const orphan = await world.call('a', orphaned);
+	world.setFault('unreachable');
+	await world.step(0);
+	t.deepEqual(orphan.result, {kind: 'notRun', reason: 'claim-unavailable'});
+	world.applyLateEffect(0);
+	world.setFault('ok');
+	const replaced = await callUntilServed(world, {...orphaned, fingerprint: 'g'});
+	t.is(replaced.result?.kind, 'ran');
+});
+
+test('a caller with the same key text meets neither claim nor answer of another', async t => {
+	const world = World.create(entryNames);
+	await callUntilServed(world, request);
+	const other = await callUntilServed(world, {...request, caller: 'y'});
+	t.is(other.result?.kind, 'ran');
+	t.is(world.countRuns({...request, caller: 'y'}), 1);
+});
