--- a/src/retry/lend-policy.ts
+++ b/src/retry/lend-policy.ts
@@ -14,7 +14,7 @@
 	/** Lends a share, rounded down. */
 	| {readonly kind: 'share'; readonly share: number};
 
-export const defaultLendPolicy: LendPolicy = {kind: 'reserve', kept: 1};
+export const defaultLendPolicy: LendPolicy = {kind: 'share', share: 0.5};
 
 /**
  * Computes the loan for one child call.
