--- a/bench/fakes/memory-table.ts
+++ b/bench/fakes/memory-table.ts
@@ -30,7 +30,8 @@
 	#reads = 0;
 	#writes = 0;
 
-	private constructor(public pickFault: (operation: 'read' | 'write') => TableFault) {}
+	private constructor(public pickFault: (operation: 'read' | 'write') => TableFault) {
+}
 
 	get operations(): {readonly reads: number; readonly writes: number} {
 		return {reads: this.#reads, writes: this.#writes};
--- /dev/null
+++ b/bench/fakes/sim-daemon.ts
@@ -0,0 +1,332 @@
+/**
+ * The control part of one daemon over a fake clock, network and table: the real gossip, spread and
+ * policy store.
+ */
+import {Gossip} from '../../src/membership/gossip.ts';
+import {
+	type Endpoint,
+	type GossipAction,
+	type GossipRequest,
+	type GossipResponse,
+} from '../../src/membership/messages.ts';
+import {isAmongFirst} from '../../src/membership/rank.ts';
+import {gossipPeriodMs} from '../../src/membership/settings.ts';
+import {type Member} from '../../src/membership/types.ts';
+import {builtInVersion} from '../../src/policy/built-in.ts';
+import {type PolicyStore} from '../../src/policy/policy-store.ts';
+import {
+	PolicySpread,
+	spreadLimits,
+	type PolicySource,
+	type SpreadAction,
+	type SpreadEvent,
+} from '../../src/policy/spread.ts';
+import {type PolicyVersion} from '../../src/policy/types.ts';
+import {type SimClock} from './sim-clock.ts';
+import {type SimNetwork} from './sim-network.ts';
+
+/** Bytes of HTTP around one message, as measured on the control port. */
+export const httpOverheadBytes = 350;
+
+export type SimParts = {
+	readonly clock: SimClock;
+	readonly network: SimNetwork;
+	readonly random: () => number;
+	readonly store: PolicyStore;
+	/** Time of one operation of the table. */
+	readonly tableDelayMs: number;
+	/** Finds the daemon that listens at an endpoint now. */
+	readonly findDaemon: (endpoint: Endpoint) => SimDaemon | undefined;
+	/** Called when a version comes into force; throws on a step backwards. */
+	readonly onAdopt?: (daemon: SimDaemon, version: PolicyVersion) => void;
+	/** Called when a daemon starts to serve. */
+	readonly onReady?: (daemon: SimDaemon) => void;
+};
+
+export class SimDaemon {
+	/**
+	 * @example
+	 * const daemon = SimDaemon.create(member, parts);
+	 * daemon.start();
+	 */
+	static create(member: Member, parts: SimParts): SimDaemon {
+		return new SimDaemon(member, parts);
+	}
+
+	readonly gossip: Gossip;
+	readonly spread: PolicySpread;
+	readonly stats = {bytes: 0, messages: 0, handleMs: 0, tableReads: 0, disagreements: 0};
+	isRunning = true;
+	isFrozen = false;
+	isSuperseded = false;
+	#nextExchangeId = 1;
+	readonly #open = new Map<number, (response: GossipResponse) => void>();
+	readonly #parked: Array<() => void | Promise<void>> = [];
+
+	private constructor(
+		member: Member,
+		private readonly parts: SimParts,
+	) {
+		const {random, clock} = parts;
+		const policy = {version: 0, digest: builtInVersion.digest};
+		this.gossip = Gossip.create({self: member, policy, random});
+		this.spread = PolicySpread.create(builtInVersion, clock.nowMs);
+	}
+
+	get member(): Member {
+		return this.gossip.self;
+	}
+
+	start(seeds: readonly Endpoint[]): void {
+		this.#runGossip(this.gossip.handle({kind: 'seeds', endpoints: seeds}, this.parts.clock.nowMs));
+		this.#tick();
+		this.parts.clock.schedule(this.parts.random() * gossipPeriodMs, () => {
+			this.#scheduleTick();
+		});
+	}
+
+	announce(state: 'serving' | 'leaving' | 'dead'): void {
+		this.#runGossip(this.gossip.handle({kind: 'announce', state}, this.parts.clock.nowMs));
+	}
+
+	/** Stops the process without a word. */
+	kill(): void {
+		this.isRunning = false;
+	}
+
+	freeze(): void {
+		this.isFrozen = true;
+	}
+
+	/** Lets a frozen process go on with all that waited for it. */
+	async thaw(): Promise<void> {
+		this.isFrozen = false;
+		for (const task of this.#parked.splice(0)) {
+			await task();
+		}
+	}
+
+	/** Receives a request from the network. */
+	receive(request: GossipRequest, respond: (response: GossipResponse) => void): void {
+		this.#run(() => {
+			const exchangeId = this.#nextExchangeId++;
+			this.#open.set(exchangeId, respond);
+			this.#handleGossip({kind: 'request', exchangeId, request});
+		});
+	}
+
+	#scheduleTick(): void {
+		if (!this.isRunning) {
+			return;
+		}
+
+		this.#run(() => {
+			this.#tick();
+		});
+		this.parts.clock.schedule(gossipPeriodMs, () => {
+			this.#scheduleTick();
+		});
+	}
+
+	#tick(): void {
+		this.#handleGossip({kind: 'tick'});
+		const members = this.gossip.listMembers();
+		const isPoller = isAmongFirst(this.member, members, spreadLimits.pollersPerDataCentre);
+		this.#handleSpread({kind: 'tick', isPoller});
+	}
+
+	/** Runs a step of the process, or keeps it until a frozen process goes on. */
+	#run(step: () => void | Promise<void>): void {
+		if (!this.isRunning) {
+			return;
+		}
+
+		if (!this.isFrozen) {
+			void step();
+			return;
+		}
+
+		// A frozen process loses its timers' ticks but keeps what its sockets hold.
+		if (this.#parked.length < 50) {
+			this.#parked.push(step);
+		}
+	}
+
+	#handleGossip(event: Parameters<Gossip['handle']>[0]): void {
+		const startMs = performance.now();
+		const actions = this.gossip.handle(event, this.parts.clock.nowMs);
+		this.stats.handleMs += performance.now() - startMs;
+		this.#runGossip(actions);
+	}
+
+	#runGossip(actions: readonly GossipAction[]): void {
+		for (const action of actions) {
+			switch (action.kind) {
+				case 'send': {
+					this.#send(action);
+					break;
+				}
+
+				case 'respond': {
+					const respond = this.#open.get(action.exchangeId);
+					this.#open.delete(action.exchangeId);
+					respond?.(action.response);
+					break;
+				}
+
+				case 'policyHeard': {
+					const {address, peerPort} = action.from;
+					const source: PolicySource = {kind: 'peer', address, peerPort};
+					this.#handleSpread({kind: 'heard', head: action.policy, source});
+					break;
+				}
+
+				case 'superseded': {
+					this.isSuperseded = true;
+					break;
+				}
+
+				case 'surveyed': {
+					this.#handleSpread({kind: 'peersAsked'});
+					break;
+				}
+
+				case 'membersChanged': {
+					break;
+				}
+			}
+		}
+	}
+
+	#send(action: Extract<GossipAction, {kind: 'send'}>): void {
+		const {exchangeId, request} = action;
+		let isSettled = false;
+		const settle = (event: Parameters<Gossip['handle']>[0]): void => {
+			this.#run(() => {
+				if (!isSettled) {
+					isSettled = true;
+					this.#handleGossip(event);
+				}
+			});
+		};
+
+		this.#countBytes(request);
+		const target = this.parts.findDaemon(action.to);
+		if (target) {
+			this.parts.network.send(this.member, target.member, () => {
+				target.#countBytes(request);
+				target.receive(request, response => {
+					target.#countBytes(response);
+					this.parts.network.send(target.member, this.member, () => {
+						this.#countBytes(response);
+						settle({kind: 'response', exchangeId, response});
+					});
+				});
+			});
+		}
+
+		this.parts.clock.schedule(action.timeoutMs, () => {
+			settle({kind: 'failed', exchangeId});
+		});
+	}
+
+	#countBytes(message: unknown): void {
+		this.stats.messages++;
+		this.stats.bytes += JSON.stringify(message).length + httpOverheadBytes;
+	}
+
+	#handleSpread(event: SpreadEvent): void {
+		for (const action of this.spread.handle(event, this.parts.clock.nowMs)) {
+			this.#runSpread(action);
+		}
+	}
+
+	#runSpread(action: SpreadAction): void {
+		switch (action.kind) {
+			case 'readHead': {
+				this.#readTable(async () => {
+					const head = await this.parts.store.readHead();
+					return head.isOk() ? {kind: 'headRead', head: head.value} : {kind: 'headFailed'};
+				});
+				break;
+			}
+
+			case 'fetch': {
+				this.#fetch(action.version, action.source);
+				break;
+			}
+
+			case 'adopt': {
+				const {version, digest} = action.version;
+				this.parts.onAdopt?.(this, action.version);
+				this.#handleGossip({kind: 'adopted', policy: {version, digest}});
+				break;
+			}
+
+			case 'ready': {
+				this.parts.onReady?.(this);
+				this.announce('serving');
+				break;
+			}
+
+			case 'disagreement': {
+				this.stats.disagreements++;
+				break;
+			}
+
+			case 'askPeers': {
+				this.#handleGossip({kind: 'survey'});
+				break;
+			}
+		}
+	}
+
+	#fetch(version: number, source: PolicySource): void {
+		if (source.kind === 'table') {
+			this.#readTable(async () => {
+				const read = await this.parts.store.readVersion(version);
+				return read.isOk()
+					? {kind: 'fetched', version: read.value, source}
+					: {kind: 'fetchFailed', source};
+			});
+			return;
+		}
+
+		const peer = this.parts.findDaemon(source);
+		if (!peer) {
+			this.#handleLater({kind: 'fetchFailed', source});
+			return;
+		}
+
+		this.parts.network.send(this.member, peer.member, () => {
+			peer.#run(() => {
+				const {inForce} = peer.spread;
+				peer.#countBytes(inForce);
+				this.parts.network.send(peer.member, this.member, () => {
+					this.#countBytes(inForce);
+					this.#run(() => {
+						this.#handleSpread({kind: 'fetched', version: inForce, source});
+					});
+				});
+			});
+		});
+	}
+
+	#handleLater(event: SpreadEvent): void {
+		this.parts.clock.schedule(1, () => {
+			this.#run(() => {
+				this.#handleSpread(event);
+			});
+		});
+	}
+
+	#readTable(read: () => Promise<SpreadEvent>): void {
+		this.stats.tableReads++;
+		this.parts.clock.schedule(this.parts.tableDelayMs, async () => {
+			const event = await read();
+			this.#run(() => {
+				this.#handleSpread(event);
+			});
+		});
+	}
+}
--- /dev/null
+++ b/bench/fakes/sim-fleet.ts
@@ -0,0 +1,116 @@
+/**
+ * A fleet of daemons in one process over a fake clock, network and table.
+ */
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {type Endpoint} from '../../src/membership/messages.ts';
+import {type Member} from '../../src/membership/types.ts';
+import {PolicyStore} from '../../src/policy/policy-store.ts';
+import {type PolicyVersion} from '../../src/policy/types.ts';
+import {MemoryTable} from './memory-table.ts';
+import {SimClock} from './sim-clock.ts';
+import {SimDaemon} from './sim-daemon.ts';
+import {SimNetwork} from './sim-network.ts';
+
+/** Where a simulated server stands. */
+export type SimPlace = {readonly region: string; readonly dataCentre: string};
+
+/**
+ * Creates a seeded source of numbers from 0 up to 1.
+ *
+ * @example
+ * const random = createRandom(7);
+ */
+export function createRandom(seed: number): () => number {
+	const generator = xoroshiro128plus(seed);
+	return () => uniformFloat64(generator);
+}
+
+export class SimFleet {
+	/**
+	 * @example
+	 * const fleet = SimFleet.create(7);
+	 */
+	static create(seed: number): SimFleet {
+		return new SimFleet(createRandom(seed));
+	}
+
+	readonly clock = SimClock.create();
+	readonly table = MemoryTable.create();
+	readonly network: SimNetwork;
+	readonly store: PolicyStore;
+	/** Daemons that were ever started, in order. */
+	readonly daemons: SimDaemon[] = [];
+	onReady: ((daemon: SimDaemon) => void) | undefined;
+	onAdopt: ((daemon: SimDaemon, version: PolicyVersion) => void) | undefined;
+	readonly #listening = new Map<string, SimDaemon>();
+	#nextInstance = 1;
+
+	private constructor(readonly random: () => number) {
+		this.network = SimNetwork.create(this.clock, random);
+		this.store = PolicyStore.create(this.table, {readTimeMs: () => this.clock.nowMs});
+	}
+
+	get running(): SimDaemon[] {
+		return this.daemons.filter(daemon => daemon.isRunning);
+	}
+
+	/** Starts a daemon; an address that was used before belongs to the new one from now on. */
+	start(server: string, address: string, place: SimPlace, clockSkewMs = 0): SimDaemon {
+		const member: Member = {
+			server,
+			address,
+			service: 'catalogue',
+			...place,
+			peerPort: 7000,
+			instanceId: `instance-${this.#nextInstance++}`,
+			startedAtMs: this.clock.nowMs + clockSkewMs,
+			incarnation: 0,
+			state: 'cold',
+			policyVersion: 0,
+		};
+		const daemon = SimDaemon.create(member, {
+			clock: this.clock,
+			network: this.network,
+			random: this.random,
+			store: this.store,
+			tableDelayMs: 5,
+			findDaemon: endpoint => this.#listening.get(endpoint.address),
+			onReady: starter => this.onReady?.(starter),
+			onAdopt: (adopter, version) => this.onAdopt?.(adopter, version),
+		});
+		const seeds = this.#pickSeeds();
+		this.daemons.push(daemon);
+		this.#listening.set(address, daemon);
+		daemon.start(seeds);
+		return daemon;
+	}
+
+	/** Starts a fleet spread evenly over data centres, a few daemons at a time. */
+	async startAll(count: number, places: readonly SimPlace[], stepMs = 5): Promise<void> {
+		for (let index = 0; index < count; index++) {
+			this.start(
+				`server-${index}`,
+				`10.0.${Math.floor(index / 256)}.${index % 256}`,
+				places[index % places.length]!,
+			);
+			await this.clock.runUntil(this.clock.nowMs + stepMs);
+		}
+	}
+
+	async runFor(ms: number): Promise<void> {
+		await this.clock.runUntil(this.clock.nowMs + ms);
+	}
+
+	/** Endpoints of a few daemons, as the platform's table would name them. */
+	#pickSeeds(): Endpoint[] {
+		const {running} = this;
+		const seeds: Endpoint[] = [];
+		for (let index = 0; index < Math.min(5, running.length); index++) {
+			const {address, peerPort} = running[Math.floor(this.random() * running.length)]!.member;
+			seeds.push({address, peerPort});
+		}
+
+		return seeds;
+	}
+}
--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -16,6 +16,7 @@
 import {PeerChoice} from './peer-choice.ts';
 import {Prober} from './prober.ts';
 import {gossipLimits} from './settings.ts';
+import {Survey} from './survey.ts';
 import {TableRepair} from './table-repair.ts';
 import {createSyncAnswer} from './table-sync.ts';
 import {type Member} from './types.ts';
@@ -46,6 +47,7 @@
 	readonly #peers: PeerChoice;
 	readonly #prober: Prober;
 	readonly #repair: TableRepair;
+	readonly #survey: Survey;
 	#urgentTokens: number = gossipLimits.urgentPushesPerSecond;
 	#lastTickMs: number | undefined;
 	#nextPruneMs = 0;
@@ -56,6 +58,7 @@
 		const parts = {view: this.#view, outbox: this.#outbox, peers: this.#peers, random};
 		this.#prober = Prober.create(parts);
 		this.#repair = TableRepair.create(parts);
+		this.#survey = Survey.create(this.#view, this.#outbox);
 	}
 
 	get self(): Member {
@@ -99,6 +102,7 @@
 			this.#prober.ping(rival, {kind: 'rival', rival});
 		}
 
+		this.#survey.runWhenDue(this.isJoined || !this.#repair.hasSeeds);
 		if (changes.isUrgent || event.kind === 'adopted') {
 			this.#pushUrgent();
 		}
@@ -146,6 +150,11 @@
 				break;
 			}
 
+			case 'survey': {
+				this.#survey.schedule();
+				break;
+			}
+
 			case 'seeds': {
 				this.#repair.setSeeds(event.endpoints);
 				break;
@@ -234,6 +243,11 @@
 				break;
 			}
 
+			case 'survey': {
+				this.#survey.settle();
+				break;
+			}
+
 			case 'push':
 			case undefined: {
 				break;
@@ -264,6 +278,11 @@
 				break;
 			}
 
+			case 'survey': {
+				this.#survey.settle();
+				break;
+			}
+
 			case 'push':
 			case 'sync':
 			case undefined: {
--- a/src/membership/local-view.ts
+++ b/src/membership/local-view.ts
@@ -95,18 +95,25 @@
 		}
 	}
 
-	/** Merges a record, and tells others of it when it is news. */
-	merge(member: Member, nowMs: number): void {
-		const isKnown = this.table.findMember(member.server) !== undefined;
-		if (!this.table.merge(member, nowMs)) {
+	/**
+	 * Merges a record from another daemon's table. Others hold the records of healthy members already
+	 * or get them by their own comparison, so only the rest is told on.
+	 */
+	mergeSynced(member: Member, nowMs: number): void {
+		const isHealthy = member.state === 'serving' || member.state === 'cold';
+		if (isHealthy && member.server !== this.self.member.server) {
+			this.#take(member, nowMs);
 			return;
 		}
 
-		this.#isChanged = true;
-		this.#isUrgent ||= member.state === 'leaving';
-		this.#deltas.add(member.server);
-		if (!isKnown) {
-			this.#added.push(member.server);
+		this.mergeHeard(member, nowMs);
+	}
+
+	/** Merges a record, and tells others of it when it is news. */
+	merge(member: Member, nowMs: number): void {
+		if (this.#take(member, nowMs)) {
+			this.#deltas.add(member.server);
+			this.#isUrgent ||= member.state === 'leaving';
 		}
 	}
 
@@ -163,6 +170,21 @@
 		return {from: this.self.member, policy: this.self.policy, deltas};
 	}
 
+	/** Takes a record into the table; false when the known one stands. */
+	#take(member: Member, nowMs: number): boolean {
+		const isKnown = this.table.findMember(member.server) !== undefined;
+		if (!this.table.merge(member, nowMs)) {
+			return false;
+		}
+
+		this.#isChanged = true;
+		if (!isKnown) {
+			this.#added.push(member.server);
+		}
+
+		return true;
+	}
+
 	#forget(server: string): void {
 		if (server === this.self.member.server) {
 			return;
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -53,6 +53,8 @@
 	| {readonly kind: 'announce'; readonly state: 'cold' | 'serving' | 'leaving' | 'dead'}
 	/** The daemon put a policy version in force. */
 	| {readonly kind: 'adopted'; readonly policy: PolicyHead}
+	/** The daemon wants to hear the policy version of every member that it can reach. */
+	| {readonly kind: 'survey'}
 	/** Endpoints of daemons, as the platform's table names them. */
 	| {readonly kind: 'seeds'; readonly endpoints: readonly Endpoint[]};
 
@@ -68,6 +70,8 @@
 	  }
 	| {readonly kind: 'respond'; readonly exchangeId: number; readonly response: GossipResponse}
 	| {readonly kind: 'membersChanged'}
+	/** Every member was pinged, and has answered or not. */
+	| {readonly kind: 'surveyed'}
 	| {readonly kind: 'policyHeard'; readonly policy: PolicyHead; readonly from: Member}
 	/** Another daemon runs under this server's name and started later. */
 	| {readonly kind: 'superseded'; readonly by: Member};
--- a/src/membership/outbox.ts
+++ b/src/membership/outbox.ts
@@ -17,6 +17,7 @@
 	/** A request to a helper to ping the target. */
 	| {readonly kind: 'probe'; readonly round: ProbeRound}
 	| {readonly kind: 'push'}
+	| {readonly kind: 'survey'}
 	| {readonly kind: 'sync'; readonly roundsLeft: number}
 	/** A ping to the instance that claims the own server's name. */
 	| {readonly kind: 'rival'; readonly rival: Member};
--- a/src/membership/table-repair.ts
+++ b/src/membership/table-repair.ts
@@ -34,6 +34,10 @@
 	private constructor(private readonly parts: TableRepairParts) {
 }
 
+	get hasSeeds(): boolean {
+		return this.#seeds.length > 0;
+	}
+
 	setSeeds(endpoints: readonly Endpoint[]): void {
 		this.#seeds = endpoints;
 	}
@@ -61,7 +65,7 @@
 		}
 
 		for (const member of response.members) {
-			view.mergeHeard(member, nowMs);
+			view.mergeSynced(member, nowMs);
 		}
 
 		const newer = listNewerRecords(view.table, response);
--- a/src/policy/spread.ts
+++ b/src/policy/spread.ts
@@ -63,6 +63,7 @@
 	#sources: PolicySource[] = [];
 	#fetchStartedMs: number | undefined;
 	#headState: 'waiting' | 'read' | 'failed' = 'waiting';
+	#isAskingPeers = false;
 	#hasAskedPeers = false;
 	#isReady = false;
 	#isStarted = false;
@@ -111,7 +112,7 @@
 			}
 
 			case 'headFailed': {
-				this.#headState = this.#headState === 'read' ? 'read' : 'failed';
+				this.#handleHeadFailure();
 				break;
 			}
 
@@ -144,7 +145,7 @@
 	#handleTick(isPoller: boolean, nowMs: number): void {
 		if (!this.#isStarted) {
 			this.#isStarted = true;
-			this.#actions.push({kind: 'readHead'}, {kind: 'askPeers'});
+			this.#actions.push({kind: 'readHead'});
 			return;
 		}
 
@@ -165,6 +166,19 @@
 		this.#fetchNext(nowMs);
 	}
 
+	/** Without the table, a start has to ask the peers. */
+	#handleHeadFailure(): void {
+		if (this.#headState === 'read') {
+			return;
+		}
+
+		this.#headState = 'failed';
+		if (!this.#isAskingPeers) {
+			this.#isAskingPeers = true;
+			this.#actions.push({kind: 'askPeers'});
+		}
+	}
+
 	#handleHead(head: PolicyHead, source: PolicySource, nowMs: number): void {
 		if (head.version === this.version.version && head.version > 0) {
 			if (head.digest !== this.version.digest) {
