--- a/bench/fakes/memory-table.ts
+++ b/bench/fakes/memory-table.ts
@@ -37,6 +37,11 @@
 		return {reads: this.#reads, writes: this.#writes};
 	}
 
+	/** Looks at a row without a fault, for oracles. */
+	findRow(key: RowKey): TableRow | undefined {
+		return this.#rows.get(formatKey(key));
+	}
+
 	get(key: RowKey): ResultAsync<TableRow | undefined, PlatformError> {
 		return this.#read('GetItem', key.sort, () => this.#rows.get(formatKey(key)));
 	}
--- a/bench/fakes/sim-daemon.ts
+++ b/bench/fakes/sim-daemon.ts
@@ -35,6 +35,7 @@
 	readonly store: PolicyStore;
 	/** Time of one operation of the table. */
 	readonly tableDelayMs: number;
+	readonly canReachTable: () => boolean;
 	/** Finds the daemon that listens at an endpoint now. */
 	readonly findDaemon: (endpoint: Endpoint) => SimDaemon | undefined;
 	/** Called when a version comes into force; throws on a step backwards. */
@@ -244,7 +245,7 @@
 	#runSpread(action: SpreadAction): void {
 		switch (action.kind) {
 			case 'readHead': {
-				this.#readTable(async () => {
+				this.#readTable({kind: 'headFailed'}, async () => {
 					const head = await this.parts.store.readHead();
 					return head.isOk() ? {kind: 'headRead', head: head.value} : {kind: 'headFailed'};
 				});
@@ -283,7 +284,7 @@
 
 	#fetch(version: number, source: PolicySource): void {
 		if (source.kind === 'table') {
-			this.#readTable(async () => {
+			this.#readTable({kind: 'fetchFailed', source}, async () => {
 				const read = await this.parts.store.readVersion(version);
 				return read.isOk()
 					? {kind: 'fetched', version: read.value, source}
@@ -320,10 +321,10 @@
 		});
 	}
 
-	#readTable(read: () => Promise<SpreadEvent>): void {
+	#readTable(failure: SpreadEvent, read: () => Promise<SpreadEvent>): void {
 		this.stats.tableReads++;
 		this.parts.clock.schedule(this.parts.tableDelayMs, async () => {
-			const event = await read();
+			const event = this.parts.canReachTable() ? await read() : failure;
 			this.#run(() => {
 				this.#handleSpread(event);
 			});
--- a/bench/fakes/sim-fleet.ts
+++ b/bench/fakes/sim-fleet.ts
@@ -39,6 +39,8 @@
 	readonly table = MemoryTable.create();
 	readonly network: SimNetwork;
 	readonly store: PolicyStore;
+	/** Data centres whose daemons can't reach the table. */
+	readonly platformCuts = new Set<string>();
 	/** Daemons that were ever started, in order. */
 	readonly daemons: SimDaemon[] = [];
 	onReady: ((daemon: SimDaemon) => void) | undefined;
@@ -75,6 +77,7 @@
 			random: this.random,
 			store: this.store,
 			tableDelayMs: 5,
+			canReachTable: () => !this.platformCuts.has(place.dataCentre),
 			findDaemon: endpoint => this.#listening.get(endpoint.address),
 			onReady: starter => this.onReady?.(starter),
 			onAdopt: (adopter, version) => this.onAdopt?.(adopter, version),
--- /dev/null
+++ b/src/membership/gossip.test.ts
@@ -0,0 +1,119 @@
+import test from 'ava';
+import {SimFleet, type SimPlace} from '../../bench/fakes/sim-fleet.ts';
+import {type SimDaemon} from '../../bench/fakes/sim-daemon.ts';
+import {FuzzRun} from '../../bench/fuzz/fuzz-run.ts';
+
+const near: SimPlace = {region: 'qc-est', dataCentre: 'est-a'};
+const far: SimPlace = {region: 'qc-ouest', dataCentre: 'ouest-a'};
+
+async function startFleet(count: number, places: readonly SimPlace[]): Promise<SimFleet> {
+	const fleet = SimFleet.create(3);
+	await fleet.startAll(count, places);
+	await fleet.runFor(30_000);
+	return fleet;
+}
+
+function listStates(daemon: SimDaemon | undefined): Record<string, string> {
+	const members = daemon?.gossip.listMembers() ?? [];
+	return Object.fromEntries(members.map(member => [member.server, member.state]));
+}
+
+test('daemons that know one seed come to know all', async t => {
+	const fleet = await startFleet(12, [near, far]);
+	for (const daemon of fleet.daemons) {
+		t.is(daemon.gossip.listUsableMembers().length, 12);
+		t.true(daemon.gossip.isJoined);
+	}
+});
+
+test('a killed daemon is suspected and declared dead, a frozen one refutes', async t => {
+	const fleet = await startFleet(8, [near]);
+	fleet.daemons[7]?.kill();
+	fleet.daemons[6]?.freeze();
+	const seen = new Set<string>();
+	for (let second = 0; second < 4; second++) {
+		await fleet.runFor(1000);
+		seen.add(listStates(fleet.daemons[0])['server-6'] ?? 'dead');
+	}
+
+	t.deepEqual(seen, new Set(['serving', 'suspect']));
+	await fleet.daemons[6]?.thaw();
+	await fleet.runFor(20_000);
+	for (const daemon of fleet.daemons.slice(0, 7)) {
+		t.is(listStates(daemon)['server-7'], undefined);
+		t.is(listStates(daemon)['server-6'], 'serving');
+	}
+});
+
+test('leaving is heard in the own data centre within 2 s and elsewhere', async t => {
+	const fleet = await startFleet(60, [near, far]);
+	fleet.daemons[4]?.announce('leaving');
+	await fleet.runFor(2000);
+	for (const daemon of fleet.daemons) {
+		t.is(listStates(daemon)['server-4'], 'leaving');
+	}
+});
+
+test('a replaced instance at the same address and name is never taken for the old one', async t => {
+	const fleet = await startFleet(8, [near, far]);
+	const old = fleet.daemons[2]!;
+	old.kill();
+	// The replacement's clock is behind by a minute.
+	const fresh = fleet.start(old.member.server, old.member.address, near, -60_000);
+	await fleet.runFor(30_000);
+	for (const daemon of fleet.running) {
+		const found = daemon.gossip.listMembers().find(({server}) => server === old.member.server);
+		t.is(found?.instanceId, fresh.member.instanceId);
+		t.is(found?.state, 'serving');
+	}
+});
+
+test('an instance that was replaced while it stood still learns so', async t => {
+	const fleet = await startFleet(8, [near, far]);
+	const old = fleet.daemons[2]!;
+	old.freeze();
+	await fleet.runFor(5000);
+	const fresh = fleet.start(old.member.server, '10.9.0.1', near);
+	await fleet.runFor(10_000);
+	await old.thaw();
+	await fleet.runFor(20_000);
+	t.true(old.isSuperseded);
+	t.false(fresh.isSuperseded);
+	t.is(fresh.member.state, 'serving');
+});
+
+test('a cut data centre keeps what it has, leaves out the rest, and takes it back', async t => {
+	const fleet = await startFleet(12, [near, far]);
+	fleet.network.cut('est-a', 'ouest-a');
+	await fleet.runFor(60_000);
+	for (const daemon of fleet.daemons) {
+		const usable = daemon.gossip.listUsableMembers();
+		t.is(usable.length, 6);
+		t.true(usable.every(member => member.dataCentre === daemon.member.dataCentre));
+		t.is(daemon.gossip.listMembers().length, 12);
+	}
+
+	fleet.network.heal();
+	await fleet.runFor(10_000);
+	for (const daemon of fleet.daemons) {
+		t.is(daemon.gossip.listUsableMembers().length, 12);
+	}
+});
+
+test('the dead are forgotten after a bounded time', async t => {
+	const fleet = await startFleet(3, [near]);
+	fleet.daemons[2]?.kill();
+	await fleet.runFor(800_000);
+	const digests = fleet.running.map(daemon => listStates(daemon)['server-2']);
+	t.deepEqual(new Set(digests), new Set([undefined]));
+});
+
+for (const seed of [2, 7]) {
+	test(`a randomised run of the control code holds its invariants, seed ${seed}`, async t => {
+		const run = FuzzRun.create(seed);
+		await run.runEpoch();
+		const report = run.readReport();
+		t.deepEqual(report.violations, []);
+		t.true(report.faults.loss + report.faults.kill + report.faults.replace > 0);
+	});
+}
--- a/src/membership/local-view.ts
+++ b/src/membership/local-view.ts
@@ -123,9 +123,16 @@
 		this.#isChanged ||= isBack;
 	}
 
-	/** Notes that a member of a data centre did not answer. */
-	recordFailure(dataCentre: string, nowMs: number): void {
-		const isCut = this.reachability.recordFailure(dataCentre, nowMs);
+	/** Notes that a member of another data centre did not answer; the dead need not. */
+	recordSilence(target: Member, nowMs: number): void {
+		const {server, dataCentre} = target;
+		const known = this.table.findMember(server);
+		if (known?.instanceId !== target.instanceId || known.state === 'dead') {
+			return;
+		}
+
+		const memberCount = this.table.findServers(dataCentre).size;
+		const isCut = this.reachability.recordSilence({dataCentre, server, memberCount}, nowMs);
 		this.#isChanged ||= isCut;
 	}
 
--- a/src/membership/prober.ts
+++ b/src/membership/prober.ts
@@ -104,7 +104,7 @@
 	/** Asks helpers to ping a member of the own data centre that did not answer. */
 	handleSilence(target: Member, nowMs: number): void {
 		if (target.dataCentre !== this.#view.self.member.dataCentre) {
-			this.#view.recordFailure(target.dataCentre, nowMs);
+			this.#view.recordSilence(target, nowMs);
 			return;
 		}
 
--- a/src/membership/reachability.ts
+++ b/src/membership/reachability.ts
@@ -3,9 +3,24 @@
  */
 
 /** Pings in a row without an answer after which a data centre counts as cut off. */
-const maxFailures = 3;
+const minFailures = 3;
+/** Different members that must be silent, where a data centre has that many. */
+const minSilentMembers = 3;
 
-type Contact = {failures: number; lastAnswerMs: number};
+type Contact = {
+	failures: number;
+	readonly silentServers: Set<string>;
+	isCut: boolean;
+	lastAnswerMs: number;
+};
+
+/** A member of another data centre that did not answer. */
+export type Silence = {
+	readonly dataCentre: string;
+	readonly server: string;
+	/** Members of that data centre that are not dead. */
+	readonly memberCount: number;
+};
 
 export class Reachability {
 	/**
@@ -21,33 +36,29 @@
 	private constructor(private readonly ownDataCentre: string) {
 }
 
+	/** Notes an answer; true when the data centre counted as cut off. */
 	recordAnswer(dataCentre: string, nowMs: number): boolean {
 		const wasCut = !this.canReach(dataCentre);
-		this.#contacts.set(dataCentre, {failures: 0, lastAnswerMs: nowMs});
+		this.#contacts.set(dataCentre, createContact(nowMs));
 		return wasCut;
 	}
 
 	/** Counts a ping without an answer; true when the data centre counts as cut off from now on. */
-	recordFailure(dataCentre: string, nowMs: number): boolean {
-		if (dataCentre === this.ownDataCentre) {
-			return false;
-		}
-
-		const couldReach = this.canReach(dataCentre);
-		const contact = this.#contacts.get(dataCentre) ?? {failures: 0, lastAnswerMs: nowMs};
+	recordSilence(silence: Silence, nowMs: number): boolean {
+		const {dataCentre, server, memberCount} = silence;
+		const contact = this.#contacts.get(dataCentre) ?? createContact(nowMs);
 		contact.failures++;
+		contact.silentServers.add(server);
 		this.#contacts.set(dataCentre, contact);
+		const isSilent = contact.silentServers.size >= Math.min(minSilentMembers, memberCount);
+		const couldReach = this.canReach(dataCentre);
+		contact.isCut ||= isSilent && contact.failures >= minFailures;
 		return couldReach && !this.canReach(dataCentre);
 	}
 
 	/** The own data centre can always be reached, and an untried one is taken to be reachable. */
 	canReach(dataCentre: string): boolean {
-		if (dataCentre === this.ownDataCentre) {
-			return true;
-		}
-
-		const contact = this.#contacts.get(dataCentre);
-		return contact === undefined || contact.failures < maxFailures;
+		return dataCentre === this.ownDataCentre || !this.#contacts.get(dataCentre)?.isCut;
 	}
 
 	/** Tells whether a data centre has been cut off for at least `ms`. */
@@ -58,3 +69,7 @@
 		);
 	}
 }
+
+function createContact(nowMs: number): Contact {
+	return {failures: 0, silentServers: new Set(), isCut: false, lastAnswerMs: nowMs};
+}
--- a/src/policy/spread.ts
+++ b/src/policy/spread.ts
@@ -61,7 +61,7 @@
 
 	#wanted: PolicyHead;
 	#sources: PolicySource[] = [];
-	#fetchStartedMs: number | undefined;
+	#fetch: {readonly source: PolicySource; readonly startedMs: number} | undefined;
 	#headState: 'waiting' | 'read' | 'failed' = 'waiting';
 	#isAskingPeers = false;
 	#hasAskedPeers = false;
@@ -127,14 +127,14 @@
 			}
 
 			case 'fetched': {
-				this.#fetchStartedMs = undefined;
+				this.#fetch = undefined;
 				this.#handleFetched(event.version, event.source);
 				this.#fetchNext(nowMs);
 				break;
 			}
 
 			case 'fetchFailed': {
-				this.#fetchStartedMs = undefined;
+				this.#fetch = undefined;
 				this.#removeSource(event.source);
 				this.#fetchNext(nowMs);
 				break;
@@ -154,9 +154,9 @@
 			this.#actions.push({kind: 'readHead'});
 		}
 
-		const waitedMs = nowMs - (this.#fetchStartedMs ?? nowMs);
-		if (waitedMs >= spreadLimits.fetchTimeoutMs) {
-			this.#fetchStartedMs = undefined;
+		if (this.#fetch && nowMs - this.#fetch.startedMs >= spreadLimits.fetchTimeoutMs) {
+			this.#removeSource(this.#fetch.source);
+			this.#fetch = undefined;
 		}
 
 		if (this.#isBehind() && this.#sources.length === 0) {
@@ -241,11 +241,11 @@
 
 	#fetchNext(nowMs: number): void {
 		const [source] = this.#sources;
-		if (!this.#isBehind() || this.#fetchStartedMs !== undefined || source === undefined) {
+		if (!this.#isBehind() || this.#fetch !== undefined || source === undefined) {
 			return;
 		}
 
-		this.#fetchStartedMs = nowMs;
+		this.#fetch = {source, startedMs: nowMs};
 		this.#actions.push({kind: 'fetch', version: this.#wanted.version, source});
 	}
 
