--- a/bench/fakes/sim-clock.ts
+++ b/bench/fakes/sim-clock.ts
@@ -17,8 +17,7 @@
 
 	readonly #tasks = new Map<number, Task[]>();
 
-	private constructor(private time: number) {
-}
+	private constructor(private time: number) {}
 
 	get nowMs(): number {
 		return this.time;
--- a/bench/fakes/sim-network.ts
+++ b/bench/fakes/sim-network.ts
@@ -28,8 +28,7 @@
 	private constructor(
 		private readonly clock: SimClock,
 		private readonly random: () => number,
-	) {
-}
+	) {}
 
 	cut(a: string, b: string): void {
 		this.#cuts.add(`${a}|${b}`);
--- a/bench/fuzz/oracle.ts
+++ b/bench/fuzz/oracle.ts
@@ -35,8 +35,7 @@
 	/** Digests of committed versions, by number. */
 	readonly #digests = new Map<number, string>();
 
-	private constructor(private readonly fleet: SimFleet) {
-}
+	private constructor(private readonly fleet: SimFleet) {}
 
 	recordChange(change: ToldChange): void {
 		this.#changes.push(change);
--- /dev/null
+++ b/src/daemon/control/control-client.ts
@@ -0,0 +1,106 @@
+/**
+ * Calls of control procedures on peers.
+ */
+import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
+import {ResultAsync} from 'neverthrow';
+import {Agent, request} from 'undici';
+import {headerNames} from '../../call/headers.ts';
+import {type Endpoint, type GossipRequest, type GossipResponse} from '../../membership/messages.ts';
+import {ControlError} from '../errors.ts';
+import {controlPath, type ControlRouter} from './control-router.ts';
+import {type PackedPolicy} from './packed-policy.ts';
+
+/** The next ping to the same peer comes long after, so connections are closed early. */
+const keepAliveMs = 1000;
+const connectTimeoutMs = 400;
+const fetchTimeoutMs = 3000;
+const maxClients = 64;
+
+type FetchInit = {
+	readonly method?: string | undefined;
+	readonly headers?: unknown;
+	readonly body?: unknown;
+	readonly signal?: AbortSignal | undefined;
+};
+
+export class ControlClient {
+	/**
+	 * @example
+	 * const client = ControlClient.create(settings.keys.peer);
+	 */
+	static create(peerKey: string): ControlClient {
+		return new ControlClient(peerKey);
+	}
+
+	readonly #agent = new Agent({
+		connections: 2,
+		keepAliveTimeout: keepAliveMs,
+		keepAliveMaxTimeout: keepAliveMs,
+		connect: {timeout: connectTimeoutMs},
+	});
+
+	readonly #clients = new Map<string, TRPCClient<ControlRouter>>();
+
+	private constructor(private readonly peerKey: string) {}
+
+	/** Sends a gossip request and waits for the answer. */
+	exchange(
+		to: Endpoint,
+		gossipRequest: GossipRequest,
+		timeoutMs: number,
+	): ResultAsync<GossipResponse, ControlError> {
+		const signal = AbortSignal.timeout(timeoutMs);
+		const answer = this.#openClient(to).exchange.mutate(gossipRequest, {signal});
+		return ResultAsync.fromPromise(answer, error => convertError('exchange', error));
+	}
+
+	/** Reads the policy version that a peer has in force. */
+	readPolicy(from: Endpoint): ResultAsync<PackedPolicy, ControlError> {
+		const signal = AbortSignal.timeout(fetchTimeoutMs);
+		const answer = this.#openClient(from).policy.query(undefined, {signal});
+		return ResultAsync.fromPromise(answer, error => convertError('policy', error));
+	}
+
+	async close(): Promise<void> {
+		await this.#agent.destroy();
+	}
+
+	#openClient(endpoint: Endpoint): TRPCClient<ControlRouter> {
+		const origin = `http://${endpoint.address}:${endpoint.peerPort}`;
+		const known = this.#clients.get(origin);
+		if (known) {
+			return known;
+		}
+
+		if (this.#clients.size >= maxClients) {
+			this.#clients.clear();
+		}
+
+		const client = createTRPCClient<ControlRouter>({
+			links: [
+				httpLink({
+					url: `${origin}${controlPath}`,
+					headers: {[headerNames.peerKey]: this.peerKey},
+					fetch: async (url, init) => this.#fetch(String(url), (init ?? {}) as FetchInit),
+				}),
+			],
+		});
+		this.#clients.set(origin, client);
+		return client;
+	}
+
+	async #fetch(url: string, init: FetchInit) {
+		const answer = await request(url, {
+			dispatcher: this.#agent,
+			method: init.method === 'POST' ? 'POST' : 'GET',
+			headers: init.headers as Record<string, string>,
+			body: typeof init.body === 'string' ? init.body : null,
+			signal: init.signal ?? null,
+		});
+		return {ok: answer.statusCode < 400, json: async () => answer.body.json()};
+	}
+}
+
+function convertError(procedure: string, error: unknown): ControlError {
+	return ControlError.create(procedure, (error as Error).message);
+}
--- /dev/null
+++ b/src/daemon/control/seed-rows.ts
@@ -0,0 +1,61 @@
+/**
+ * Rows of the table through which a daemon finds its first peers.
+ */
+import {type ResultAsync} from 'neverthrow';
+import {type Endpoint} from '../../membership/messages.ts';
+import {type Member} from '../../membership/types.ts';
+import {type PlatformError} from '../../platform/errors.ts';
+import {type Table, type TableRow} from '../../platform/types.ts';
+
+const seedPartition = 'seeds';
+const seedLifeSeconds = 600;
+
+/** Reads and writes the seeds; a few daemons of each data centre write theirs. */
+export class SeedRows {
+	/**
+	 * @example
+	 * const seeds = SeedRows.create(table, () => Date.now());
+	 */
+	static create(table: Table, readTimeMs: () => number): SeedRows {
+		return new SeedRows(table, readTimeMs);
+	}
+
+	private constructor(
+		private readonly table: Table,
+		private readonly readTimeMs: () => number,
+	) {}
+
+	/** Announces a daemon as a seed for a while. */
+	write(member: Member): ResultAsync<void, PlatformError> {
+		const {dataCentre, server, instanceId, address, peerPort} = member;
+		const endpoint: Endpoint = {address, peerPort};
+		return this.table.write({
+			kind: 'put',
+			row: {
+				partition: seedPartition,
+				sort: `${dataCentre}/${server}`,
+				revision: instanceId,
+				body: JSON.stringify(endpoint),
+				expiresAtSeconds: Math.ceil(this.readTimeMs() / 1000) + seedLifeSeconds,
+			},
+			condition: {kind: 'none'},
+		});
+	}
+
+	/** Lists the seeds of all data centres; the platform removes old ones late. */
+	list(): ResultAsync<readonly Endpoint[], PlatformError> {
+		return this.table.query(seedPartition, '').map(rows => this.#decodeRows(rows));
+	}
+
+	#decodeRows(rows: readonly TableRow[]): Endpoint[] {
+		const nowSeconds = this.readTimeMs() / 1000;
+		const endpoints: Endpoint[] = [];
+		for (const row of rows) {
+			if ((row.expiresAtSeconds ?? Number.POSITIVE_INFINITY) > nowSeconds) {
+				endpoints.push(JSON.parse(row.body) as Endpoint);
+			}
+		}
+
+		return endpoints;
+	}
+}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -12,7 +12,7 @@
 import {type DaemonSettings} from '../settings/daemon-settings.ts';
 import {type PlatformSection} from '../settings/platform-settings.ts';
 import {AdminTask} from './admin/admin-task.ts';
-import {TableControl} from './control/table-control.ts';
+import {ControlTask} from './control/control-task.ts';
 import {EntryTask} from './entry/entry-task.ts';
 import {GuardTask} from './guard/guard-task.ts';
 import {type ListenerOptions} from './http/listener.ts';
@@ -50,7 +50,7 @@
 	readonly #guard: GuardTask;
 	readonly #entry: EntryTask;
 	readonly #admin: AdminTask;
-	#control: TableControl | undefined;
+	#control: ControlTask | undefined;
 	#isReady = false;
 	#stopping: Promise<void> | undefined;
 	#onStopped: (() => void) | undefined;
@@ -108,16 +108,21 @@
 			this.#createListenerOptions('local', listeners.local_port),
 		);
 		await this.#admin.open(this.#createListenerOptions('admin', listeners.admin_port));
-		this.#control = TableControl.create({
+		this.#control = ControlTask.create({
 			identity: this.#identity,
 			peerPort: this.#guard.port,
+			peerKey: this.#settings.keys.peer,
 			table: this.#platform.table,
 			logger: this.#logger,
 			readGuardState: () => this.#guard.state,
 			send: message => {
 				this.#broadcast(message);
 			},
+			onSuperseded: () => {
+				void this.stop();
+			},
 		});
+		this.#guard.setControlHandler(this.#control.handleRequest);
 		await this.#control.start();
 		this.#isReady = true;
 		const ports = this.#readPorts();
@@ -139,14 +144,14 @@
 	async #runStop(): Promise<void> {
 		this.#logger.info({server: this.#identity.server}, 'daemon is leaving');
 		this.#broadcast({kind: 'leave'});
-		void this.#control?.leave();
+		this.#control?.leave();
 		await wait(leaveGraceMs);
 		this.#broadcast({kind: 'refuse'});
 		while (this.#guard.inFlight + this.#entry.inFlight > 0) {
 			await wait(inFlightPollMs);
 		}
 
-		this.#control?.stop();
+		await this.#control?.stop();
 		await Promise.all([this.#entry.closeCallers(), this.#guard.close(), this.#entry.close()]);
 		this.#admin.close();
 		await this.#platform.close();
--- a/src/daemon/errors.ts
+++ b/src/daemon/errors.ts
@@ -52,3 +52,20 @@
 
 	override readonly name = 'InvariantError';
 }
+
+/** A control message between daemons that did not get through. */
+export class ControlError extends Error {
+	/**
+	 * @example
+	 * ControlError.create('exchange', 'timeout after 400 ms');
+	 */
+	static create(procedure: string, detail: string): ControlError {
+		return new ControlError(`control procedure "${procedure}" failed: ${detail}`);
+	}
+
+	override readonly name = 'ControlError';
+
+	private constructor(message: string) {
+		super(message);
+	}
+}
--- a/src/membership/delta-queue.ts
+++ b/src/membership/delta-queue.ts
@@ -16,8 +16,7 @@
 	/** Number of sends so far by server name, the least sent first within each insertion. */
 	readonly #sends = new Map<string, number>();
 
-	private constructor(private readonly sendsPerDoubling: number) {
-}
+	private constructor(private readonly sendsPerDoubling: number) {}
 
 	get size(): number {
 		return this.#sends.size;
--- a/src/membership/failure-detector.ts
+++ b/src/membership/failure-detector.ts
@@ -21,8 +21,7 @@
 	private constructor(
 		private readonly table: MemberTable,
 		private readonly dataCentre: string,
-	) {
-}
+	) {}
 
 	/** Time that a suspicion stands before the member is declared dead. */
 	get suspicionMs(): number {
--- a/src/membership/outbox.ts
+++ b/src/membership/outbox.ts
@@ -42,8 +42,7 @@
 	readonly #open = new Map<number, Exchange>();
 	#actions: GossipAction[] = [];
 
-	private constructor(private nextId: number) {
-}
+	private constructor(private nextId: number) {}
 
 	/** Sends a request and keeps why it was sent until it is settled. */
 	send(to: Endpoint, request: GossipRequest, exchange: Exchange, timeoutMs: number): void {
--- a/src/membership/peer-choice.ts
+++ b/src/membership/peer-choice.ts
@@ -23,8 +23,7 @@
 		private readonly table: MemberTable,
 		private readonly self: Member,
 		private readonly random: () => number,
-	) {
-}
+	) {}
 
 	/** Picks different members of the own data centre. */
 	pickNear(maxCount: number, canPick: (member: Member) => boolean = () => true): Member[] {
@@ -59,11 +58,14 @@
 		return picked;
 	}
 
-	/** Picks a partner for a comparison of the tables: mostly a near one. */
+	/** Picks a partner for a comparison of the tables: mostly a near one in a large data centre. */
 	pickSyncPartner(): Member | undefined {
-		const draw = this.random();
-		const far = draw < 0.02 ? this.#pickByRegion(false) : this.#pickByRegion(true);
-		return draw < 0.1 && far.length > 0 ? far[0] : (this.pickNear(1)[0] ?? far[0]);
+		const near = this.table.findServers(this.self.dataCentre).size;
+		const {farSyncsPerRound, maxFarSyncShare, otherRegionSyncShare} = gossipLimits;
+		const isFar = this.random() < Math.min(maxFarSyncShare, farSyncsPerRound / near);
+		const far = this.#pickByRegion(this.random() >= otherRegionSyncShare);
+		const [nearPartner] = this.pickNear(1);
+		return isFar ? (far[0] ?? nearPartner) : (nearPartner ?? far[0]);
 	}
 
 	/** Picks a dead member at some ticks, to find out that it is back. */
--- a/src/membership/probe-ring.ts
+++ b/src/membership/probe-ring.ts
@@ -15,8 +15,7 @@
 
 	#waiting: string[] = [];
 
-	private constructor(private readonly random: () => number) {
-}
+	private constructor(private readonly random: () => number) {}
 
 	/** Puts a new member at a random place among those that wait. */
 	add(server: string): void {
--- a/src/membership/reachability.ts
+++ b/src/membership/reachability.ts
@@ -33,8 +33,7 @@
 
 	readonly #contacts = new Map<string, Contact>();
 
-	private constructor(private readonly ownDataCentre: string) {
-}
+	private constructor(private readonly ownDataCentre: string) {}
 
 	/** Notes an answer; true when the data centre counted as cut off. */
 	recordAnswer(dataCentre: string, nowMs: number): boolean {
--- a/src/membership/self.ts
+++ b/src/membership/self.ts
@@ -27,8 +27,7 @@
 	private constructor(
 		private record: Member,
 		private head: PolicyHead,
-	) {
-}
+	) {}
 
 	get member(): Member {
 		return this.record;
--- a/src/membership/settings.ts
+++ b/src/membership/settings.ts
@@ -28,9 +28,16 @@
 	membersPerSync: 64,
 	sendsPerDoubling: 2,
 	syncIntervalMs: 10_000,
+	/** Syncs of one data centre with others in one interval, together. */
+	farSyncsPerRound: 8,
+	maxFarSyncShare: 0.5,
+	/** Share of the far syncs that go to another region. */
+	otherRegionSyncShare: 0.25,
 	/** Syncs in a row while buckets still differ. */
 	maxSyncRounds: 64,
 	seedIntervalMs: 30_000,
+	/** Unknown seeds that are tried at the first ticks after the seeds were read. */
+	promptSeedTries: 3,
 	/** Pings a second from one data centre to the others of its region, together. */
 	regionPingsPerSecond: 4,
 	/** Pings a second from one data centre to the other regions, together. */
--- a/src/membership/survey.ts
+++ b/src/membership/survey.ts
@@ -21,8 +21,7 @@
 	private constructor(
 		private readonly view: LocalView,
 		private readonly outbox: Outbox,
-	) {
-}
+	) {}
 
 	/** Asks for a survey; it starts once the members are known. */
 	schedule(): void {
--- a/src/membership/table-repair.ts
+++ b/src/membership/table-repair.ts
@@ -30,23 +30,27 @@
 	#seeds: readonly Endpoint[] = [];
 	#nextSyncMs = 0;
 	#nextSeedMs = 0;
+	#promptTries = 0;
 
-	private constructor(private readonly parts: TableRepairParts) {
-}
+	private constructor(private readonly parts: TableRepairParts) {}
 
 	get hasSeeds(): boolean {
 		return this.#seeds.length > 0;
 	}
 
+	/** Takes over seeds and tries some of the unknown ones soon. */
 	setSeeds(endpoints: readonly Endpoint[]): void {
 		this.#seeds = endpoints;
+		this.#nextSeedMs = 0;
+		this.#promptTries = gossipLimits.promptSeedTries;
 	}
 
 	/** Starts the comparisons that are due; before the first one ended, with a seed at every tick. */
 	runWhenDue(nowMs: number): void {
 		const {view, random} = this.parts;
 		if (nowMs >= this.#nextSeedMs || !view.self.isJoined) {
-			this.#nextSeedMs = nowMs + gossipLimits.seedIntervalMs;
+			this.#promptTries--;
+			this.#nextSeedMs = nowMs + (this.#promptTries > 0 ? 0 : gossipLimits.seedIntervalMs);
 			this.#syncWithSeed();
 		}
 
