Don't retry a call that failed because one further down was shed

Cause: a server whose child call is shed answers 502, which each hop above took for a fault of that server and tried again elsewhere, so that an overload of a deep service drew up to R times the load through the whole chain, and healthy servers counted as failing. The guard now tells it in primrosevalve-below; the hops above pass the answer on.

Planted fault, seen to fail first: the header ignored (1 test failed).

--- a/src/call/headers.ts
+++ b/src/call/headers.ts
@@ -41,6 +41,8 @@
 	/** The one opaque header that a backend server echoes on its outgoing calls. */
 	context: 'primrosevalve-context',
 	outcome: 'primrosevalve-outcome',
+	/** `overload` on an answer that failed because a call further down was shed. */
+	below: 'primrosevalve-below',
 	reason: 'primrosevalve-reason',
 	server: 'primrosevalve-server',
 	instance: 'primrosevalve-instance',
--- a/src/daemon/entry/attempt-runner.ts
+++ b/src/daemon/entry/attempt-runner.ts
@@ -104,6 +104,7 @@
 		}
 
 		this.#recordResult(attempt, head);
+		this.#recordShedChild(head);
 		if (head.report !== undefined) {
 			this.#entry.recordReport(this.#input.call, this.#input.origin, head.report);
 		}
@@ -137,12 +138,22 @@
 		}
 	}
 
+	/** Tells the parent call that what it needs was shed, so that nobody above tries it again. */
+	#recordShedChild(head: AttemptHead): void {
+		const {origin} = this.#input;
+		const {outcome} = head;
+		const isShed = outcome.kind === 'notRun' && outcome.reason === 'overload';
+		if (origin.kind === 'server' && (isShed || head.isShedBelow)) {
+			origin.parent.recordShedChild();
+		}
+	}
+
 	#recordResult(attempt: Attempt, head: AttemptHead): void {
 		this.#entry.router.recordResult(
 			{
 				member: attempt.input.member,
 				callName: this.#input.call.context.callName,
-				kind: attempt.isCancelled ? 'cancelled' : classifyResult(head),
+				kind: attempt.isCancelled || head.isShedBelow ? 'cancelled' : classifyResult(head),
 				latencyMs: head.latencyMs,
 				bytes: readContentLength(head),
 				...(head.report === undefined ? {} : {report: head.report}),
--- a/src/daemon/entry/attempt.ts
+++ b/src/daemon/entry/attempt.ts
@@ -28,6 +28,8 @@
 	readonly detail: string;
 	readonly latencyMs: number;
 	readonly report: GuardReport | undefined;
+	/** Whether the server failed because a call further down was shed for overload. */
+	readonly isShedBelow: boolean;
 	/** Unspent part of the loan; undefined when the answer was lost. */
 	readonly allowanceLeft: number | undefined;
 	/** Set when the answer can be relayed. */
@@ -100,6 +102,7 @@
 			detail,
 			latencyMs,
 			report: undefined,
+			isShedBelow: false,
 			// A loan that never left this process comes back whole.
 			allowanceLeft: isNotRun ? this.input.context.retryAllowance : undefined,
 			answer: undefined,
@@ -127,6 +130,7 @@
 			detail: `server "${this.input.member.server}"`,
 			latencyMs,
 			report: decodeReport(headers),
+			isShedBelow: headers[headerNames.below] === 'overload',
 			allowanceLeft: readAllowanceLeft(headers[headerNames.allowanceLeft]),
 			answer: outcome.kind === 'answered' ? answer : undefined,
 		};
--- a/src/daemon/entry/entry-call.test.ts
+++ b/src/daemon/entry/entry-call.test.ts
@@ -73,6 +73,23 @@
 	'/refused'(_nth, req, res) {
 		answerWith(res, req, refusal);
 	},
+	/** The server fails since a call further down was shed. */
+	'/shed-below'(_nth, req, res) {
+		res.writeHead(502, {
+			[headerNames.attempt]: String(req.headers[headerNames.attempt]),
+			[headerNames.allowanceLeft]: '0',
+			[headerNames.below]: 'overload',
+		});
+		res.end();
+	},
+	/** The server fails by itself. */
+	'/fails'(_nth, req, res) {
+		res.writeHead(502, {
+			[headerNames.attempt]: String(req.headers[headerNames.attempt]),
+			[headerNames.allowanceLeft]: '0',
+		});
+		res.end();
+	},
 	'/refused-once'(nth, req, res) {
 		answerWith(res, req, nth === 1 ? refusal : {});
 	},
@@ -203,3 +220,12 @@
 	t.is(answer.outcome, 'notRun');
 	t.is(rig.counts.get('/refused'), 2);
 });
+
+test('a call that failed since one further down was shed is not tried again', async t => {
+	const rig = await startRig(t);
+	const shed = await rig.call('GET', '/shed-below');
+	t.is(shed.status, 502);
+	t.is(rig.counts.get('/shed-below'), 1);
+	await rig.call('GET', '/fails');
+	t.true((rig.counts.get('/fails') ?? 0) > 1);
+});
--- a/src/daemon/entry/entry-call.ts
+++ b/src/daemon/entry/entry-call.ts
@@ -129,7 +129,12 @@
 
 	/** Makes attempts until one gives the answer or no other is allowed. */
 	async #runAttempts(): Promise<Outcome> {
-		if (this.#entry.isShedEarly(this.#input.call, this.#input.origin)) {
+		const {origin} = this.#input;
+		if (this.#entry.isShedEarly(this.#input.call, origin)) {
+			if (origin.kind === 'server') {
+				origin.parent.recordShedChild();
+			}
+
 			return this.#refuse({kind: 'notRun', reason: 'overload'}, 'its guards shed such calls');
 		}
 
@@ -141,7 +146,7 @@
 
 			const {head, winner} = await this.#runAttempt(choice.member);
 			this.#recordProof(head);
-			const decision = this.#decide(head.outcome, attempts);
+			const decision = this.#decide(head, attempts);
 			if (decision.kind === 'stop') {
 				return head.answer === undefined
 					? this.#refuse(this.#settleOutcome(head.outcome), head.detail)
@@ -181,7 +186,7 @@
 		return this.#entry.chooseServer(call, excluded, once?.onlyInstanceId);
 	}
 
-	#decide(outcome: Outcome, attempts: number): RetryDecision {
+	#decide({outcome, isShedBelow}: AttemptHead, attempts: number): RetryDecision {
 		const {call} = this.#input;
 		const deadlineLeftMs = call.deadlineAtMs - readMonotonicMs();
 		const available = this.#canSendAgain() ? this.#allowance.available : 0;
@@ -199,7 +204,7 @@
 				deadlineLeftMs,
 				available,
 				untriedServers: router.countUntried(service, this.#tried),
-				isOverloaded: router.isOverloaded(service, readMonotonicMs()),
+				isOverloaded: isShedBelow || router.isOverloaded(service, readMonotonicMs()),
 				expectedMs: router.readUsualMs(service, callName),
 			},
 			Math.random,
--- a/src/daemon/guard/guarded-call.ts
+++ b/src/daemon/guard/guarded-call.ts
@@ -229,6 +229,7 @@
 			this.#response.writeHead(head.status, {
 				...headers,
 				...this.#encodeAnswerHeaders(allowanceLeft),
+				...(this.#isShedBelow(head.status) ? {[headerNames.below]: 'overload'} : {}),
 			});
 		}
 
@@ -240,6 +241,11 @@
 		return head.status >= 500 ? 'failed' : 'answered';
 	}
 
+	/** Whether the server failed the call because a call further down was shed. */
+	#isShedBelow(status: number): boolean {
+		return status >= 500 && this.#running?.hasShedChild === true;
+	}
+
 	#encodeAnswerHeaders(allowanceLeft: number) {
 		const neededRank = this.#running?.neededRank ?? 0;
 		return this.#guard.encodeAnswerHeaders(this.#context, allowanceLeft, neededRank);
--- a/src/daemon/guard/running-calls.ts
+++ b/src/daemon/guard/running-calls.ts
@@ -22,6 +22,7 @@
 	readonly token = randomUUID();
 	readonly #children = new Set<() => void>();
 	#neededRank = 0;
+	#hasShedChild = false;
 
 	private constructor(
 		readonly context: CallContext,
@@ -35,6 +36,15 @@
 		return this.#neededRank;
 	}
 
+	/** Whether a call further down was shed for overload. */
+	get hasShedChild(): boolean {
+		return this.#hasShedChild;
+	}
+
+	recordShedChild(): void {
+		this.#hasShedChild = true;
+	}
+
 	recordNeededRank(rank: number): void {
 		this.#neededRank = Math.max(this.#neededRank, rank);
 	}
