--- a/stand-ins/backend/backend-stand-in.ts
+++ b/stand-ins/backend/backend-stand-in.ts
@@ -220,17 +220,17 @@
 		});
 		const content = Buffer.alloc(Math.max(route.bytes ?? 0, text.length), ' ');
 		content.write(text);
-		response.writeHead(200, {
-			'content-type': 'application/json',
-			'content-length': content.length,
-		});
+		const headers = {'content-type': 'application/json'};
 		if (uniformFloat64(this.#random) < this.#behaviour.truncateShare) {
+			// Without a length only the missing last chunk tells that the body is cut.
+			response.writeHead(200, headers);
 			response.write(content.subarray(0, Math.ceil(content.length / 2)), () => {
 				response.destroy();
 			});
 			return;
 		}
 
+		response.writeHead(200, {...headers, 'content-length': content.length});
 		void this.#sendBody(route, response, content);
 	}
 
