--- a/src/daemon/entry/entry-call.ts
+++ b/src/daemon/entry/entry-call.ts
@@ -8,10 +8,8 @@
 import {type Outcome} from '../../call/types.ts';
 import {type Member} from '../../membership/types.ts';
 import {CallAllowance} from '../../retry/allowance.ts';
-import {choosePerHopRetry} from '../../retry/per-hop-decision.ts';
 import {AllowanceInvariantError} from '../../retry/errors.ts';
-import {chooseHedge, type HedgeDecision} from '../../retry/hedge-decision.ts';
-import {chooseRetry, type RetryDecision} from '../../retry/retry-decision.ts';
+import {type RetryDecision} from '../../retry/retry-decision.ts';
 import {type RetryAllowance} from '../../retry/types.ts';
 import {type RouteChoice} from '../../routing/types.ts';
 import {readMonotonicMs} from '../clock.ts';
@@ -26,6 +24,7 @@
 import {type ClassifiedCall} from './classify-call.ts';
 import {type EntryTask} from './entry-task.ts';
 import {runHedged, type HedgeResult} from './hedged-attempt.ts';
+import {RetryAdvisor} from './retry-advisor.ts';
 
 export type EntryCallInput = {
 	readonly call: ClassifiedCall;
@@ -54,6 +53,7 @@
 	readonly #input: EntryCallInput;
 	readonly #allowance: RetryAllowance;
 	readonly #runner: AttemptRunner;
+	readonly #advisor: RetryAdvisor;
 	readonly #proof: RunProof;
 	readonly #tried = new Set<string>();
 	#relayed: Attempt | undefined;
@@ -70,6 +70,13 @@
 			origin.kind === 'server' && call.retryKind === 'allowance'
 				? origin.parent.allowance
 				: CallAllowance.create(call.context.retryAllowance);
+		this.#advisor = RetryAdvisor.create({
+			call,
+			body,
+			allowance: this.#allowance,
+			router: entry.router,
+			random: Math.random,
+		});
 		this.#runner = AttemptRunner.create(entry, {
 			call,
 			origin,
@@ -146,8 +153,8 @@
 
 			const {head, winner} = await this.#runAttempt(choice.member);
 			this.#recordProof(head);
-			const decision = this.#decide(head, attempts);
-			if (decision.kind === 'stop') {
+			const decision = this.#advisor.chooseNext(head, attempts, this.#tried);
+			if (decision.kind === 'stop' || this.#ended !== 'no') {
 				return head.answer === undefined
 					? this.#refuse(this.#settleOutcome(head.outcome), head.detail)
 					: this.#relay(head, winner.attempt);
@@ -186,35 +193,6 @@
 		return this.#entry.chooseServer(call, excluded, once?.onlyInstanceId);
 	}
 
-	#decide({outcome, isShedBelow}: AttemptHead, attempts: number): RetryDecision {
-		const {call} = this.#input;
-		const deadlineLeftMs = call.deadlineAtMs - readMonotonicMs();
-		const available = this.#canSendAgain() ? this.#allowance.available : 0;
-		if (call.retryKind === 'perHop') {
-			return choosePerHopRetry({outcome, once: call.rule.once, available, deadlineLeftMs});
-		}
-
-		const {service, callName, idempotent} = call.context;
-		const {router} = this.#entry;
-		return chooseRetry(
-			{
-				outcome,
-				idempotent,
-				attempts,
-				deadlineLeftMs,
-				available,
-				untriedServers: router.countUntried(service, this.#tried),
-				isOverloaded: isShedBelow || router.isOverloaded(service, readMonotonicMs()),
-				expectedMs: router.readUsualMs(service, callName),
-			},
-			Math.random,
-		);
-	}
-
-	#canSendAgain(): boolean {
-		return this.#input.body.kind !== 'stream' && this.#ended === 'no';
-	}
-
 	async #waitBeforeRetry(decision: Exclude<RetryDecision, {kind: 'stop'}>): Promise<void> {
 		if (decision.kind === 'again') {
 			this.#tried.clear();
@@ -229,7 +207,7 @@
 	async #runAttempt(member: Member): Promise<HedgeResult> {
 		this.#tried.add(member.server);
 		const first = this.#runner.start(member);
-		const hedge = this.#decideHedge();
+		const hedge = this.#advisor.chooseHedge();
 		if (hedge.kind === 'none') {
 			return {winner: first, head: await first.head};
 		}
@@ -241,24 +219,9 @@
 		});
 	}
 
-	#decideHedge(): HedgeDecision {
-		const {call} = this.#input;
-		const {service, callName, idempotent} = call.context;
-		const {router} = this.#entry;
-		const nowMs = readMonotonicMs();
-		return chooseHedge({
-			isWanted: call.rule.hedge && call.retryKind === 'allowance',
-			idempotent,
-			available: this.#canSendAgain() ? this.#allowance.available : 0,
-			deadlineLeftMs: call.deadlineAtMs - nowMs,
-			isOverloaded: router.isOverloaded(service, nowMs),
-			lateAfterMs: router.readHedgeDelayMs(service, callName),
-		});
-	}
-
 	/** Sends the second attempt of a hedge, unless the service has become overloaded since. */
 	#startHedge(): RunningAttempt | undefined {
-		if (this.#decideHedge().kind === 'none') {
+		if (this.#ended !== 'no' || this.#advisor.chooseHedge().kind === 'none') {
 			return undefined;
 		}
 
--- a/src/routing/service-router.ts
+++ b/src/routing/service-router.ts
@@ -5,6 +5,7 @@
 import {type Member} from '../membership/types.ts';
 import {type Policy} from '../policy/schema.ts';
 import {LinkBudget} from './link-budget.ts';
+import {countAlive, listByService} from './member-lists.ts';
 import {type ServerEntry, type Strictness} from './server-entry.ts';
 import {ServiceGroup, type Location} from './service-group.ts';
 import {pickInTurn, pickOfTwo, type PickInput, type RandomSource} from './two-choices.ts';
@@ -50,7 +51,7 @@
 	 * router.setMembers(members, nowMs);
 	 */
 	setMembers(members: readonly Member[], nowMs: number): void {
-		const byService = groupByService(members);
+		const byService = listByService(members);
 		for (const service of this.#groups.keys()) {
 			if (!byService.has(service)) {
 				this.#groups.delete(service);
@@ -284,26 +285,3 @@
 
 	return {kind: 'server', member: entry.member};
 }
-
-function groupByService(members: readonly Member[]): Map<string, Member[]> {
-	const groups = new Map<string, Member[]>();
-	for (const member of members) {
-		const list = groups.get(member.service);
-		if (list === undefined) {
-			groups.set(member.service, [member]);
-		} else {
-			list.push(member);
-		}
-	}
-
-	return groups;
-}
-
-function countAlive(members: readonly Member[], region: string): number {
-	let count = 0;
-	for (const member of members) {
-		count += member.region === region && member.state !== 'dead' ? 1 : 0;
-	}
-
-	return count;
-}
