Reserve the usual bytes of a call on the region link, and count requests

Cause: the entry told 0 expected bytes, so that calls in flight took the link beyond its budget until their answers were counted. The router now reserves the mean bytes of the kind of call (at least 1000, at most one burst) and counts request and answer. Answers without content-length count as 1000 bytes; that is left. Contract: RouteRequest has callName and requestBytes in place of expectedBytes. Test changed: the larger-answer test waits for the room that such answers need by now (8 s in place of 4 s), which is stricter. Planted fault, seen to fail first: only the request's bytes reserved (see the new test).

--- a/bench/routing-trial.ts
+++ b/bench/routing-trial.ts
@@ -81,7 +81,8 @@
 		service: 'catalogue',
 		importance: importance.normal,
 		needs: [],
-		expectedBytes: 0,
+		callName: 'status',
+		requestBytes: 0,
 		excluded: new Set<string>(),
 	};
 	return {
--- a/src/daemon/entry/attempt-runner.ts
+++ b/src/daemon/entry/attempt-runner.ts
@@ -2,7 +2,7 @@
  * Starts the attempts of one call, settles their loans and tells the router how they ended.
  */
 import {randomUUID} from 'node:crypto';
-import {type IncomingMessage} from 'node:http';
+import {type IncomingHttpHeaders, type IncomingMessage} from 'node:http';
 import {type OnceTicket} from '../../call/types.ts';
 import {type Member} from '../../membership/types.ts';
 import {type RetryAllowance} from '../../retry/types.ts';
@@ -155,7 +155,7 @@
 				callName: this.#input.call.context.callName,
 				kind: attempt.isCancelled || head.isShedBelow ? 'cancelled' : classifyResult(head),
 				latencyMs: head.latencyMs,
-				bytes: readContentLength(head),
+				bytes: readBodyLength(this.#input.request) + readContentLength(head.answer?.headers),
 				...(head.report === undefined ? {} : {report: head.report}),
 			},
 			readMonotonicMs(),
@@ -180,7 +180,18 @@
 	}
 }
 
-function readContentLength(head: AttemptHead): number {
-	const length = Number(head.answer?.headers['content-length'] ?? 0);
+/**
+ * Reads the length of a request's body as its headers tell it.
+ *
+ * @returns bytes; 0 for a body of unknown length
+ * @example
+ * const bytes = readBodyLength(request);
+ */
+export function readBodyLength(request: IncomingMessage): number {
+	return readContentLength(request.headers);
+}
+
+function readContentLength(headers: IncomingHttpHeaders | undefined): number {
+	const length = Number(headers?.['content-length'] ?? 0);
 	return Number.isSafeInteger(length) ? length : 0;
 }
--- a/src/daemon/entry/entry-call.ts
+++ b/src/daemon/entry/entry-call.ts
@@ -19,7 +19,12 @@
 import {convertToEndToEnd} from '../http/request-headers.ts';
 import {relayAndCollect} from '../once/answer-collector.ts';
 import {type Attempt, type AttemptHead} from './attempt.ts';
-import {AttemptRunner, type OnceSending, type RunningAttempt} from './attempt-runner.ts';
+import {
+	AttemptRunner,
+	readBodyLength,
+	type OnceSending,
+	type RunningAttempt,
+} from './attempt-runner.ts';
 import {type CallOrigin} from './call-origin.ts';
 import {type ClassifiedCall} from './classify-call.ts';
 import {type EntryTask} from './entry-task.ts';
@@ -190,7 +195,8 @@
 	#chooseServer(): RouteChoice {
 		const {call, once} = this.#input;
 		const excluded = call.retryKind === 'perHop' ? noServers : this.#tried;
-		return this.#entry.chooseServer(call, excluded, once?.onlyInstanceId);
+		const bytes = readBodyLength(this.#input.request);
+		return this.#entry.chooseServer(call, excluded, bytes, once?.onlyInstanceId);
 	}
 
 	async #waitBeforeRetry(decision: Exclude<RetryDecision, {kind: 'stop'}>): Promise<void> {
--- a/src/daemon/entry/entry-task.ts
+++ b/src/daemon/entry/entry-task.ts
@@ -168,6 +168,7 @@
 	chooseServer(
 		call: ClassifiedCall,
 		excluded: ReadonlySet<string>,
+		requestBytes: number,
 		onlyInstanceId?: string,
 	): RouteChoice {
 		return this.router.choose(
@@ -175,7 +176,8 @@
 				service: call.context.service,
 				importance: call.context.importance,
 				needs: call.rule.needs,
-				expectedBytes: 0,
+				callName: call.context.callName,
+				requestBytes,
 				excluded,
 				...(onlyInstanceId === undefined ? {} : {onlyInstanceId}),
 			},
--- a/src/routing/call-kind.ts
+++ b/src/routing/call-kind.ts
@@ -22,6 +22,7 @@
 
 	readonly #lateness = LatencyQuantile.create(hedgeQuantile);
 	#meanMs = 0;
+	#meanBytes = 0;
 	#samples = 0;
 
 	private constructor() {
@@ -33,20 +34,27 @@
 		return this.#meanMs;
 	}
 
+	/** Exponentially weighted mean of the bytes that a call moves; 0 until measured. */
+	get meanBytes(): number {
+		return this.#meanBytes;
+	}
+
 	/** Milliseconds within which 95 of 100 answers came; undefined until enough was measured. */
 	get hedgeDelayMs(): number | undefined {
 		return this.#lateness.valueMs;
 	}
 
 	/**
-	 * Adds the latency of one answer.
+	 * Adds one answer.
 	 *
 	 * @example
-	 * kind.record(12.5);
+	 * kind.record(12.5, 2048);
 	 */
-	record(latencyMs: number): void {
+	record(latencyMs: number, bytes: number): void {
 		this.#samples += 1;
-		this.#meanMs += Math.max(meanWeight, 1 / this.#samples) * (latencyMs - this.#meanMs);
+		const weight = Math.max(meanWeight, 1 / this.#samples);
+		this.#meanMs += weight * (latencyMs - this.#meanMs);
+		this.#meanBytes += weight * (bytes - this.#meanBytes);
 		this.#lateness.record(latencyMs);
 	}
 
--- a/src/routing/fixtures.ts
+++ b/src/routing/fixtures.ts
@@ -48,7 +48,8 @@
 	service: 'catalogue',
 	importance: importance.normal,
 	needs: [],
-	expectedBytes: 1000,
+	callName: 'status',
+	requestBytes: 1000,
 	excluded: new Set(),
 };
 
--- a/src/routing/service-group.ts
+++ b/src/routing/service-group.ts
@@ -183,7 +183,7 @@
 		}
 
 		if (result.kind === 'answered') {
-			kind.record(result.latencyMs);
+			kind.record(result.latencyMs, result.bytes);
 			this.#longestMs = Math.max(this.#longestMs * longestKept, kind.meanMs);
 		}
 
--- a/src/routing/service-router.test.ts
+++ b/src/routing/service-router.test.ts
@@ -76,8 +76,19 @@
 	const router = createRouter([remote], policy);
 	t.is(chooseServer(router, 0), 'o1');
 	finish(router, remote, 0, {bytes: 8000});
-	t.is(chooseServer(router, 3000), 'link-budget');
-	t.is(chooseServer(router, 4100), 'o1');
+	t.is(chooseServer(router, 7900), 'link-budget');
+	t.is(chooseServer(router, 8100), 'o1');
+});
+
+test('the link budget reserves what answers of the kind usually have', t => {
+	const policy = createPolicy({otherRegion: true}, {link: {bitsPerSecond: 80_000, callShare: 1}});
+	const router = createRouter([remote], policy);
+	t.is(chooseServer(router, 0), 'o1');
+	finish(router, remote, 0, {bytes: 20_000});
+	// 10,000 bytes a second, and 5 seconds of it saved up: one more of 20,000 fits, two don't.
+	t.is(chooseServer(router, 0), 'o1');
+	t.is(chooseServer(router, 0), 'link-budget');
+	t.is(chooseServer(router, 0, {callName: 'short'}), 'o1');
 });
 
 test('leaving, dead and draining servers get nothing', t => {
--- a/src/routing/service-router.ts
+++ b/src/routing/service-router.ts
@@ -20,6 +20,8 @@
 type ServiceRule = {readonly otherRegion: boolean; readonly maxEjectedShare: number};
 
 const defaultRule: ServiceRule = {otherRegion: false, maxEjectedShare: 0.3};
+/** Bytes of the headers of a call and its answer, reserved before anything is measured. */
+const minCallBytes = 1000;
 const defaultLink = {bitsPerSecond: 30_000_000, callShare: 0.8} as const;
 
 /** Two random choices by cost, near servers first, with ejection, slow start and a link budget. */
@@ -144,7 +146,7 @@
 		if (member.region !== this.options.region) {
 			const reserved = entry.reservedBytes / Math.max(1, entry.inFlight);
 			entry.reservedBytes -= reserved;
-			this.#budget.spend(bytes - reserved);
+			this.#budget.spend(Math.max(minCallBytes, bytes) - reserved);
 		}
 
 		group.recordResult(entry, result, nowMs, this.#readRule(member.service).maxEjectedShare);
@@ -214,14 +216,18 @@
 			return home;
 		}
 
-		if (!this.#budget.hasRoom(request.expectedBytes, nowMs)) {
+		const usualBytes = group.findKind(request.callName)?.meanBytes ?? 0;
+		const usual = Math.max(minCallBytes, request.requestBytes, usualBytes);
+		// A call larger than the whole burst must get through once the bucket is full.
+		const expectedBytes = Math.min(this.#budget.burstBytes, usual);
+		if (!this.#budget.hasRoom(expectedBytes, nowMs)) {
 			return undefined;
 		}
 
 		const remote = this.#pickInTier(group.remote, input);
 		if (remote !== undefined) {
-			remote.reservedBytes += request.expectedBytes;
-			this.#budget.spend(request.expectedBytes);
+			remote.reservedBytes += expectedBytes;
+			this.#budget.spend(expectedBytes);
 		}
 
 		return remote;
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -7,11 +7,13 @@
 
 export type RouteRequest = {
 	readonly service: string;
+	/** Name of the policy's call rule. */
+	readonly callName: string;
 	readonly importance: Importance;
 	/** Services further down that the call is known to need. */
 	readonly needs: readonly string[];
-	/** Bytes that the call is expected to move over a region link. */
-	readonly expectedBytes: number;
+	/** Bytes of the request's body; the router adds what answers of the kind usually have. */
+	readonly requestBytes: number;
 	/** Names of servers that were tried before. */
 	readonly excluded: ReadonlySet<string>;
 	/** When set, only this daemon instance may be chosen. */
@@ -30,6 +32,7 @@
 	readonly kind: 'answered' | 'refused' | 'failed' | 'unreachable' | 'cancelled';
 	/** Milliseconds from sending to the answer's head. */
 	readonly latencyMs: number;
+	/** Bytes that the attempt moved, request and answer. */
 	readonly bytes: number;
 	readonly report?: GuardReport;
 };
