--- a/bench/harness/small-bed.ts
+++ b/bench/harness/small-bed.ts
@@ -7,7 +7,7 @@
 
 const leafRoutes: readonly Route[] = [
 	{method: 'GET', path: '/short', serviceMs: 2, bytes: 256},
-	{method: 'GET', path: '/slow', serviceMs: 2500, bytes: 256},
+	{method: 'POST', path: '/slow', serviceMs: 2500, bytes: 256},
 	{method: 'GET', path: '/stream', serviceMs: 1, bytes: 100_000, sendMs: 2000},
 	{method: 'POST', path: '/echo', serviceMs: 1, bytes: 64},
 ];
--- a/bench/path.test.ts
+++ b/bench/path.test.ts
@@ -156,7 +156,7 @@
 		ports: [entry.ports.caller],
 		seed: 1,
 		kinds: [
-			{name: 'slow', method: 'GET', path: '/leaf/slow', ratePerSecond: 8, timeoutMs: 20_000},
+			{name: 'slow', method: 'POST', path: '/leaf/slow', ratePerSecond: 8, timeoutMs: 20_000},
 			{
 				name: 'echo',
 				method: 'POST',
