Shed early by measured outcomes in place of the guards' ranks

Cause: the rank loop swung.

Each entry now counts how its own calls of a kind and importance ended and lets through 1.1 times what was answered, more as refusals end. A guard's answer tells when a child call met an overload. The reported level is whole again and has a gap between closing and opening.

--- a/src/admission/adaptive-admission.ts
+++ b/src/admission/adaptive-admission.ts
@@ -135,7 +135,7 @@
 		const nowMs = this.clock.readNowMs();
 		this.#shedExpired(nowMs);
 		return {
-			...this.#level.read(nowMs),
+			admissionLevel: this.#level.read(nowMs),
 			slotsInUse: this.#slotsInUse,
 			slotLimit: this.#limit.limit,
 			queued: this.#waiting.waiting,
--- a/src/admission/admission-level.ts
+++ b/src/admission/admission-level.ts
@@ -1,19 +1,15 @@
 /**
- * Admission level of a guard: the rank below which entries shed calls early.
+ * Admission level of a guard: the least importance of which it still admits a fair part.
  *
- * The rank is a whole importance plus the share of that importance's calls to shed. It rises with the share
- * that the guard itself has to shed, and falls back ever faster while nothing is shed.
+ * The level rises past an importance of which nearly all was shed for overload, and falls by one with each window
+ * in which half of the next lower importance got through or none of it came. The gap keeps it from swinging.
  */
 import {importance, type Importance} from '../call/types.ts';
 
-const windowMs = 100;
-/** Shed shares up to this are left to the guard's queue. */
-const toleratedShare = 0.02;
-const firstFall = 0.05;
-/** Fall per window, in levels, at most; with it the level opens fully within about a second. */
-const maxFall = 0.8;
-/** A class is closed as a whole when less than this share of it is admitted. */
-const leastShare = 0.05;
+const windowMs = 200;
+const closedShare = 0.9;
+const openShare = 0.5;
+const minArrivals = 3;
 const levelCount = 5;
 
 /** Derives the level from arrivals and overload sheds, in windows of fixed length. */
@@ -26,9 +22,8 @@
 		return new AdmissionLevel();
 	}
 
-	#rank = 0;
-	#fall = firstFall;
-	#window: number | undefined;
+	#level: Importance = importance.background;
+	#window = 0;
 	readonly #arrivals: number[];
 	readonly #sheds: number[];
 
@@ -47,67 +42,43 @@
 		this.#sheds[level]!++;
 	}
 
-	/** Reads the least importance admitted and the share of it that is to be shed. */
-	read(nowMs: number): {readonly admissionLevel: Importance; readonly shedShare: number} {
+	/** Reads the least importance admitted at present. */
+	read(nowMs: number): Importance {
 		this.#advance(nowMs);
-		const admissionLevel = Math.min(importance.critical, Math.floor(this.#rank)) as Importance;
-		return {admissionLevel, shedShare: Math.min(1, this.#rank - admissionLevel)};
+		return this.#level;
 	}
 
-	/** Closes the windows that have passed. */
+	/** Closes the windows that have passed; empty ones lower the level too. */
 	#advance(nowMs: number): void {
 		const window = Math.floor(nowMs / windowMs);
-		if (this.#window === undefined) {
-			this.#window = window;
-			return;
-		}
-
-		if (window <= this.#window) {
-			return;
-		}
-
-		this.#closeWindow();
-		for (let empty = this.#window + 1; empty < window && this.#rank > 0; empty++) {
-			this.#lower();
-		}
-
+		const passed = Math.min(levelCount, window - this.#window);
 		this.#window = window;
+		for (let closed = 0; closed < passed; closed++) {
+			this.#level = this.#computeNext();
+			this.#arrivals.fill(0);
+			this.#sheds.fill(0);
+		}
 	}
 
-	#closeWindow(): void {
-		const shed = this.#findHighestShed();
-		if (shed === undefined) {
-			this.#lower();
-		} else {
-			this.#raise(shed);
+	#computeNext(): Importance {
+		let next: number = this.#level;
+		while (next < importance.critical && this.#isClosed(next)) {
+			next++;
 		}
 
-		this.#arrivals.fill(0);
-		this.#sheds.fill(0);
-	}
-
-	/** Finds the highest importance of which more than the tolerated share was shed. */
-	#findHighestShed(): Importance | undefined {
-		for (let level = levelCount - 1; level >= 0; level--) {
-			if (this.#sheds[level]! > toleratedShare * this.#arrivals[level]!) {
-				return level as Importance;
-			}
+		if (next === this.#level && next > importance.background && this.#isOpen(next - 1)) {
+			next--;
 		}
 
-		return undefined;
+		return next as Importance;
 	}
 
-	#raise(level: Importance): void {
-		this.#fall = firstFall;
-		const share = Math.min(1, this.#sheds[level]! / Math.max(1, this.#arrivals[level]!));
-		const before = Math.max(0, Math.min(1, this.#rank - level));
-		const after = 1 - (1 - before) * (1 - share);
-		const rank = level + (after > 1 - leastShare ? 1 : after);
-		this.#rank = Math.max(this.#rank, Math.min(rank, importance.critical));
+	#isClosed(level: number): boolean {
+		const arrivals = this.#arrivals[level]!;
+		return arrivals >= minArrivals && this.#sheds[level]! >= closedShare * arrivals;
 	}
 
-	#lower(): void {
-		this.#rank = Math.max(0, this.#rank - this.#fall);
-		this.#fall = Math.min(maxFall, this.#fall * 2);
+	#isOpen(level: number): boolean {
+		return this.#sheds[level]! <= (1 - openShare) * this.#arrivals[level]!;
 	}
 }
--- a/src/admission/early-shedder.ts
+++ b/src/admission/early-shedder.ts
@@ -1,62 +1,75 @@
 /**
- * Sheds calls at the entry that a guard further down would shed anyway, before work is spent on them.
+ * Sheds calls at the entry that would be shed further down, before any work is spent on them.
  *
- * Each guard reports a rank: the least importance it admits plus the share of that importance it sheds. All
- * entries shed the same calls, since the share is compared with a number derived from the request id: a call
- * that is let through at one hop is let through at the next.
+ * The entry counts how its own calls ended, for each kind of call and importance, and lets little more through
+ * than what was answered of late. Since guards shed the least important first, only what they shed is held back.
+ * The share let through grows quickly once refusals end, so the entry opens by itself.
  */
-import {type GuardReport, type Importance} from '../call/types.ts';
-
-/** Reports older than this no longer count. */
-const expireAfterMs = 1000;
-/** Share of the calls below the rank that go through, so that guards see demand while they are closed. */
-const probeShare = 0.01;
-
-/** Weight of a new rank in the mean over the answers to one kind of call. */
-const neededWeight = 0.1;
-
-type RankReport = {rank: number; atMs: number};
-
-export type EarlyShedRequest = {
-	readonly requestId: string;
-	readonly importance: Importance;
+import {type Importance} from '../call/types.ts';
+
+/** Time constant of the counts. */
+const memoryMs = 500;
+/** Calls let through per answered call while refusals go on. */
+const steadyFactor = 1.1;
+/** What the factor gains when there are no refusals. */
+const openingFactor = 1.5;
+/** Share of refusals among the calls let through at which the factor is the steady one. */
+const steadyRefusedShare = 0.1;
+/** Share of the calls that always goes through, so that a closed kind opens again. */
+const probeShare = 0.02;
+/** Fewer calls than this within the memory are no measure. */
+const minCalls = 4;
+const maxKinds = 4096;
+
+/** Names what is counted together. */
+export type EarlyShedKind = {
 	readonly service: string;
 	readonly callName: string;
-	/** Services further down that the call is known to need. */
-	readonly needs: readonly string[];
+	readonly importance: Importance;
 };
 
-/** Names of the servers that could take a call, by service. */
-export type ServiceServers = ReadonlyMap<string, readonly string[]>;
-
-/**
- * Computes a number from 0 to 1 that is the same for a request at every hop.
- *
- * @example
- * const share = computeRequestShare('0b5c…');
- */
-export function computeRequestShare(requestId: string): number {
-	let hash = 2_166_136_261;
-	for (let index = 0; index < requestId.length; index++) {
-		// FNV-1a with a final mix, in 32 bits.
-		// eslint-disable-next-line no-bitwise
-		hash = Math.imul(hash ^ requestId.codePointAt(index)!, 16_777_619);
-	}
+/** How a call ended, as far as load is concerned. */
+export type LoadOutcome =
+	| 'answered'
+	/** Refused for overload, here or further down, or too late. */
+	| 'overloaded'
+	/** Says nothing about load. */
+	| 'other';
+
+/** Counts that decay with time. */
+type Counts = {answered: number; overloaded: number; held: number; atMs: number};
+
+/** Lowers the counts by the time that has passed. */
+function updateCounts(counts: Counts, nowMs: number): void {
+	const factor = Math.exp((counts.atMs - nowMs) / memoryMs);
+	counts.answered *= factor;
+	counts.overloaded *= factor;
+	counts.held *= factor;
+	counts.atMs = nowMs;
+}
 
-	// eslint-disable-next-line no-bitwise
-	hash = Math.imul(hash ^ (hash >>> 15), 2_246_822_507);
-	// eslint-disable-next-line no-bitwise
-	return ((hash ^ (hash >>> 13)) >>> 0) / 4_294_967_296;
+/** Share of the calls let through that were refused; 0 without calls. */
+function computeRefusedShare(counts: Counts): number {
+	const sent = counts.answered + counts.overloaded;
+	return sent < 1 ? 0 : counts.overloaded / sent;
 }
 
-function isExpired(report: RankReport, nowMs: number): boolean {
-	return nowMs - report.atMs > expireAfterMs;
+/** Computes the share of calls to hold back. */
+function computeHeldShare(counts: Counts): number {
+	const all = counts.answered + counts.overloaded + counts.held;
+	if (all < minCalls) {
+		return 0;
+	}
+
+	const calm = Math.max(0, 1 - computeRefusedShare(counts) / steadyRefusedShare);
+	const allowed = (steadyFactor + openingFactor * calm) * counts.answered + probeShare * all;
+	return Math.max(0, 1 - allowed / all);
 }
 
-/** Keeps the latest ranks of the servers and decides on calls. */
+/** Keeps the counts of one entry. Times are milliseconds of the monotonic clock. */
 export class EarlyShedder {
 	/**
-	 * @param random - uniform numbers from 0 to 1, for the probes
+	 * @param random - uniform numbers from 0 to 1
 	 * @example
 	 * const shedder = EarlyShedder.create(Math.random);
 	 */
@@ -65,88 +78,77 @@
 	}
 
 	readonly #random: () => number;
-	/** Latest ranks by server. */
-	readonly #ranks = new Map<string, RankReport>();
-	/** Mean ranks further down by kind of call. */
-	readonly #needed = new Map<string, RankReport>();
-	#servers: ServiceServers = new Map();
+	readonly #kinds = new Map<string, Counts>();
 
 	private constructor(random: () => number) {
 		this.#random = random;
 	}
 
-	/** Replaces the servers; reports of others are forgotten. */
-	setServers(servers: ServiceServers): void {
-		this.#servers = servers;
-		const known = new Set([...servers.values()].flat());
-		for (const server of this.#ranks.keys()) {
-			if (!known.has(server)) {
-				this.#ranks.delete(server);
-			}
+	/** Decides on a call before it is sent; a call that is held back is counted. */
+	isShed(kind: EarlyShedKind, nowMs: number): boolean {
+		const counts = this.#kinds.get(formatKind(kind));
+		if (counts === undefined) {
+			return false;
 		}
-	}
-
-	/**
-	 * Notes what a guard reported with an answer.
-	 *
-	 * @returns the rank that the call met there and further down
-	 */
-	recordReport(service: string, callName: string, report: GuardReport, nowMs: number): number {
-		const rank = report.admissionLevel + report.shedShare;
-		this.#ranks.set(report.server, {rank, atMs: nowMs});
-		this.#recordNeeded(`${service}/${callName}`, report.neededRank, nowMs);
-		return Math.max(rank, report.neededRank);
-	}
 
-	/** Whether a call is to be refused as `overload` before it is sent. */
-	isShed(request: EarlyShedRequest, nowMs: number): boolean {
-		const rank = this.#computeCallRank(request, nowMs);
-		if (request.importance >= rank) {
+		updateCounts(counts, nowMs);
+		const share = computeHeldShare(counts);
+		if (share === 0 || this.#random() >= share) {
 			return false;
 		}
 
-		const isBelow = request.importance + computeRequestShare(request.requestId) < rank;
-		return isBelow && this.#random() >= probeShare;
+		counts.held++;
+		return true;
 	}
 
-	/**
-	 * Computes the rank of a service: the least among the servers that could take a call.
-	 *
-	 * A server without a fresh report counts as open, so one closed server does not close its service.
-	 */
-	computeServiceRank(service: string, nowMs: number): number {
-		let least = Number.POSITIVE_INFINITY;
-		for (const server of this.#servers.get(service) ?? []) {
-			const report = this.#ranks.get(server);
-			if (report === undefined || isExpired(report, nowMs)) {
-				return 0;
+	/** Counts the end of a call that was sent. */
+	recordOutcome(kind: EarlyShedKind, outcome: LoadOutcome, nowMs: number): void {
+		const counts = this.#readOrAdd(formatKind(kind), nowMs);
+		updateCounts(counts, nowMs);
+		switch (outcome) {
+			case 'answered': {
+				counts.answered++;
+				break;
 			}
 
-			least = Math.min(least, report.rank);
-		}
+			case 'overloaded': {
+				counts.overloaded++;
+				break;
+			}
 
-		return Number.isFinite(least) ? least : 0;
+			case 'other': {
+				break;
+			}
+		}
 	}
 
-	#computeCallRank(request: EarlyShedRequest, nowMs: number): number {
-		const {service, callName, needs} = request;
-		let rank = this.computeServiceRank(service, nowMs);
-		for (const needed of needs) {
-			rank = Math.max(rank, this.computeServiceRank(needed, nowMs));
+	/** Whether calls of a kind are refused at present more often than the entry provokes by itself. */
+	isOverloaded(kind: EarlyShedKind, nowMs: number): boolean {
+		const counts = this.#kinds.get(formatKind(kind));
+		if (counts === undefined) {
+			return false;
 		}
 
-		const further = this.#needed.get(`${service}/${callName}`);
-		return further === undefined || isExpired(further, nowMs) ? rank : Math.max(rank, further.rank);
+		updateCounts(counts, nowMs);
+		return counts.overloaded >= 1 && computeRefusedShare(counts) > steadyRefusedShare / 2;
 	}
 
-	#recordNeeded(call: string, rank: number, nowMs: number): void {
-		const known = this.#needed.get(call);
-		if (known === undefined || isExpired(known, nowMs)) {
-			this.#needed.set(call, {rank, atMs: nowMs});
-			return;
+	#readOrAdd(name: string, nowMs: number): Counts {
+		const known = this.#kinds.get(name);
+		if (known !== undefined) {
+			return known;
 		}
 
-		known.rank += (rank - known.rank) * neededWeight;
-		known.atMs = nowMs;
+		if (this.#kinds.size >= maxKinds) {
+			this.#kinds.clear();
+		}
+
+		const added: Counts = {answered: 0, overloaded: 0, held: 0, atMs: nowMs};
+		this.#kinds.set(name, added);
+		return added;
 	}
 }
+
+function formatKind(kind: EarlyShedKind): string {
+	return `${kind.service}/${kind.callName}/${kind.importance}`;
+}
--- a/src/admission/fixed-admission.ts
+++ b/src/admission/fixed-admission.ts
@@ -82,7 +82,6 @@
 	readReport(): AdmissionReport {
 		return {
 			admissionLevel: importance.background,
-			shedShare: 0,
 			slotsInUse: this.#slotsInUse,
 			slotLimit: this.#queue.concurrency,
 			queued: this.#requests.size - this.#slotsInUse,
--- a/src/admission/types.ts
+++ b/src/admission/types.ts
@@ -32,8 +32,6 @@
 export type AdmissionReport = {
 	/** Least importance that is admitted at present. */
 	readonly admissionLevel: Importance;
-	/** Share, from 0 to 1, of the calls of just that importance which entries shed early. */
-	readonly shedShare: number;
 	readonly slotsInUse: number;
 	readonly slotLimit: number;
 	readonly queued: number;
--- a/src/call/headers.ts
+++ b/src/call/headers.ts
@@ -42,8 +42,7 @@
 	server: 'primrosevalve-server',
 	instance: 'primrosevalve-instance',
 	level: 'primrosevalve-level',
-	shedShare: 'primrosevalve-shed-share',
-	neededRank: 'primrosevalve-needed-rank',
+	overloadedBelow: 'primrosevalve-overloaded-below',
 	slotsInUse: 'primrosevalve-slots-in-use',
 	slotLimit: 'primrosevalve-slot-limit',
 	queued: 'primrosevalve-queued',
@@ -53,9 +52,6 @@
 
 const maxDeadlineMs = 3_600_000;
 const maxAllowance = 1000;
-/** Shares and ranks travel as whole thousandths. */
-const thousandths = 1000;
-const maxRank = importance.critical + 1;
 const guardStates: readonly GuardState[] = ['cold', 'serving', 'draining'];
 const reasonTexts: ReadonlySet<string> = new Set(Object.values(notRunReasons));
 
@@ -82,15 +78,6 @@
 	return value as Importance | undefined;
 }
 
-/** Reads a fraction from 0 to `max`; 0 where it is missing or malformed. */
-function readThousandths(headers: IncomingHttpHeaders, name: string, max: number): number {
-	return (readCount(headers, name, max * thousandths) ?? 0) / thousandths;
-}
-
-function formatThousandths(value: number): string {
-	return String(Math.round(value * thousandths));
-}
-
 /** Reads the once claim, if the call has one. */
 function readOnceTicket(headers: IncomingHttpHeaders): OnceTicket | undefined {
 	const key = readText(headers, headerNames.onceKey);
@@ -196,8 +183,7 @@
 		[headerNames.server]: report.server,
 		[headerNames.instance]: report.instanceId,
 		[headerNames.level]: String(report.admissionLevel),
-		[headerNames.shedShare]: formatThousandths(report.shedShare),
-		[headerNames.neededRank]: formatThousandths(report.neededRank),
+		[headerNames.overloadedBelow]: report.isOverloadedBelow ? '1' : '0',
 		[headerNames.slotsInUse]: String(report.slotsInUse),
 		[headerNames.slotLimit]: String(report.slotLimit),
 		[headerNames.queued]: String(report.queued),
@@ -230,8 +216,7 @@
 		server,
 		instanceId,
 		admissionLevel,
-		shedShare: readThousandths(headers, headerNames.shedShare, 1),
-		neededRank: readThousandths(headers, headerNames.neededRank, maxRank),
+		isOverloadedBelow: headers[headerNames.overloadedBelow] === '1',
 		slotsInUse: readCount(headers, headerNames.slotsInUse, maxDeadlineMs) ?? 0,
 		slotLimit: readCount(headers, headerNames.slotLimit, maxDeadlineMs) ?? 0,
 		queued: readCount(headers, headerNames.queued, maxDeadlineMs) ?? 0,
--- a/src/call/types.ts
+++ b/src/call/types.ts
@@ -88,10 +88,8 @@
 	readonly instanceId: string;
 	/** Least importance that the guard admits at present. */
 	readonly admissionLevel: Importance;
-	/** Share, from 0 to 1, of the calls of exactly that importance which entries shed early. */
-	readonly shedShare: number;
-	/** Highest rank, level plus share, of the services that the answered call needed further down. */
-	readonly neededRank: number;
+	/** Whether a call that the answered call made further down was refused for overload. */
+	readonly isOverloadedBelow: boolean;
 	readonly slotsInUse: number;
 	readonly slotLimit: number;
 	readonly queued: number;
--- a/src/daemon/entry/entry-call.ts
+++ b/src/daemon/entry/entry-call.ts
@@ -4,6 +4,7 @@
 import {randomUUID} from 'node:crypto';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {setTimeout as wait} from 'node:timers/promises';
+import {type LoadOutcome} from '../../admission/early-shedder.ts';
 import {headerNames} from '../../call/headers.ts';
 import {type Outcome} from '../../call/types.ts';
 import {type Member} from '../../membership/types.ts';
@@ -54,6 +55,8 @@
 	readonly #tried = new Set<string>();
 	#attempt: Attempt | undefined;
 	#ended: 'no' | 'deadline' | 'cancelled' = 'no';
+	/** Whether the last attempt met an overload here or further down. */
+	#isOverloadedBelow = false;
 
 	private constructor(entry: EntryTask, input: EntryCallInput) {
 		this.#entry = entry;
@@ -90,7 +93,7 @@
 			}
 		});
 		try {
-			return await this.#runAttempts();
+			return this.#recordLoad(await this.#runAttempts());
 		} finally {
 			clearTimeout(timer);
 			removeChild?.();
@@ -107,6 +110,22 @@
 		this.#attempt?.cancel();
 	}
 
+	/** Counts the end of the call for early shedding, and tells a parent call of an overload. */
+	#recordLoad(outcome: Outcome): Outcome {
+		const {call, origin} = this.#input;
+		if (this.#attempt === undefined || this.#ended === 'cancelled') {
+			return outcome;
+		}
+
+		const load = classifyLoad(outcome, this.#isOverloadedBelow, this.#ended === 'deadline');
+		this.#entry.recordLoadOutcome(call, load);
+		if (load === 'overloaded' && origin.kind === 'server') {
+			origin.parent.recordOverloadBelow();
+		}
+
+		return outcome;
+	}
+
 	/** Makes attempts until one gives the answer or no other is allowed. */
 	async #runAttempts(): Promise<Outcome> {
 		if (this.#entry.isShedEarly(this.#input.call, this.#input.origin)) {
@@ -171,7 +190,7 @@
 				deadlineLeftMs,
 				available,
 				untriedServers: 1,
-				isOverloaded: false,
+				isOverloaded: this.#isOverloadedBelow || this.#entry.isOverloaded(call),
 				expectedMs: 0,
 			},
 			Math.random,
@@ -213,10 +232,7 @@
 			this.#settleLoan(attemptId, head.allowanceLeft);
 		}
 
-		if (head.report !== undefined) {
-			this.#entry.recordReport(call, this.#input.origin, head.report);
-		}
-
+		this.#isOverloadedBelow = isOverload(head);
 		this.#recordResult(member, head);
 		return head;
 	}
@@ -310,6 +326,33 @@
 	}
 }
 
+/** Whether an attempt was refused for overload by its guard, or failed by an overload further down. */
+function isOverload(head: AttemptHead): boolean {
+	switch (head.outcome.kind) {
+		case 'answered': {
+			return head.outcome.status >= 500 && (head.report?.isOverloadedBelow ?? false);
+		}
+
+		case 'notRun': {
+			return head.outcome.reason === 'overload' || head.outcome.reason === 'deadline';
+		}
+
+		case 'unknown':
+		case 'failed': {
+			return head.report?.isOverloadedBelow ?? false;
+		}
+	}
+}
+
+/** Sorts the end of a call by what it says about load. */
+function classifyLoad(outcome: Outcome, metOverload: boolean, isLate: boolean): LoadOutcome {
+	if (outcome.kind === 'answered' && outcome.status < 500) {
+		return 'answered';
+	}
+
+	return metOverload || isLate ? 'overloaded' : 'other';
+}
+
 function readContentLength(head: AttemptHead): number {
 	const length = head.answer?.headers['content-length'];
 	return length === undefined ? 0 : Number(length);
--- a/src/daemon/entry/entry-task.ts
+++ b/src/daemon/entry/entry-task.ts
@@ -2,11 +2,11 @@
  * The entry: takes calls of callers and of the local backend server and sends them to guards.
  */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {EarlyShedder, type ServiceServers} from '../../admission/early-shedder.ts';
+import {EarlyShedder, type LoadOutcome} from '../../admission/early-shedder.ts';
 import {headerNames} from '../../call/headers.ts';
-import {type GuardReport, type Outcome} from '../../call/types.ts';
-import {type Member} from '../../membership/types.ts';
+import {type Outcome} from '../../call/types.ts';
 import {PolicyMatcher} from '../../policy/match.ts';
+import {type Policy} from '../../policy/schema.ts';
 import {type PolicyVersion} from '../../policy/types.ts';
 import {type Logger} from '../../reporting/logger.ts';
 import {type Metrics} from '../../reporting/metrics.ts';
@@ -52,6 +52,7 @@
 	readonly #options: EntryOptions;
 	readonly #shedder = EarlyShedder.create(Math.random);
 	#matcher: PolicyMatcher;
+	#adaptive: ReadonlySet<string>;
 	#policyVersion: number;
 	#callerListener: Listener | undefined;
 	#localListener: Listener | undefined;
@@ -64,6 +65,7 @@
 		this.metrics = options.metrics;
 		this.peerKey = options.peerKey;
 		this.#matcher = PolicyMatcher.create(policy.document);
+		this.#adaptive = listAdaptiveServices(policy.document);
 		this.#policyVersion = policy.version;
 		this.router.applyPolicy(policy.document);
 		setInterval(() => {
@@ -108,13 +110,13 @@
 	receive(message: TaskMessage): void {
 		switch (message.kind) {
 			case 'members': {
-				this.#shedder.setServers(listTakingServers(message.members));
 				this.router.setMembers(message.members, readMonotonicMs());
 				break;
 			}
 
 			case 'policy': {
 				this.#matcher = PolicyMatcher.create(message.policy.document);
+				this.#adaptive = listAdaptiveServices(message.policy.document);
 				this.#policyVersion = message.policy.version;
 				this.router.applyPolicy(message.policy.document);
 				break;
@@ -131,25 +133,27 @@
 		}
 	}
 
-	/** Whether guards would shed the call, so that sending it would waste work; child calls are left to guards. */
+	/** Whether the call would be shed further down; child calls are left to guards, since work was spent on them. */
 	isShedEarly(call: ClassifiedCall, origin: CallOrigin): boolean {
-		if (origin.kind === 'server') {
-			return false;
-		}
+		return (
+			origin.kind !== 'server' &&
+			this.#adaptive.has(call.context.service) &&
+			this.#shedder.isShed(call.context, readMonotonicMs())
+		);
+	}
 
-		const {requestId, importance, service, callName} = call.context;
-		return this.#shedder.isShed(
-			{requestId, importance, service, callName, needs: call.rule.needs},
-			readMonotonicMs(),
+	/** Whether calls like this one are refused for overload at present. */
+	isOverloaded(call: ClassifiedCall): boolean {
+		return (
+			this.#adaptive.has(call.context.service) &&
+			this.#shedder.isOverloaded(call.context, readMonotonicMs())
 		);
 	}
 
-	/** Notes what a guard reported with an answer. */
-	recordReport(call: ClassifiedCall, origin: CallOrigin, report: GuardReport): void {
-		const {service, callName} = call.context;
-		const rank = this.#shedder.recordReport(service, callName, report, readMonotonicMs());
-		if (origin.kind === 'server') {
-			origin.parent.recordNeededRank(rank);
+	/** Counts how a call ended that was sent. */
+	recordLoadOutcome(call: ClassifiedCall, outcome: LoadOutcome): void {
+		if (this.#adaptive.has(call.context.service)) {
+			this.#shedder.recordOutcome(call.context, outcome, readMonotonicMs());
 		}
 	}
 
@@ -299,18 +303,14 @@
 	}
 }
 
-/** Lists the servers of each service that take calls. */
-function listTakingServers(members: readonly Member[]): ServiceServers {
-	const servers = new Map<string, string[]>();
-	for (const member of members) {
-		if (member.state !== 'serving' && member.state !== 'cold') {
-			continue;
+/** Lists the services whose guards shed by importance; only for them entries shed early. */
+function listAdaptiveServices(policy: Policy): ReadonlySet<string> {
+	const names = new Set<string>();
+	for (const service of policy.services) {
+		if (service.admission.kind === 'adaptive') {
+			names.add(service.name);
 		}
-
-		const list = servers.get(member.service) ?? [];
-		list.push(member.server);
-		servers.set(member.service, list);
 	}
 
-	return servers;
+	return names;
 }
--- a/src/daemon/guard/guard-task.ts
+++ b/src/daemon/guard/guard-task.ts
@@ -130,15 +130,15 @@
 	/**
 	 * Reads the load facts that ride on every answer.
 	 *
-	 * @param neededRank - highest rank of the services that the answered call needed
+	 * @param isOverloadedBelow - whether a child call of the answered call was refused for overload
 	 */
-	readReport(neededRank = 0): GuardReport {
+	readReport(isOverloadedBelow = false): GuardReport {
 		const load = this.admission.readReport();
 		return {
 			server: this.#identity.server,
 			instanceId: this.#identity.instanceId,
 			state: this.#state,
-			neededRank,
+			isOverloadedBelow,
 			...load,
 		};
 	}
@@ -150,9 +150,9 @@
 	}
 
 	/** Encodes the headers that every answer of the guard carries. */
-	encodeAnswerHeaders(context: CallContext, allowanceLeft: number, neededRank = 0) {
+	encodeAnswerHeaders(context: CallContext, allowanceLeft: number, isOverloadedBelow = false) {
 		return {
-			...encodeReport(this.readReport(neededRank)),
+			...encodeReport(this.readReport(isOverloadedBelow)),
 			[headerNames.attempt]: context.attemptId,
 			[headerNames.allowanceLeft]: String(allowanceLeft),
 		};
--- a/src/daemon/guard/guarded-call.ts
+++ b/src/daemon/guard/guarded-call.ts
@@ -211,8 +211,8 @@
 	}
 
 	#encodeAnswerHeaders(allowanceLeft: number) {
-		const neededRank = this.#running?.neededRank ?? 0;
-		return this.#guard.encodeAnswerHeaders(this.#context, allowanceLeft, neededRank);
+		const isOverloadedBelow = this.#running?.isOverloadedBelow ?? false;
+		return this.#guard.encodeAnswerHeaders(this.#context, allowanceLeft, isOverloadedBelow);
 	}
 
 	#refuse(outcome: Refusal, detail: string): void {
--- a/src/daemon/guard/running-calls.ts
+++ b/src/daemon/guard/running-calls.ts
@@ -21,7 +21,7 @@
 
 	readonly token = randomUUID();
 	readonly #children = new Set<() => void>();
-	#neededRank = 0;
+	#isOverloadedBelow = false;
 
 	private constructor(
 		readonly context: CallContext,
@@ -30,13 +30,13 @@
 		readonly deadlineAtMs: number,
 	) {}
 
-	/** Highest admission rank that the answers to child calls told. */
-	get neededRank(): number {
-		return this.#neededRank;
+	/** Whether a child call was refused for overload. */
+	get isOverloadedBelow(): boolean {
+		return this.#isOverloadedBelow;
 	}
 
-	recordNeededRank(rank: number): void {
-		this.#neededRank = Math.max(this.#neededRank, rank);
+	recordOverloadBelow(): void {
+		this.#isOverloadedBelow = true;
 	}
 
 	/** Adds a child call that is cancelled with its parent; the returned function removes it. */
