--- a/bench/routing-trial.ts
+++ b/bench/routing-trial.ts
@@ -10,7 +10,6 @@
 import {type Member} from '../src/membership/types.ts';
 import {policySchema} from '../src/policy/schema.ts';
 import {ServiceRouter} from '../src/routing/service-router.ts';
-import {type AttemptResult} from '../src/routing/types.ts';
 import {EventQueue} from './trials/event-queue.ts';
 
 type Random = () => number;
--- a/src/admission/early-shedder.ts
+++ b/src/admission/early-shedder.ts
@@ -9,6 +9,8 @@
 
 /** Time constant of the counts. */
 const memoryMs = 500;
+/** Time constant of the refused share, which has to follow the end of an overload quickly. */
+const refusalMemoryMs = 150;
 /** Calls let through per answered call while refusals go on. */
 const steadyFactor = 1.1;
 /** What the factor gains when there are no refusals. */
@@ -19,6 +21,8 @@
 const probeShare = 0.02;
 /** Fewer calls than this within the memory are no measure. */
 const minCalls = 4;
+/** With fewer calls sent of late, the refused share counts as 0. */
+const leastSent = 0.5;
 const maxKinds = 4096;
 
 /** Names what is counted together. */
@@ -37,7 +41,15 @@
 	| 'other';
 
 /** Counts that decay with time. */
-type Counts = {answered: number; overloaded: number; held: number; atMs: number};
+type Counts = {
+	answered: number;
+	overloaded: number;
+	held: number;
+	/** Answered and overloaded with the shorter memory. */
+	lateAnswered: number;
+	lateOverloaded: number;
+	atMs: number;
+};
 
 /** Lowers the counts by the time that has passed. */
 function updateCounts(counts: Counts, nowMs: number): void {
@@ -45,13 +57,16 @@
 	counts.answered *= factor;
 	counts.overloaded *= factor;
 	counts.held *= factor;
+	const lateFactor = Math.exp((counts.atMs - nowMs) / refusalMemoryMs);
+	counts.lateAnswered *= lateFactor;
+	counts.lateOverloaded *= lateFactor;
 	counts.atMs = nowMs;
 }
 
 /** Share of the calls let through that were refused; 0 without calls. */
 function computeRefusedShare(counts: Counts): number {
-	const sent = counts.answered + counts.overloaded;
-	return sent < 1 ? 0 : counts.overloaded / sent;
+	const sent = counts.lateAnswered + counts.lateOverloaded;
+	return sent < leastSent ? 0 : counts.lateOverloaded / sent;
 }
 
 /** Computes the share of calls to hold back. */
@@ -108,11 +123,13 @@
 		switch (outcome) {
 			case 'answered': {
 				counts.answered++;
+				counts.lateAnswered++;
 				break;
 			}
 
 			case 'overloaded': {
 				counts.overloaded++;
+				counts.lateOverloaded++;
 				break;
 			}
 
@@ -143,7 +160,14 @@
 			this.#kinds.clear();
 		}
 
-		const added: Counts = {answered: 0, overloaded: 0, held: 0, atMs: nowMs};
+		const added: Counts = {
+			answered: 0,
+			overloaded: 0,
+			held: 0,
+			lateAnswered: 0,
+			lateOverloaded: 0,
+			atMs: nowMs,
+		};
 		this.#kinds.set(name, added);
 		return added;
 	}
