Try a lower limit only while every call finds others waiting

Cause: a limit of 4 was cut to 3 and kept, since the window before the cut had not been fully supplied.

--- a/src/admission/adaptive-limit.ts
+++ b/src/admission/adaptive-limit.ts
@@ -15,6 +15,8 @@
 const crowdedInflation = 1.4;
 /** Without crowding, a cut is tried only after requests have waited for this long. */
 const patienceMs = 2000;
+/** Share of the samples with requests waiting from which throughput shows what the limit allows. */
+const saturatedShare = 0.95;
 const cutFactor = 0.75;
 const riseFactor = 1.25;
 /** Opening per window while nothing waits. */
@@ -133,7 +135,7 @@
 	}
 
 	#closeWindow(window: LimitWindow, nowMs: number): void {
-		const isSaturated = window.saturated > window.samples / 2;
+		const isSaturated = window.saturated >= saturatedShare * window.samples;
 		const callsPerMs = window.samples / (nowMs - window.startedAtMs);
 		const trial = this.#trial;
 		switch (trial.kind) {
