--- a/src/call/run-proof.ts
+++ b/src/call/run-proof.ts
@@ -9,17 +9,18 @@
 /** Remembers whether any attempt may have reached a backend server. */
 export class RunProof {
 	/**
+	 * @param mayHaveRun - whether the call may have run before its first attempt
 	 * @example
 	 * const proof = RunProof.create();
 	 */
-	static create(): RunProof {
-		return new RunProof();
+	static create(mayHaveRun = false): RunProof {
+		return new RunProof(mayHaveRun);
 	}
 
-	#mayHaveRun = false;
+	#mayHaveRun: boolean;
 
-	private constructor() {
-		// Built by `create` alone.
+	private constructor(mayHaveRun: boolean) {
+		this.#mayHaveRun = mayHaveRun;
 	}
 
 	/** True once any attempt ended other than proved as not run. */
@@ -37,6 +38,16 @@
 		this.#mayHaveRun ||= outcome.kind !== 'notRun';
 	}
 
+	/**
+	 * Takes in the word of the only guard that can run the call; it speaks for all attempts.
+	 *
+	 * @example
+	 * proof.recordOnlyGuard({kind: 'notRun', reason: 'overload'});
+	 */
+	recordOnlyGuard(outcome: Outcome): void {
+		this.#mayHaveRun = outcome.kind !== 'notRun';
+	}
+
 	/**
 	 * Settles the outcome of the whole call. A refusal of the last attempt doesn't prove that the
 	 * call was not run when an earlier one may have been.
--- a/src/daemon/admin/admin-task.ts
+++ b/src/daemon/admin/admin-task.ts
@@ -6,13 +6,16 @@
 import {type PolicyVersion} from '../../policy/types.ts';
 import {type GuardReport} from '../../call/types.ts';
 import {type Member} from '../../membership/types.ts';
+import {adminKeyHeader, type AdminCounters, type AdminStatus} from '../../operator/admin/types.ts';
 import {type Metrics} from '../../reporting/metrics.ts';
 import {Listener, type ListenerOptions} from '../http/listener.ts';
 import {answerProblem} from '../http/problem.ts';
 import {SecretKey} from '../http/secret.ts';
+import {type Identity} from '../identity.ts';
 
 /** What administration may read and do. */
 export type AdminPort = {
+	readonly identity: Identity;
 	readonly readPolicy: () => PolicyVersion;
 	readonly readMembers: () => readonly Member[];
 	readonly readReport: () => GuardReport;
@@ -27,8 +30,6 @@
 	readonly port: AdminPort;
 };
 
-const adminKeyHeader = 'primrosevalve-admin-key';
-
 /** Owns the administration listener. */
 export class AdminTask {
 	/**
@@ -75,6 +76,7 @@
 			answerText(response, isReady ? 200 : 503, isReady ? 'ready\n' : 'not ready\n');
 		});
 		app.get('/metrics', async (_request, response) => {
+			updateState(port, metrics);
 			response.setHeader('content-type', metrics.registry.contentType);
 			response.end(await metrics.renderText());
 		});
@@ -84,6 +86,9 @@
 		app.get('/admin/members', (_request, response) => {
 			answerJson(response, port.readMembers());
 		});
+		app.get('/admin/counters', async (_request, response) => {
+			answerJson(response, await listCounters(port, metrics));
+		});
 		app.post('/admin/drain', (_request, response) => {
 			answerJson(response, {draining: true});
 			port.drain();
@@ -98,7 +103,26 @@
 	}
 }
 
-function createStatus(port: AdminPort) {
+/** Sets the facts that hold at the time of the reading. */
+function updateState(port: AdminPort, metrics: Metrics): void {
+	const report = port.readReport();
+	metrics.setState('policy_version', port.readPolicy().version);
+	metrics.setState('members', port.readMembers().length);
+	metrics.setState('ready', port.isReady() ? 1 : 0);
+	metrics.setState('admission_level', report.admissionLevel);
+	metrics.setState('slots_in_use', report.slotsInUse);
+	metrics.setState('slot_limit', report.slotLimit);
+	metrics.setState('queued', report.queued);
+}
+
+/** Lists the call counters with the start that they count from. */
+async function listCounters(port: AdminPort, metrics: Metrics): Promise<AdminCounters> {
+	const {server, instanceId, startedAtMs} = port.identity;
+	const counters = await metrics.listCallCounters();
+	return counters.map(counter => ({server, instanceId, startedAtMs, ...counter}));
+}
+
+function createStatus(port: AdminPort): AdminStatus {
 	const {version, digest, appliedAtMs} = port.readPolicy();
 	return {policy: {version, digest, appliedAtMs}, guard: port.readReport()};
 }
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -4,20 +4,22 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as wait} from 'node:timers/promises';
 import {createAdmission} from '../admission/create-admission.ts';
-import {createPlatform, type Platform} from '../platform/create-platform.ts';
+import {createResilientPlatform, type ResilientPlatform} from '../platform/create-platform.ts';
 import {builtInVersion} from '../policy/built-in.ts';
 import {type Logger} from '../reporting/logger.ts';
 import {Metrics} from '../reporting/metrics.ts';
+import {addPlatformMetrics, type PlatformSource} from '../reporting/platform-metrics.ts';
 import {ServiceRouter} from '../routing/service-router.ts';
 import {type DaemonSettings} from '../settings/daemon-settings.ts';
 import {type PlatformSection} from '../settings/platform-settings.ts';
 import {AdminTask} from './admin/admin-task.ts';
-import {TableControl} from './control/table-control.ts';
+import {ControlTask} from './control/control-task.ts';
 import {EntryTask} from './entry/entry-task.ts';
 import {GuardTask} from './guard/guard-task.ts';
 import {type ListenerOptions} from './http/listener.ts';
 import {createIdentity, type Identity} from './identity.ts';
 import {type TaskMessage} from './messages.ts';
+import {EntryOnce} from './once/entry-once.ts';
 
 /** Time in which work that was sent before the announcement spread is still taken. */
 const leaveGraceMs = 1000;
@@ -46,11 +48,12 @@
 	readonly #settings: DaemonSettings;
 	readonly #logger: Logger;
 	readonly #identity: Identity;
-	readonly #platform: Platform;
+	readonly #platform: ResilientPlatform;
 	readonly #guard: GuardTask;
 	readonly #entry: EntryTask;
 	readonly #admin: AdminTask;
-	#control: TableControl | undefined;
+	#control: ControlTask | undefined;
+	#once: EntryOnce | undefined;
 	#isReady = false;
 	#stopping: Promise<void> | undefined;
 	#onStopped: (() => void) | undefined;
@@ -59,9 +62,10 @@
 		this.#settings = settings;
 		this.#logger = logger;
 		this.#identity = createIdentity(settings);
-		this.#platform = createPlatform(convertPlatformSettings(settings.platform));
+		this.#platform = createResilientPlatform(convertPlatformSettings(settings.platform));
 		const identity = this.#identity;
 		const metrics = Metrics.create({server: identity.server, data_centre: identity.dataCentre});
+		addPlatformMetrics(metrics.registry, listPlatformSources(this.#platform));
 		const peerKey = settings.keys.peer;
 		const clock = {readNowMs: () => performance.now()};
 		this.#guard = GuardTask.create(
@@ -88,6 +92,7 @@
 			adminKey: settings.keys.admin,
 			metrics,
 			port: {
+				identity,
 				readPolicy: () => this.#control?.policy ?? builtInVersion,
 				readMembers: () => this.#control?.members ?? [],
 				readReport: () => this.#guard.readReport(),
@@ -103,21 +108,27 @@
 	async start(): Promise<DaemonPorts> {
 		const {listeners} = this.#settings;
 		await this.#guard.open(this.#createListenerOptions('peer', listeners.peer_port));
+		this.#startOnce();
 		await this.#entry.open(
 			this.#createListenerOptions('caller', listeners.caller_port),
 			this.#createListenerOptions('local', listeners.local_port),
 		);
 		await this.#admin.open(this.#createListenerOptions('admin', listeners.admin_port));
-		this.#control = TableControl.create({
+		this.#control = ControlTask.create({
 			identity: this.#identity,
 			peerPort: this.#guard.port,
+			peerKey: this.#settings.keys.peer,
 			table: this.#platform.table,
 			logger: this.#logger,
 			readGuardState: () => this.#guard.state,
 			send: message => {
 				this.#broadcast(message);
 			},
+			onSuperseded: () => {
+				void this.stop();
+			},
 		});
+		this.#guard.setControlHandler(this.#control.handleRequest);
 		await this.#control.start();
 		this.#isReady = true;
 		const ports = this.#readPorts();
@@ -139,14 +150,15 @@
 	async #runStop(): Promise<void> {
 		this.#logger.info({server: this.#identity.server}, 'daemon is leaving');
 		this.#broadcast({kind: 'leave'});
-		void this.#control?.leave();
+		this.#control?.leave();
 		await wait(leaveGraceMs);
 		this.#broadcast({kind: 'refuse'});
 		while (this.#guard.inFlight + this.#entry.inFlight > 0) {
 			await wait(inFlightPollMs);
 		}
 
-		this.#control?.stop();
+		await this.#once?.waitForSettlements();
+		await this.#control?.stop();
 		await Promise.all([this.#entry.closeCallers(), this.#guard.close(), this.#entry.close()]);
 		this.#admin.close();
 		await this.#platform.close();
@@ -154,6 +166,30 @@
 		this.#onStopped?.();
 	}
 
+	/** Puts once calls in service; claims name the peer port, which is known by now. */
+	#startOnce(): void {
+		const {address, instanceId} = this.#identity;
+		const once = EntryOnce.create({
+			self: {instanceId, address, peerPort: this.#guard.port},
+			table: this.#platform.table,
+			objects: this.#platform.objects,
+			pools: this.#entry.pools,
+			peerKey: this.#settings.keys.peer,
+			limits: builtInVersion.document.once,
+		});
+		this.#once = once;
+		this.#entry.setOnce(once);
+		this.#guard.setKillHandler(question => {
+			if (question.instanceId !== instanceId) {
+				return 'unreachable';
+			}
+
+			return question.role === 'holder'
+				? once.ledger.killNonce(question.nonce)
+				: this.#guard.once.killNonce(question.nonce);
+		});
+	}
+
 	#broadcast(message: TaskMessage): void {
 		this.#guard.receive(message);
 		this.#entry.receive(message);
@@ -184,6 +220,20 @@
 	}
 }
 
+function listPlatformSources(platform: ResilientPlatform): PlatformSource[] {
+	const sources: PlatformSource[] = [];
+	for (const service of ['table', 'objects'] as const) {
+		const {resilience} = platform[service];
+		sources.push({
+			service,
+			readUsage: () => resilience.readUsage(),
+			readCircuitState: () => resilience.readCircuitState(),
+		});
+	}
+
+	return sources;
+}
+
 function convertPlatformSettings(section: PlatformSection) {
 	return {
 		tableUrl: section.table_url,
--- a/src/http/pool.ts
+++ b/src/http/pool.ts
@@ -1,7 +1,9 @@
 /**
- * The HTTP client: undici's pool alone. The rest of undici would stay in memory unused.
+ * The HTTP client: undici's pool and agent alone. The rest of undici would stay in memory unused.
  */
-import {type Dispatcher, type Pool} from 'undici';
+import {type Agent, type Dispatcher, type Pool} from 'undici';
+// @ts-expect-error -- The module has no types of its own; the type comes from the package.
+import SlimAgent from 'undici/lib/dispatcher/agent.js';
 // @ts-expect-error -- The module has no types of its own; the type comes from the package.
 import SlimPool from 'undici/lib/dispatcher/pool.js';
 // @ts-expect-error -- The module has no types of its own; the type comes from the package.
@@ -12,10 +14,15 @@
 /** Connections to one origin. */
 export type HttpPool = Pool;
 
+/** Connections to many origins. */
+export type HttpAgent = Agent;
+
 const PoolClass = SlimPool as typeof Pool;
+const AgentClass = SlimAgent as typeof Agent;
 
 // The package's own entry file adds the methods in the same way.
 PoolClass.prototype.request = request as Dispatcher['request'];
+AgentClass.prototype.request = request as Dispatcher['request'];
 
 /**
  * Creates a pool of connections to one origin.
@@ -26,3 +33,13 @@
 export function createPool(origin: string, options: Pool.Options): HttpPool {
 	return new PoolClass(origin, options);
 }
+
+/**
+ * Creates an agent with a pool for each origin that it is asked for.
+ *
+ * @example
+ * const agent = createAgent({connections: 2});
+ */
+export function createAgent(options: Agent.Options): HttpAgent {
+	return new AgentClass(options);
+}
