--- a/bench/scenarios/registry.ts
+++ b/bench/scenarios/registry.ts
@@ -8,6 +8,8 @@
 const loaders: Readonly<Record<string, ScenarioLoader>> = {
 	goodput: async () => import('./goodput.ts'),
 	recovery: async () => import('./recovery.ts'),
+	crest: async () => import('./crest.ts'),
+	'short-behind-long': async () => import('./short-behind-long.ts'),
 	added: async () => import('./added.ts'),
 	slowed: async () => import('./slowed.ts'),
 };
