--- /dev/null
+++ b/src/admission/adaptive-limit.test.ts
@@ -0,0 +1,70 @@
+import test from 'ava';
+import {AdaptiveLimit} from './adaptive-limit.ts';
+
+const ceiling = 40;
+const baseMs = 20;
+
+/** Runs a closed loop for a time: always as many calls as the limit, a throughput that depends on it. */
+function runSaturated(
+	limit: AdaptiveLimit,
+	fromMs: number,
+	toMs: number,
+	computeCallsPerMs: (limit: number, atMs: number) => number,
+): number[] {
+	const limits: number[] = [];
+	let atMs = fromMs;
+	while (atMs < toMs) {
+		const callsPerMs = computeCallsPerMs(limit.limit, atMs);
+		atMs += 1 / callsPerMs;
+		limit.record({serviceMs: limit.limit / callsPerMs, baseMs, isSaturated: true}, atMs);
+		limits.push(limit.limit);
+	}
+
+	return limits;
+}
+
+test('the limit stays at the ceiling for a server that runs every slot at full speed', t => {
+	const limit = AdaptiveLimit.create(ceiling);
+	runSaturated(limit, 0, 20_000, slots => slots / baseMs);
+	t.is(limit.limit, ceiling);
+});
+
+test('the limit follows a server that runs fewer calls at a time, and opens again with it', t => {
+	const limit = AdaptiveLimit.create(ceiling);
+	const hidden = 20;
+	const limits = runSaturated(limit, 0, 20_000, slots => Math.min(slots, hidden) / baseMs);
+	t.true(Math.min(...limits) <= 30, 'no cut was kept');
+	t.true(limit.limit >= 15 && limit.limit <= 30, `limit is ${limit.limit}`);
+	runSaturated(limit, 20_000, 90_000, slots => slots / baseMs);
+	t.is(limit.limit, ceiling);
+});
+
+test('a slowness that does not depend on the limit leaves it alone', t => {
+	const limit = AdaptiveLimit.create(ceiling);
+	runSaturated(limit, 0, 30_000, (slots, atMs) => {
+		const isSlow = atMs > 5000 && atMs < 10_000;
+		return slots / baseMs / (isSlow ? 10 : 1);
+	});
+	t.is(limit.limit, ceiling);
+});
+
+test('the limit opens by itself while nothing waits', t => {
+	const limit = AdaptiveLimit.create(ceiling);
+	runSaturated(limit, 0, 20_000, slots => Math.min(slots, 10) / baseMs);
+	t.true(limit.limit < ceiling);
+	let atMs = 20_000;
+	for (let call = 0; call < 4000; call++) {
+		atMs += 1;
+		limit.record({serviceMs: baseMs, baseMs, isSaturated: false}, atMs);
+	}
+
+	t.is(limit.limit, ceiling);
+});
+
+test('the limit stays between 1 and the ceiling of the policy', t => {
+	const limit = AdaptiveLimit.create(4);
+	const limits = runSaturated(limit, 0, 60_000, () => 0.05);
+	t.true(limits.every(value => value >= 1 && value <= 4));
+	limit.setCeiling(2);
+	t.is(limit.limit, 2);
+});
--- a/src/admission/admission.test.ts
+++ b/src/admission/admission.test.ts
@@ -281,3 +281,41 @@
 	t.true(verdicts.every(verdict => verdict.kind === 'admitted'));
 	t.is(admission.readReport().slotsInUse, 50);
 });
+
+test('requests end at the kind of admission that took them', async t => {
+	const oracle = Oracle.create(createPolicy('fixed', 1, 10));
+	const {admission} = oracle;
+	const verdicts = new Map<string, string>();
+	const admit = (attemptId: string) => {
+		void (async () => {
+			const verdict = await admission.admit({
+				attemptId,
+				callName: 'status',
+				importance: 2,
+				sizeClass: 'short',
+				deadlineAtMs: 1000,
+			});
+			verdicts.set(attemptId, verdict.kind);
+		})();
+	};
+
+	admit('running');
+	admit('waiting');
+	await waitForTurn();
+	admission.applyPolicy(createPolicy('adaptive', 1, 10));
+	admit('new');
+	await waitForTurn();
+	t.deepEqual(
+		[...verdicts],
+		[
+			['running', 'admitted'],
+			['new', 'admitted'],
+		],
+	);
+	admission.release('running', {kind: 'answered', serviceMs: 5});
+	await waitForTurn();
+	t.is(verdicts.get('waiting'), 'admitted');
+	admission.release('waiting', {kind: 'answered', serviceMs: 5});
+	admission.release('new', {kind: 'answered', serviceMs: 5});
+	t.is(admission.readReport().slotsInUse, 0);
+});
--- a/src/admission/early-shedder.ts
+++ b/src/admission/early-shedder.ts
@@ -15,6 +15,9 @@
 const steadyFactor = 1.1;
 /** What the factor gains when there are no refusals. */
 const openingFactor = 1.5;
+/** The gain grows by itself once more with each such time since the last refusal, up to a bound. */
+const quietMs = 150;
+const maxQuietGain = 4;
 /** Share of refusals among the calls let through at which the factor is the steady one. */
 const steadyRefusedShare = 0.1;
 /** Share of the calls that always goes through, so that a closed kind opens again. */
@@ -48,6 +51,7 @@
 	/** Answered and overloaded with the shorter memory. */
 	lateAnswered: number;
 	lateOverloaded: number;
+	refusedAtMs: number;
 	atMs: number;
 };
 
@@ -77,7 +81,9 @@
 	}
 
 	const calm = Math.max(0, 1 - computeRefusedShare(counts) / steadyRefusedShare);
-	const allowed = (steadyFactor + openingFactor * calm) * counts.answered + probeShare * all;
+	const quiet = Math.min(maxQuietGain, 1 + (counts.atMs - counts.refusedAtMs) / quietMs);
+	const allowed =
+		(steadyFactor + openingFactor * calm * quiet) * counts.answered + probeShare * all;
 	return Math.max(0, 1 - allowed / all);
 }
 
@@ -130,6 +136,7 @@
 			case 'overloaded': {
 				counts.overloaded++;
 				counts.lateOverloaded++;
+				counts.refusedAtMs = nowMs;
 				break;
 			}
 
@@ -166,6 +173,7 @@
 			held: 0,
 			lateAnswered: 0,
 			lateOverloaded: 0,
+			refusedAtMs: nowMs,
 			atMs: nowMs,
 		};
 		this.#kinds.set(name, added);
