Let a fifth more through than was answered while an overload lasts

Cause: with a tenth more, the narrow servers of the chain had free slots at times (queue 0, 2 or 3 of 4 slots in use in a trial).

--- a/src/admission/early-shedder.ts
+++ b/src/admission/early-shedder.ts
@@ -12,14 +12,14 @@
 /** Time constant of the refused share, which has to follow the end of an overload quickly. */
 const refusalMemoryMs = 150;
 /** Calls let through per answered call while refusals go on. */
-const steadyFactor = 1.1;
+const steadyFactor = 1.2;
 /** What the factor gains when there are no refusals. */
 const openingFactor = 1.5;
 /** The gain grows by itself once more with each such time since the last refusal, up to a bound. */
 const quietMs = 150;
 const maxQuietGain = 4;
 /** Share of refusals among the calls let through at which the factor is the steady one. */
-const steadyRefusedShare = 0.1;
+const steadyRefusedShare = 0.17;
 /** Share of the calls that always goes through, so that a closed kind opens again. */
 const probeShare = 0.02;
 /** Fewer calls than this within the memory are no measure. */
