--- a/src/admission/long-lane.ts
+++ b/src/admission/long-lane.ts
@@ -11,7 +11,7 @@
 /** Time constant of the mean short demand while it rises. */
 const riseMs = 500;
 /** Margin in standard deviations of a Poisson process, the square-root staffing rule. */
-const marginDeviations = 1;
+const marginDeviations = 0.5;
 /** Share of the long slots that short requests of equal importance can't displace. */
 const floorShare = 0.2;
 
