--- a/src/daemon/entry/attempt.ts
+++ b/src/daemon/entry/attempt.ts
@@ -130,7 +130,7 @@
 			detail: `server "${this.input.member.server}"`,
 			latencyMs,
 			report: decodeReport(headers),
-			isShedBelow: headers[headerNames.below] === 'overload',
+			isShedBelow: status >= 500 && headers[headerNames.overloadedBelow] === '1',
 			allowanceLeft: readAllowanceLeft(headers[headerNames.allowanceLeft]),
 			answer: outcome.kind === 'answered' ? answer : undefined,
 		};
