--- a/src/daemon/entry/attempt.ts
+++ b/src/daemon/entry/attempt.ts
@@ -2,7 +2,7 @@
  * One attempt of a call at one peer.
  */
 import {type OutgoingHttpHeaders} from 'node:http';
-import {type Dispatcher} from 'undici';
+import {type Dispatcher} from '../../http/pool.ts';
 import {decodeOutcome, decodeReport, encodeContext, headerNames} from '../../call/headers.ts';
 import {type CallContext, type GuardReport, type Outcome} from '../../call/types.ts';
 import {type Member} from '../../membership/types.ts';
@@ -56,12 +56,18 @@
 	}
 
 	readonly #startedAtMs = readMonotonicMs();
+	#isCancelled = false;
 
 	private constructor(
 		readonly input: AttemptInput,
 		readonly exchange: Exchange,
 	) {}
 
+	/** Whether this side ended the attempt. */
+	get isCancelled(): boolean {
+		return this.#isCancelled;
+	}
+
 	/** Resolves with the head; a refusal's body is dropped. */
 	async readHead(): Promise<AttemptHead> {
 		const result = await this.exchange.head;
@@ -83,6 +89,7 @@
 
 	/** Ends the attempt and closes its connection. */
 	cancel(): void {
+		this.#isCancelled = true;
 		this.exchange.cancel();
 	}
 
--- a/src/daemon/entry/mint-key.ts
+++ b/src/daemon/entry/mint-key.ts
@@ -15,6 +15,9 @@
 /** Path on the caller port and on the local port, before the name of the service. */
 export const keysPath = '/primrosevalve/keys/';
 
+/** Name under which the router counts the choice of an instance. */
+const mintCallName = '*';
+
 export type MintInput = {
 	readonly matcher: PolicyMatcher;
 	readonly router: Router;
@@ -41,7 +44,10 @@
 
 	const {member} = choice;
 	router.recordStart(member, nowMs);
-	router.recordResult({member, kind: 'cancelled', latencyMs: 0, bytes: 0}, nowMs);
+	router.recordResult(
+		{member, callName: mintCallName, kind: 'cancelled', latencyMs: 0, bytes: 0},
+		nowMs,
+	);
 	return member;
 }
 
--- a/src/daemon/entry/once-call.ts
+++ b/src/daemon/entry/once-call.ts
@@ -2,14 +2,14 @@
  * A once call at the entry: its key, its claim and the answers to repeats.
  */
 import {headerNames} from '../../call/headers.ts';
-import {type Outcome} from '../../call/types.ts';
+import {type OnceTicket, type Outcome} from '../../call/types.ts';
 import {computeFingerprint} from '../../once/fingerprint.ts';
 import {mintedKeyPrefix, verifyMintedKey, type MintedKey} from '../../once/minted-key.ts';
 import {type SendEnd} from '../../once/types.ts';
 import {answerProblem} from '../http/problem.ts';
 import {answerRepeat} from '../once/once-answers.ts';
 import {type EntryOnce} from '../once/entry-once.ts';
-import {EntryCall, type EntryCallInput} from './entry-call.ts';
+import {EntryCall, type EntryCallInput, type OnceSending} from './entry-call.ts';
 import {type EntryTask} from './entry-task.ts';
 
 /** Header in which callers name their idempotency key. */
@@ -68,8 +68,8 @@
 			{service, caller, key, fingerprint},
 			async (nonce): Promise<SendEnd> => {
 				const collector = this.#once.createCollector();
-				const once = {ticket: {key, nonce, fingerprint}, collector};
-				outcome = await EntryCall.create(this.#entry, {...this.#input, once}).run();
+				const input = this.#createInput({key, nonce, fingerprint}, {nonce, collector});
+				outcome = await EntryCall.create(this.#entry, input).run();
 				const record = collector.finish();
 				switch (outcome.kind) {
 					case 'answered': {
@@ -98,8 +98,14 @@
 	async #runMinted(key: string, minted: MintedKey): Promise<Outcome> {
 		const {instanceId, nonce} = minted;
 		const ticket = {key, nonce, fingerprint: this.#computeFingerprint()};
-		const once = {ticket, onlyInstanceId: instanceId};
-		return EntryCall.create(this.#entry, {...this.#input, once}).run();
+		const input = this.#createInput(ticket, {nonce, onlyInstanceId: instanceId});
+		return EntryCall.create(this.#entry, input).run();
+	}
+
+	/** Adds the ticket to the context that every attempt carries. */
+	#createInput(ticket: OnceTicket, once: OnceSending): EntryCallInput {
+		const {call} = this.#input;
+		return {...this.#input, once, call: {...call, context: {...call.context, once: ticket}}};
 	}
 
 	#computeFingerprint(): string {
--- a/src/daemon/guard/guarded-call.ts
+++ b/src/daemon/guard/guarded-call.ts
@@ -99,7 +99,7 @@
 	async #admitAndForward(): Promise<void> {
 		const begun = this.#once?.begin();
 		if (begun !== undefined && begun.kind !== 'run') {
-			const headers = this.#guard.encodeAnswerHeaders(this.#context, this.#allowance.close());
+			const headers = this.#encodeAnswerHeaders(this.#allowance.close());
 			answerRepeat(this.#response, begun, this.#context.requestId, headers);
 			return;
 		}
@@ -114,7 +114,7 @@
 			attemptId: this.#context.attemptId,
 			callName: this.#context.callName,
 			importance: this.#context.importance,
-			sizeClass: this.#context.sizeClass,
+			sizeClass: this.#guard.findSizeClass(this.#context.callName),
 			deadlineAtMs: this.#deadlineAtMs,
 		});
 		switch (verdict.kind) {
@@ -228,7 +228,7 @@
 		if (!this.#response.destroyed) {
 			this.#response.writeHead(head.status, {
 				...headers,
-				...this.#guard.encodeAnswerHeaders(this.#context, allowanceLeft),
+				...this.#encodeAnswerHeaders(allowanceLeft),
 			});
 		}
 
@@ -258,6 +258,11 @@
 		return end;
 	}
 
+	#encodeAnswerHeaders(allowanceLeft: number) {
+		const neededRank = this.#running?.neededRank ?? 0;
+		return this.#guard.encodeAnswerHeaders(this.#context, allowanceLeft, neededRank);
+	}
+
 	#refuse(outcome: Refusal, detail: string): void {
 		if (outcome.kind === 'notRun') {
 			this.#once?.cancel();
@@ -274,7 +279,7 @@
 				outcome,
 				requestId: this.#context.requestId,
 			},
-			this.#guard.encodeAnswerHeaders(this.#context, allowanceLeft),
+			this.#encodeAnswerHeaders(allowanceLeft),
 		);
 	}
 }
