--- a/bench/routing-trial.ts
+++ b/bench/routing-trial.ts
@@ -68,8 +68,6 @@
 		instanceId: `s${index}-1`,
 		startedAtMs: 0,
 		incarnation: 0,
-		shedShare: 0,
-		neededRank: 0,
 		state: 'serving',
 		policyVersion: 1,
 	};
@@ -105,10 +103,12 @@
 		},
 		recordEnd({server, callName, latencyMs, load}, nowMs) {
 			const member = members[server]!;
-			const report: AttemptResult['report'] = {
+			const report: NonNullable<AttemptResult['report']> = {
 				server: member.server,
 				instanceId: member.instanceId,
 				admissionLevel: importance.background,
+				shedShare: 0,
+				neededRank: 0,
 				slotsInUse: Math.round(load * slots),
 				slotLimit: slots,
 				queued: 0,
