--- a/src/daemon/entry/attempt-runner.ts
+++ b/src/daemon/entry/attempt-runner.ts
@@ -3,12 +3,14 @@
  */
 import {randomUUID} from 'node:crypto';
 import {type IncomingMessage} from 'node:http';
+import {type OnceTicket} from '../../call/types.ts';
 import {type Member} from '../../membership/types.ts';
 import {type RetryAllowance} from '../../retry/types.ts';
 import {type AttemptResult} from '../../routing/types.ts';
 import {readMonotonicMs} from '../clock.ts';
 import {type RequestBody} from '../http/request-body.ts';
 import {convertToEndToEnd} from '../http/request-headers.ts';
+import {type AnswerCollector} from '../once/answer-collector.ts';
 import {Attempt, type AttemptHead} from './attempt.ts';
 import {type CallOrigin} from './call-origin.ts';
 import {type ClassifiedCall} from './classify-call.ts';
@@ -20,6 +22,16 @@
 	readonly body: RequestBody;
 	readonly request: IncomingMessage;
 	readonly allowance: RetryAllowance;
+	readonly once?: OnceSending;
+};
+
+/** How a once call is sent. */
+export type OnceSending = {
+	readonly ticket: OnceTicket;
+	/** The one instance on which a minted key may run. */
+	readonly onlyInstanceId?: string;
+	/** Copies the answer of a claimed call. */
+	readonly collector?: AnswerCollector;
 };
 
 /** An attempt that has been sent. */
@@ -50,7 +62,7 @@
 
 	/** Sends one attempt to a server. */
 	start(member: Member): RunningAttempt {
-		const {call, request, body, allowance} = this.#input;
+		const {call, request, body, allowance, once} = this.#input;
 		const attemptId = randomUUID();
 		const loan = call.retryKind === 'allowance' ? allowance.lend(attemptId) : 0;
 		const nowMs = readMonotonicMs();
@@ -62,6 +74,7 @@
 			member,
 			context: {
 				...call.context,
+				...(once === undefined ? {} : {once: once.ticket}),
 				attemptId,
 				deadlineMs: Math.max(1, call.deadlineAtMs - nowMs),
 				retryAllowance: loan,
@@ -95,7 +108,24 @@
 			this.#entry.recordReport(this.#input.call, this.#input.origin, head.report);
 		}
 
-		return head;
+		return this.#settleLost(attempt, head);
+	}
+
+	/** Asks the guard about a lost once call; only its word proves that nothing was and will be sent. */
+	async #settleLost(attempt: Attempt, head: AttemptHead): Promise<AttemptHead> {
+		const {once} = this.#input;
+		const isClaimed = once !== undefined && once.onlyInstanceId === undefined;
+		if (!isClaimed || head.outcome.kind !== 'unknown') {
+			return head;
+		}
+
+		const verdict = await this.#entry.askGuard(attempt.input.member, once.ticket.nonce);
+		if (verdict !== 'neverSent') {
+			return head;
+		}
+
+		const reason = attempt.isCancelled ? 'cancelled' : 'connect';
+		return {...head, outcome: {kind: 'notRun', reason}};
 	}
 
 	/** Takes a loan back, or counts it as spent when the answer was lost. */
--- a/src/daemon/entry/entry-call.ts
+++ b/src/daemon/entry/entry-call.ts
@@ -19,9 +19,9 @@
 import {relayBody} from '../http/relay.ts';
 import {type RequestBody} from '../http/request-body.ts';
 import {convertToEndToEnd} from '../http/request-headers.ts';
-import {relayAndCollect, type AnswerCollector} from '../once/answer-collector.ts';
+import {relayAndCollect} from '../once/answer-collector.ts';
 import {type Attempt, type AttemptHead} from './attempt.ts';
-import {AttemptRunner, type RunningAttempt} from './attempt-runner.ts';
+import {AttemptRunner, type OnceSending, type RunningAttempt} from './attempt-runner.ts';
 import {type CallOrigin} from './call-origin.ts';
 import {type ClassifiedCall} from './classify-call.ts';
 import {type EntryTask} from './entry-task.ts';
@@ -36,15 +36,6 @@
 	readonly once?: OnceSending;
 };
 
-/** How a once call is sent; its ticket is part of the call's context. */
-export type OnceSending = {
-	readonly nonce: string;
-	/** The one instance on which a minted key may run. */
-	readonly onlyInstanceId?: string;
-	/** Copies the answer of a claimed call. */
-	readonly collector?: AnswerCollector;
-};
-
 /** Time beyond the deadline in which a guard's own word on it may still arrive. */
 const deadlineGraceMs = 50;
 const noServers: ReadonlySet<string> = new Set();
@@ -63,32 +54,29 @@
 	readonly #input: EntryCallInput;
 	readonly #allowance: RetryAllowance;
 	readonly #runner: AttemptRunner;
-	readonly #proof = RunProof.create();
+	readonly #proof: RunProof;
 	readonly #tried = new Set<string>();
 	#relayed: Attempt | undefined;
 	#ended: 'no' | 'deadline' | 'cancelled' = 'no';
-	/** True when the last attempt ended by a guard's own answer. */
-	#isGuardWord = false;
 
 	private constructor(entry: EntryTask, input: EntryCallInput) {
 		this.#entry = entry;
 		this.#input = input;
-		const {origin, call, request, body} = input;
+		const {origin, call, request, body, once} = input;
+		// A minted key may have run before; only the instance that it names can tell.
+		this.#proof = RunProof.create(once?.onlyInstanceId !== undefined);
 		// A child call spends and lends from the allowance of its parent, which runs in this process.
 		this.#allowance =
 			origin.kind === 'server' && call.retryKind === 'allowance'
 				? origin.parent.allowance
 				: CallAllowance.create(call.context.retryAllowance);
-		if (this.#isMinted) {
-			this.#proof.record({kind: 'unknown', reason: 'earlier use of the key'});
-		}
-
 		this.#runner = AttemptRunner.create(entry, {
 			call,
 			origin,
 			request,
 			body,
 			allowance: this.#allowance,
+			...(once === undefined ? {} : {once}),
 		});
 	}
 
@@ -152,9 +140,8 @@
 				return this.#refuse({kind: 'notRun', reason: choice.reason}, 'no server takes the call');
 			}
 
-			const {head: received, winner} = await this.#runAttempt(choice.member);
-			const head = await this.#settleLost(choice.member, received);
-			this.#isGuardWord = head.report !== undefined;
+			const {head, winner} = await this.#runAttempt(choice.member);
+			this.#recordProof(head);
 			const decision = this.#decide(head.outcome, attempts);
 			if (decision.kind === 'stop') {
 				return head.answer === undefined
@@ -164,7 +151,6 @@
 
 			// An answer that says "not now" is dropped and asked for elsewhere.
 			winner.attempt.cancel();
-			this.#proof.record(head.outcome);
 			this.#spendRetry();
 			await this.#waitBeforeRetry(decision);
 			if (this.#ended !== 'no') {
@@ -173,25 +159,13 @@
 		}
 	}
 
-	/** A minted key may have run before; only the instance that it names can tell. */
-	get #isMinted(): boolean {
-		return this.#input.once?.onlyInstanceId !== undefined;
-	}
-
-	/** Asks the guard about a lost once call; only its word proves that nothing was and will be sent. */
-	async #settleLost(member: Member, head: AttemptHead): Promise<AttemptHead> {
-		const {once} = this.#input;
-		if (once === undefined || this.#isMinted || head.outcome.kind !== 'unknown') {
-			return head;
-		}
-
-		const verdict = await this.#entry.askGuard(member, once.nonce);
-		if (verdict !== 'neverSent') {
-			return head;
+	#recordProof(head: AttemptHead): void {
+		if (this.#input.once?.onlyInstanceId !== undefined && head.report !== undefined) {
+			this.#proof.recordOnlyGuard(head.outcome);
+			return;
 		}
 
-		const reason = this.#ended === 'no' ? 'connect' : this.#ended;
-		return {...head, outcome: {kind: 'notRun', reason}};
+		this.#proof.record(head.outcome);
 	}
 
 	#spendRetry(): void {
@@ -338,14 +312,16 @@
 			return {kind: 'unknown', reason: this.#ended};
 		}
 
+		if (this.#ended !== 'no' && outcome.kind === 'notRun' && outcome.reason === 'cancelled') {
+			return {kind: 'notRun', reason: this.#ended};
+		}
+
 		return outcome;
 	}
 
 	#refuse(refusal: Refusal, detail: string): Outcome {
 		const {call, response} = this.#input;
-		// The guard of a minted key speaks for every attempt with it.
-		const isProved = this.#isMinted && this.#isGuardWord;
-		const outcome = isProved ? refusal : this.#proof.settle(refusal);
+		const outcome = this.#proof.settle(refusal);
 		answerProblem(
 			response,
 			{
--- a/src/daemon/entry/entry-task.ts
+++ b/src/daemon/entry/entry-task.ts
@@ -7,6 +7,7 @@
 import {type GuardReport, type Outcome} from '../../call/types.ts';
 import {type Member} from '../../membership/types.ts';
 import {type KillVerdict} from '../../once/types.ts';
+import {LatencyObjectives} from '../../policy/latency-objectives.ts';
 import {PolicyMatcher} from '../../policy/match.ts';
 import {type PolicyVersion} from '../../policy/types.ts';
 import {type Logger} from '../../reporting/logger.ts';
@@ -57,6 +58,7 @@
 	readonly #options: EntryOptions;
 	readonly #shedder = EarlyShedder.create(Math.random);
 	#matcher: PolicyMatcher;
+	#objectives: LatencyObjectives;
 	#policyVersion: number;
 	#callerListener: Listener | undefined;
 	#localListener: Listener | undefined;
@@ -70,6 +72,7 @@
 		this.metrics = options.metrics;
 		this.peerKey = options.peerKey;
 		this.#matcher = PolicyMatcher.create(policy.document);
+		this.#objectives = LatencyObjectives.create(policy.document);
 		this.#policyVersion = policy.version;
 		this.router.applyPolicy(policy.document);
 		setInterval(() => {
@@ -121,6 +124,7 @@
 
 			case 'policy': {
 				this.#matcher = PolicyMatcher.create(message.policy.document);
+				this.#objectives = LatencyObjectives.create(message.policy.document);
 				this.#policyVersion = message.policy.version;
 				this.router.applyPolicy(message.policy.document);
 				this.#once?.applyLimits(message.policy.document.once);
@@ -321,7 +325,10 @@
 
 	#countCall(call: ClassifiedCall, outcome: Outcome, latencyMs: number): void {
 		const {service, caller} = call.context;
-		const isGood = outcome.kind === 'answered' && outcome.status < 500;
+		const isGood =
+			outcome.kind === 'answered' &&
+			outcome.status < 500 &&
+			latencyMs <= this.#objectives.findLatencyMs(service, caller);
 		this.metrics.countCall({service, caller, outcome: outcome.kind, good: isGood, latencyMs});
 		if (isGood) {
 			return;
--- a/src/daemon/guard/guarded-call.ts
+++ b/src/daemon/guard/guarded-call.ts
@@ -99,7 +99,7 @@
 	async #admitAndForward(): Promise<void> {
 		const begun = this.#once?.begin();
 		if (begun !== undefined && begun.kind !== 'run') {
-			const headers = this.#encodeAnswerHeaders(this.#allowance.close());
+			const headers = this.#guard.encodeAnswerHeaders(this.#context, this.#allowance.close());
 			answerRepeat(this.#response, begun, this.#context.requestId, headers);
 			return;
 		}
@@ -240,6 +240,11 @@
 		return head.status >= 500 ? 'failed' : 'answered';
 	}
 
+	#encodeAnswerHeaders(allowanceLeft: number) {
+		const neededRank = this.#running?.neededRank ?? 0;
+		return this.#guard.encodeAnswerHeaders(this.#context, allowanceLeft, neededRank);
+	}
+
 	/** Relays the body; that of a minted call is kept for repeats. */
 	async #relayBody(
 		exchange: Exchange,
@@ -258,11 +263,6 @@
 		return end;
 	}
 
-	#encodeAnswerHeaders(allowanceLeft: number) {
-		const neededRank = this.#running?.neededRank ?? 0;
-		return this.#guard.encodeAnswerHeaders(this.#context, allowanceLeft, neededRank);
-	}
-
 	#refuse(outcome: Refusal, detail: string): void {
 		if (outcome.kind === 'notRun') {
 			this.#once?.cancel();
