--- a/stand-ins/daemon/admin-stand-in.ts
+++ b/stand-ins/daemon/admin-stand-in.ts
@@ -61,6 +61,8 @@
 					server: identity.server,
 					instanceId: identity.instanceId,
 					admissionLevel: 3,
+					shedShare: 0,
+					neededRank: 0,
 					slotsInUse: 4,
 					slotLimit: 10,
 					queued: 2,
