--- /dev/null
+++ b/bench/fuzz/process-run.test.ts
@@ -0,0 +1,12 @@
+import test from 'ava';
+import {runProcesses} from './process-run.ts';
+
+const steps = 6;
+
+test('once calls survive killed, frozen and drained daemons and a failing platform', async t => {
+	const result = await runProcesses(3, {kind: 'steps', steps});
+	t.deepEqual(result.violations, []);
+	t.is(result.steps, steps);
+	t.is(result.badExits, 0);
+	t.true(result.answered > 0);
+});
