Bound the answers that settlements hold; state the proofs of once calls

During an outage of the platform up to 200 settlements could have held an answer of 4 MiB each. Above 4 MiB in all an answer is now dropped, and its repeats are told that the outcome is unknown.

--- a/bench/fuzz/process-run.ts
+++ b/bench/fuzz/process-run.ts
@@ -14,7 +14,7 @@
 import {ProcessFaults, type ProcessFault} from './process-faults.ts';
 import {Random} from './random.ts';
 
-const callers = 12;
+const callers = 24;
 const pauseMs = 150;
 /** Time after the last fault in which everything has to work again, in milliseconds. */
 const healMs = 5000;
@@ -41,7 +41,7 @@
 		region: 'qc-est',
 		slots: 8,
 		maxConnections: 200,
-		routes: [{method: 'POST', path: '/orders', serviceMs: 10, jitter: 0.9, bytes: 400}],
+		routes: [{method: 'POST', path: '/orders', serviceMs: 40, jitter: 0.9, bytes: 400}],
 	};
 }
 
--- /dev/null
+++ b/src/once/settlement.test.ts
@@ -0,0 +1,100 @@
+import test from 'ava';
+import {okAsync, ResultAsync} from 'neverthrow';
+import {type PlatformError} from '../platform/errors.ts';
+import {type ObjectStore, type Table, type TableRow, type TableWrite} from '../platform/types.ts';
+import {decodeClaim} from './claim-row.ts';
+import {type ClaimerContext} from './claimer.ts';
+import {NonceRegistry} from './nonce-registry.ts';
+import {Settlements} from './settlement.ts';
+import {type SendEnd} from './types.ts';
+
+const nowMs = 1_700_000_000_000;
+const keepSeconds = 3600;
+const request = {service: 'commandes', caller: 'x', key: 'k', fingerprint: 'f'};
+
+/** A table that takes writes and answers none of them until it is opened. */
+class HeldTable implements Table {
+	static create(): HeldTable {
+		return new HeldTable([]);
+	}
+
+	private open: (() => void) | undefined;
+	private readonly opened = new Promise<void>(resolve => {
+		this.open = resolve;
+	});
+
+	private constructor(readonly rows: TableRow[]) {}
+
+	write(write: TableWrite): ResultAsync<void, PlatformError> {
+		if (write.kind === 'put') {
+			this.rows.push(write.row);
+		}
+
+		return ResultAsync.fromSafePromise(this.opened);
+	}
+
+	release(): void {
+		this.open?.();
+	}
+
+	get(): ResultAsync<undefined, PlatformError> {
+		return okAsync(undefined);
+	}
+
+	transact(): ResultAsync<void, PlatformError> {
+		return okAsync(undefined);
+	}
+
+	query(): ResultAsync<readonly TableRow[], PlatformError> {
+		return okAsync([]);
+	}
+}
+
+function createContext(table: Table): ClaimerContext {
+	const objects: ObjectStore = {
+		put: () => okAsync(undefined),
+		get: () => okAsync(undefined),
+		list: () => okAsync([]),
+	};
+	return {
+		self: {instanceId: 'i', address: '127.0.0.1', peerPort: 1},
+		ports: {
+			table,
+			objects,
+			holders: {killNonce: async () => 'unreachable'},
+			readNowMs: () => nowMs,
+			readRandom: () => '0'.repeat(16),
+			wait: async () => undefined,
+		},
+		limits: {keepSeconds, maxTableAnswerBytes: 10_000_000, maxAnswerBytes: 10_000_000},
+		nonces: NonceRegistry.create(10),
+	};
+}
+
+test('settlements that wait hold a bounded number of answer bytes', async t => {
+	const table = HeldTable.create();
+	const context = createContext(table);
+	const settlements = Settlements.create();
+	const body = new Uint8Array(1_048_576);
+	const end: SendEnd = {
+		kind: 'answered',
+		record: {kind: 'kept', answer: {status: 200, headers: [], body}},
+	};
+	for (let index = 0; index < 6; index++) {
+		settlements.start(context, request, `n${index}`, end);
+	}
+
+	table.release();
+	await settlements.wait();
+	settlements.start(context, request, 'n6', end);
+	await settlements.wait();
+	const kinds: string[] = [];
+	for (const row of table.rows) {
+		const state = decodeClaim(row)?.state;
+		kinds.push(state?.kind === 'done' ? state.place.kind : 'none');
+	}
+
+	const expected = [...Array.from({length: 4}, () => 'inline'), 'dropped', 'dropped', 'inline'];
+	t.deepEqual(kinds, expected);
+	t.is(table.rows[0]?.expiresAtSeconds, nowMs / 1000 + keepSeconds);
+});
--- a/src/once/settlement.ts
+++ b/src/once/settlement.ts
@@ -21,6 +21,24 @@
 const settleBackoff: Backoff = {attempts: 20, baseMs: 250, capMs: 30_000};
 /** Settlements that may wait for the platform at once; more are given up. */
 const maxWaiting = 200;
+/** Bytes of answers that settlements hold at once; further answers are dropped. */
+const maxAnswerBytes = 4_194_304;
+
+/** Counts the bytes of the answer that an end carries. */
+function countAnswerBytes(end: SendEnd): number {
+	return end.kind === 'answered' && end.record.kind === 'kept'
+		? end.record.answer.body.byteLength
+		: 0;
+}
+
+/** Drops the answer of an end; only its status remains. */
+function dropAnswer(end: SendEnd): SendEnd {
+	if (end.kind !== 'answered' || end.record.kind !== 'kept') {
+		return end;
+	}
+
+	return {kind: 'answered', record: {kind: 'dropped', status: end.record.answer.status}};
+}
 
 /** Settles claims in the background, in bounded number. */
 export class Settlements {
@@ -32,13 +50,20 @@
 		return new Settlements(new Set());
 	}
 
+	private answerBytes = 0;
+
 	private constructor(private readonly pending: Set<Promise<void>>) {}
 
 	/** Starts to settle one claim. A repeat that comes earlier asks the holder instead. */
 	start(context: ClaimerContext, request: OnceRequest, nonce: string, end: SendEnd): void {
-		const settlement = this.settle(context, request, nonce, end);
+		const isTooMuch = this.answerBytes + countAnswerBytes(end) > maxAnswerBytes;
+		const settled = isTooMuch ? dropAnswer(end) : end;
+		const bytes = countAnswerBytes(settled);
+		this.answerBytes += bytes;
+		const settlement = this.settle(context, request, nonce, settled);
 		this.pending.add(settlement);
 		void settlement.finally(() => {
+			this.answerBytes -= bytes;
 			this.pending.delete(settlement);
 		});
 	}
