Let the world of once calls have two guards and send elsewhere after a proved notRun

An entry sends a refused once call to another guard under the same nonce; the sequences did not have that path.

--- a/bench/fuzz/once/sequences.ts
+++ b/bench/fuzz/once/sequences.ts
@@ -126,10 +126,10 @@
 		world.setFrozen(name, frozen);
 	}),
 );
-const guardFaults = fc.boolean().map(isRestart =>
-	Step.create(isRestart ? 'restart guard' : 'cut connections', world => {
-		if (isRestart) {
-			world.restartGuard();
+const guardFaults = fc.constantFrom('cut', 0, 1).map(fault =>
+	Step.create(fault === 'cut' ? 'cut connections' : `restart guard ${fault}`, world => {
+		if (typeof fault === 'number') {
+			world.restartGuard(fault);
 		} else {
 			world.cutConnections();
 		}
--- a/bench/fuzz/once/world.ts
+++ b/bench/fuzz/once/world.ts
@@ -1,5 +1,5 @@
 /**
- * A small world for once calls: a table, daemons, a guard and a backend server that counts.
+ * A small world for once calls: a table, daemons, two guards and backend servers that count.
  *
  * Every message between them waits at a gate until the test lets it pass, so a test decides about every
  * order of events.
@@ -40,7 +40,7 @@
 	}
 
 	fault: TableFault = 'ok';
-	/** Whether the guard sheds; undefined sheds every fourth call. */
+	/** Whether guards shed; undefined sheds every fourth call. */
 	isShedding: boolean | undefined;
 	nowMs = 1_700_000_000_000;
 	readonly rows = new Map<string, TableRow>();
@@ -55,8 +55,7 @@
 	private readonly entries = new Map<string, WorldEntry>();
 	private readonly gates = Gates.create();
 	private connections: Array<() => void> = [];
-	private guard = NonceRegistry.create(maxNonces);
-	private guardStart = 0;
+	private readonly guards = [NonceRegistry.create(maxNonces), NonceRegistry.create(maxNonces)];
 	private sequence = 0;
 
 	private constructor(entryNames: readonly string[]) {
@@ -150,7 +149,7 @@
 		this.faults.freezes += frozen ? 1 : 0;
 	}
 
-	/** Cuts the connections of all calls between entries and the guard. */
+	/** Cuts the connections of all calls between entries and guards. */
 	cutConnections(): void {
 		for (const cut of this.connections) {
 			cut();
@@ -160,10 +159,9 @@
 		this.connections = [];
 	}
 
-	/** Replaces the guard; calls that wait there are lost. */
-	restartGuard(): void {
-		this.guard = NonceRegistry.create(maxNonces);
-		this.guardStart++;
+	/** Replaces a guard by a new instance; calls that wait there are lost. */
+	restartGuard(index: number): void {
+		this.guards[index] = NonceRegistry.create(maxNonces);
 		this.faults.restarts++;
 	}
 
@@ -206,44 +204,70 @@
 
 	private async runAttempt(entry: WorldEntry, attempt: Attempt): Promise<void> {
 		attempt.result = await entry.ledger.run(attempt.request, async nonce =>
-			this.sendToGuard(entry, attempt, nonce),
+			this.sendToGuards(entry, attempt, nonce),
 		);
 	}
 
-	/** The way from an entry to the guard, whose connection may be cut. */
-	private async sendToGuard(entry: WorldEntry, attempt: Attempt, nonce: string): Promise<SendEnd> {
+	/** Sends to one guard after the other, as long as they prove that they did not run the call. */
+	private async sendToGuards(entry: WorldEntry, attempt: Attempt, nonce: string): Promise<SendEnd> {
 		this.sentKeys.add(formatRequest(attempt.request));
-		const {guardStart} = this;
+		let end: SendEnd = {kind: 'notRun', reason: 'no-server'};
+		for (const index of this.guards.keys()) {
+			end = await this.sendToGuard(entry, attempt, nonce, index);
+			if (end.kind !== 'notRun' || end.reason === 'cancelled') {
+				return end;
+			}
+		}
+
+		return end;
+	}
+
+	/** The way from an entry to a guard, whose connection may be cut. */
+	private async sendToGuard(
+		entry: WorldEntry,
+		attempt: Attempt,
+		nonce: string,
+		index: number,
+	): Promise<SendEnd> {
+		const guard = this.guards[index]!;
 		const cut = new Promise<undefined>(resolve => {
 			this.connections.push(() => {
 				resolve(undefined);
 			});
 		});
-		const end = await Promise.race([this.passGuard(attempt, nonce), cut]);
+		const end = await Promise.race([this.passGuard(attempt, nonce, guard), cut]);
 		await this.wait(entry.instanceId);
-		return end ?? this.killAtGuard(entry, guardStart, nonce);
+		return end ?? this.killAtGuard(entry, nonce, guard);
 	}
 
-	/** The way through the guard to the backend server and back; undefined when the guard restarts. */
-	private async passGuard(attempt: Attempt, nonce: string): Promise<SendEnd | undefined> {
-		const {guard} = this;
+	/** The way through a guard to the backend server and back; undefined when the guard restarts. */
+	private async passGuard(
+		attempt: Attempt,
+		nonce: string,
+		guard: NonceRegistry,
+	): Promise<SendEnd | undefined> {
 		await this.wait(network);
-		if (guard !== this.guard) {
+		if (!this.guards.includes(guard)) {
 			return undefined;
 		}
 
-		const isShed = this.isShedding ?? (this.nowMs / stepMs) % 4 < 1;
-		if (isShed || !guard.startSend(nonce)) {
+		if (this.isShedding ?? (this.nowMs / stepMs) % 4 < 1) {
 			return {kind: 'notRun', reason: 'overload'};
 		}
 
+		if (!guard.startSend(nonce)) {
+			return guard.isKilled(nonce)
+				? {kind: 'notRun', reason: 'cancelled'}
+				: {kind: 'unknown', reason: 'nonce-used'};
+		}
+
 		attempt.runs++;
 		const name = formatRequest(attempt.request);
 		const run = (this.runs.get(name) ?? 0) + 1;
 		this.runs.set(name, run);
 		await this.wait(network);
 		guard.endSend(nonce);
-		if (guard !== this.guard) {
+		if (!this.guards.includes(guard)) {
 			return undefined;
 		}
 
@@ -251,15 +275,14 @@
 		return {kind: 'answered', record: {kind: 'kept', answer: {status: 200, headers: [], body}}};
 	}
 
-	/** Asks the guard after a lost connection; one that restarted can't prove anything. */
+	/** Asks a guard after a lost connection; one that restarted can't prove anything. */
 	private async killAtGuard(
 		entry: WorldEntry,
-		guardStart: number,
 		nonce: string,
+		guard: NonceRegistry,
 	): Promise<SendEnd> {
 		await this.wait(network);
-		const isSame = guardStart === this.guardStart;
-		const verdict = isSame ? this.guard.kill(nonce) : 'unreachable';
+		const verdict = this.guards.includes(guard) ? guard.kill(nonce) : 'unreachable';
 		await this.wait(entry.instanceId);
 		return verdict === 'neverSent'
 			? {kind: 'notRun', reason: 'connect'}
--- a/src/once/once-ledger.test.ts
+++ b/src/once/once-ledger.test.ts
@@ -23,7 +23,7 @@
 	const world = World.create(entryNames);
 	world.isShedding = true;
 	const shed = await world.call('a', request);
-	for (let index = 0; index < 3; index++) {
+	for (let index = 0; index < 5; index++) {
 		await world.step(0);
 	}
 
