--- a/src/daemon/entry/entry-call.ts
+++ b/src/daemon/entry/entry-call.ts
@@ -105,7 +105,8 @@
 			this.#stop('cancelled');
 		};
 
-		const removeChild = origin.kind === 'server' ? origin.parent.addChild(cancel) : undefined;
+		const isChild = origin.kind === 'server' && this.#input.once === undefined;
+		const removeChild = isChild ? origin.parent.addChild(cancel) : undefined;
 		response.once('close', () => {
 			// A once call runs to its end, so that it is not left half done.
 			if (!response.writableFinished && this.#input.once === undefined) {
