--- a/src/policy/schema.ts
+++ b/src/policy/schema.ts
@@ -181,6 +181,17 @@
 		})
 		.prefault({})
 		.describe('Bound on retries'),
+	routing: z
+		.strictObject({
+			kind: z
+				.enum(['measured', 'roundRobin'])
+				.default('measured')
+				.describe(
+					'`measured` chooses by latency and calls in flight; `roundRobin` in turn, as a baseline',
+				),
+		})
+		.prefault({})
+		.describe('Choice of a server'),
 	link: z
 		.strictObject({
 			bitsPerSecond: z
--- a/stand-ins/daemon/admin-stand-in.ts
+++ b/stand-ins/daemon/admin-stand-in.ts
@@ -64,6 +64,8 @@
 					slotsInUse: 4,
 					slotLimit: 10,
 					queued: 2,
+					shedShare: 0.25,
+					neededRank: 0,
 					state: 'serving',
 				}),
 				isReady: () => true,
