Ask for the administration key on every page but health and readiness

Metrics name services and callers, so they need the key too, which scrapers send as a bearer token. The check is now the default for every path, where it was tied to /admin.

--- a/src/daemon/admin/admin-task.test.ts
+++ b/src/daemon/admin/admin-task.test.ts
@@ -2,6 +2,20 @@
 import {request} from 'undici';
 import {AdminStandIn, standInAdminKey} from '../../../stand-ins/daemon/admin-stand-in.ts';
 
+const pages = [
+	'/metrics',
+	'/Metrics',
+	'/admin/status',
+	'/admin/members',
+	'/admin/counters',
+	'/Admin/status',
+	'//admin/status',
+	'/admin/./status',
+	'/%61dmin/status',
+	'/healthz/../admin/status',
+	'/admin/none',
+];
+
 async function runWithAdmin(check: (standIn: AdminStandIn) => Promise<void>): Promise<void> {
 	const standIn = await AdminStandIn.open();
 	try {
@@ -23,7 +37,7 @@
 	await runWithAdmin(async standIn => {
 		const {url} = standIn;
 		for (const key of [undefined, '', 'admin-key-0123456780', `${standInAdminKey}x`]) {
-			for (const path of ['/admin/status', '/admin/members', '/admin/counters', '/admin/none']) {
+			for (const path of pages) {
 				const {statusCode, text} = await send(`${url}${path}`, 'GET', key);
 				t.is(statusCode, 401, `GET ${path}`);
 				t.notRegex(text, /commandes|digest/v);
@@ -31,7 +45,7 @@
 
 			for (const path of ['/admin/drain', '/admin//drain', '/Admin/drain', '/admin/drain/']) {
 				const {statusCode} = await send(`${url}${path}`, 'POST', key);
-				t.true(statusCode === 401 || statusCode === 404, `POST ${path}`);
+				t.is(statusCode, 401, `POST ${path}`);
 			}
 		}
 
@@ -63,11 +77,21 @@
 	});
 });
 
-test('metrics tell the facts of the moment', async t => {
+test('metrics tell the facts of the moment to a bearer of the key', async t => {
 	await runWithAdmin(async ({url}) => {
-		const {text} = await send(`${url}/metrics`, 'GET');
+		const {body} = await request(`${url}/metrics`, {
+			headers: {authorization: `Bearer ${standInAdminKey}`},
+		});
+		const text = await body.text();
 		for (const line of [/policy_version".*\} 0/v, /members".*\} 1/v, /slots_in_use".*\} 4/v]) {
 			t.regex(text, line);
 		}
 	});
 });
+
+test('health and readiness need no key', async t => {
+	await runWithAdmin(async ({url}) => {
+		t.deepEqual(await send(`${url}/healthz`, 'GET'), {statusCode: 200, text: 'ok\n'});
+		t.deepEqual(await send(`${url}/readyz`, 'GET'), {statusCode: 200, text: 'ready\n'});
+	});
+});
--- a/src/daemon/admin/admin-task.ts
+++ b/src/daemon/admin/admin-task.ts
@@ -1,7 +1,7 @@
 /**
  * The administration port: health, metrics and status.
  */
-import {type ServerResponse} from 'node:http';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
 import polka from 'polka';
 import {type PolicyVersion} from '../../policy/types.ts';
 import {type GuardReport} from '../../call/types.ts';
@@ -30,6 +30,19 @@
 	readonly port: AdminPort;
 };
 
+/** Pages that tell nothing but whether the daemon runs; all others need the key. */
+const openPaths: ReadonlySet<string> = new Set(['/healthz', '/readyz']);
+
+const bearerPrefix = 'Bearer ';
+
+/** Reads the key from its own header or, as scrapers of metrics send it, as a bearer token. */
+function readGivenKey(request: IncomingMessage): string | string[] | undefined {
+	const {authorization} = request.headers;
+	return authorization?.startsWith(bearerPrefix)
+		? authorization.slice(bearerPrefix.length)
+		: request.headers[adminKeyHeader];
+}
+
 /** Owns the administration listener. */
 export class AdminTask {
 	/**
@@ -60,8 +73,8 @@
 				answerNotFound(response);
 			},
 		});
-		app.use('/admin', (request, response, next) => {
-			if (this.#adminKey.isEqual(request.headers[adminKeyHeader])) {
+		app.use((request, response, next) => {
+			if (openPaths.has(request.path) || this.#adminKey.isEqual(readGivenKey(request))) {
 				next();
 				return;
 			}
