Keep burn readings as calls between readings, merged by the hour

Raw counters of every daemon would grow with daemons times readings: at 1,400 daemons with about 30 counters of 150 bytes each, 6 MB a reading. Kept rows sum the daemons, so they grow with services and callers alone, and a closed hour is merged to one row for each. The state of the collection and the hour that goes on are one object, so that a reading is kept whole or not at all and a lost answer or a failed put counts no call twice. ctl burn now keeps nothing; it adds one reading to what the collector kept, since two writers would count calls twice. Coverage counts the daemons that answered.

Ruled out: one object per reading (43,000 objects for 30 days).

--- a/src/operator/commands/burn-actions.ts
+++ b/src/operator/commands/burn-actions.ts
@@ -6,7 +6,12 @@
 import {type BurnError} from '../../reporting/burn/errors.ts';
 import {formatBurnText} from '../../reporting/burn/format-text.ts';
 import {computeBurnReport} from '../../reporting/burn/report.ts';
-import {type BurnReport, type CounterSample} from '../../reporting/burn/types.ts';
+import {
+	type BurnReport,
+	type BurnRow,
+	type CounterReading,
+	type CounterSample,
+} from '../../reporting/burn/types.ts';
 import {convertPolicyError} from '../convert-error.ts';
 import {OperatorError} from '../errors.ts';
 import {openWorkspace, type Workspace} from '../workspace.ts';
@@ -17,26 +22,37 @@
 const minWindowDays = 4;
 
 export type Collection = {
-	readonly sampleCount: number;
+	readonly reading: CounterReading;
 	/** Daemons that did not answer, each with the reason. */
 	readonly unanswered: readonly string[];
 };
 
-/** Whether counters are read before the report. */
-export type BurnSource = 'collect' | 'stored';
+/** Whether the daemons are asked besides what is kept. */
+export type BurnSource = 'live' | 'kept';
+
+/** What a report is computed from. */
+export type BurnInput =
+	| {readonly kind: 'kept'}
+	| {readonly kind: 'live'; readonly reading: CounterReading}
+	/** Rows of a file, in place of those in the object store. */
+	| {readonly kind: 'file'; readonly rows: readonly BurnRow[]};
 
 function findLongestWindowMs(policy: Policy): number {
 	const days = policy.objectives.map(objective => objective.windowDays);
 	return Math.max(minWindowDays, ...days) * dayMs;
 }
 
+function convertBurnError(error: BurnError): OperatorError {
+	return OperatorError.create('failed', error.message, 'Try again once the object store answers.');
+}
+
 /**
- * Reads the counters of all daemons that can be asked and keeps them in the object store.
+ * Reads the counters of all daemons that can be asked.
  *
  * @example
- * const collection = await collectCounters(workspace, Date.now());
+ * const collection = await readCounters(workspace, Date.now());
  */
-export async function collectCounters(
+export async function readCounters(
 	workspace: Workspace,
 	nowMs: number,
 ): Promise<Result<Collection, OperatorError>> {
@@ -47,67 +63,125 @@
 
 	const samples: CounterSample[] = [];
 	const unanswered: string[] = [];
+	let answered = 0;
 	for (const {answer} of await workspace.admin.readCounters(members.value)) {
 		if (answer.kind === 'failed') {
 			unanswered.push(answer.detail);
 			continue;
 		}
 
+		answered++;
 		for (const counter of answer.value) {
 			samples.push({atMs: nowMs, ...counter});
 		}
 	}
 
-	const added = await workspace.samples.add(samples, nowMs);
-	return added
-		.map(() => ({sampleCount: samples.length, unanswered}))
-		.mapErr(error =>
-			OperatorError.create('failed', error.message, 'Try again once the object store answers.'),
-		);
+	const known = members.value.length;
+	const reading = {atMs: nowMs, known, answered: Math.min(answered, known), samples};
+	return ok({reading, unanswered});
 }
 
 /**
- * Computes the report from kept readings and the policy in force.
+ * Reads the counters of all daemons that can be asked and keeps the reading.
  *
- * @param given - readings to use in place of those in the object store
  * @example
- * const report = await computeStoredBurn(workspace, Date.now());
+ * const collection = await collectCounters(workspace, Date.now());
  */
-export async function computeStoredBurn(
+export async function collectCounters(
 	workspace: Workspace,
 	nowMs: number,
-	given?: readonly CounterSample[],
+): Promise<Result<Collection, OperatorError>> {
+	const collection = await readCounters(workspace, nowMs);
+	if (collection.isErr()) {
+		return collection;
+	}
+
+	const kept = await workspace.burn.add(collection.value.reading);
+	return kept.map(() => collection.value).mapErr(error => convertBurnError(error));
+}
+
+async function readRows(
+	workspace: Workspace,
+	input: BurnInput,
+	sinceMs: number,
+): Promise<Result<readonly BurnRow[], BurnError>> {
+	switch (input.kind) {
+		case 'kept': {
+			return workspace.burn.readSince(sinceMs);
+		}
+
+		case 'live': {
+			return workspace.burn.readSince(sinceMs, input.reading);
+		}
+
+		case 'file': {
+			return ok(input.rows);
+		}
+	}
+}
+
+/**
+ * Computes the report for the objectives of the policy in force.
+ *
+ * @example
+ * const report = await computeBurn(workspace, {kind: 'kept'}, Date.now());
+ */
+export async function computeBurn(
+	workspace: Workspace,
+	input: BurnInput,
+	nowMs: number,
 ): Promise<Result<BurnReport, OperatorError>> {
-	const {policies, samples} = workspace;
-	const version = await policies.readHead().andThen(head => policies.readVersion(head.version));
-	if (version.isErr()) {
-		return err(convertPolicyError(version.error));
+	const {policies} = workspace;
+	const found = await policies.readHead().andThen(head => policies.readVersion(head.version));
+	if (found.isErr()) {
+		return err(convertPolicyError(found.error));
 	}
 
-	const {document} = version.value;
-	const read =
-		given === undefined
-			? await samples.readSince(nowMs - findLongestWindowMs(document))
-			: ok<readonly CounterSample[], BurnError>(given);
+	const {document, version} = found.value;
+	const read = await readRows(workspace, input, nowMs - findLongestWindowMs(document));
 	return read
-		.map(kept =>
-			computeBurnReport({
-				objectives: document.objectives,
-				policyVersion: version.value.version,
-				samples: kept,
-				nowMs,
-			}),
+		.map(rows =>
+			computeBurnReport({objectives: document.objectives, policyVersion: version, rows, nowMs}),
 		)
-		.mapErr(error =>
-			OperatorError.create('failed', error.message, 'Try again once the object store answers.'),
-		);
+		.mapErr(error => convertBurnError(error));
+}
+
+/** Report and a remark on the reading that it rests on. */
+export type RemarkedReport = {readonly report: BurnReport; readonly remark: string};
+
+/**
+ * Computes the report from kept readings and, if asked for, one made now.
+ *
+ * @example
+ * const report = await computeBurnFrom(workspace, 'live');
+ */
+export async function computeBurnFrom(
+	workspace: Workspace,
+	source: BurnSource,
+): Promise<Result<RemarkedReport, OperatorError>> {
+	const nowMs = Date.now();
+	if (source === 'kept') {
+		const report = await computeBurn(workspace, {kind: 'kept'}, nowMs);
+		return report.map(value => ({report: value, remark: 'from kept readings'}));
+	}
+
+	const collection = await readCounters(workspace, nowMs);
+	if (collection.isErr()) {
+		const {kind, message, nextStep} = collection.error;
+		const nextSteps = `${nextStep} With --kept the report needs no daemon.`;
+		return err(OperatorError.create(kind, message, nextSteps));
+	}
+
+	const {reading} = collection.value;
+	const report = await computeBurn(workspace, {kind: 'live', reading}, nowMs);
+	return report.map(value => ({report: value, remark: formatCollection(collection.value)}));
 }
 
 /**
  * Shows the burn report.
  *
  * @example
- * const result = await showBurn('operator.ini', 'collect');
+ * const result = await showBurn('operator.ini', 'live');
  */
 export async function showBurn(settingsFile: string, source: BurnSource): Promise<CommandResult> {
 	const workspace = openWorkspace(settingsFile);
@@ -115,27 +189,21 @@
 		return err(workspace.error);
 	}
 
-	const nowMs = Date.now();
-	let remark = 'from kept readings';
-	if (source === 'collect') {
-		const collection = await collectCounters(workspace.value, nowMs);
-		if (collection.isErr()) {
-			return err(collection.error);
-		}
-
-		remark = formatCollection(collection.value);
-	}
-
-	const report = await computeStoredBurn(workspace.value, nowMs);
-	return report.andThen(value => ok({text: formatBurnText(value), data: value, remark}));
+	const computed = await computeBurnFrom(workspace.value, source);
+	return computed.map(({report, remark}) => ({
+		text: formatBurnText(report),
+		data: report,
+		remark,
+	}));
 }
 
 /**
- * Formats what a collection read.
+ * Formats what a reading reached.
  *
  * @example
- * formatCollection({sampleCount: 12, unanswered: []}); // '12 counters read'
+ * formatCollection(collection); // '12 counters of 6 daemons read'
  */
-export function formatCollection(collection: Collection): string {
-	return [`${collection.sampleCount} counters read`, ...collection.unanswered].join('\n');
+export function formatCollection({reading, unanswered}: Collection): string {
+	const read = `${reading.samples.length} counters of ${reading.answered} daemons read`;
+	return [read, ...unanswered].join('\n');
 }
--- a/src/operator/commands/burn-commands.ts
+++ b/src/operator/commands/burn-commands.ts
@@ -11,17 +11,17 @@
 	static override usage = Command.Usage({
 		category,
 		description: 'show the service-level burn',
-		details: `Reads the counters of all daemons that can be asked, keeps them in the object store, and shows burn rates and the error budget left for each objective of the policy in force. A window without readings is shown as "no data". ${exitCodeHelp}`,
+		details: `Shows burn rates and the error budget left for each objective of the policy in force, from the readings that "primrosevalve-report collect" keeps and from one made now, which is not kept. A window without readings is shown as "no data". ${exitCodeHelp}`,
 		examples: [
 			['Now', '$0 burn'],
-			['From kept readings alone', '$0 burn --no-collect'],
+			['From kept readings alone', '$0 burn --kept'],
 		],
 	});
 
-	collect = Option.Boolean('--collect', true, {description: 'Read the counters first'});
+	kept = Option.Boolean('--kept', false, {description: 'Ask no daemon; use kept readings alone'});
 
 	protected override async run() {
 		const {showBurn} = await import('./burn-actions.ts');
-		return showBurn(this.settingsFile, this.collect ? 'collect' : 'stored');
+		return showBurn(this.settingsFile, this.kept ? 'kept' : 'live');
 	}
 }
--- a/src/operator/commands/report-actions.ts
+++ b/src/operator/commands/report-actions.ts
@@ -5,40 +5,56 @@
 import process from 'node:process';
 import {setTimeout as wait} from 'node:timers/promises';
 import {err, ok, type Result} from 'neverthrow';
-import {decodeSamples} from '../../reporting/burn/sample-store.ts';
-import {type CounterSample} from '../../reporting/burn/types.ts';
+import {decodeRows} from '../../reporting/burn/row-codec.ts';
+import {type BurnReport, type BurnRow} from '../../reporting/burn/types.ts';
 import {OperatorError} from '../errors.ts';
-import {openWorkspace} from '../workspace.ts';
-import {collectCounters, computeStoredBurn, formatCollection} from './burn-actions.ts';
+import {openWorkspace, type Workspace} from '../workspace.ts';
+import {
+	collectCounters,
+	computeBurn,
+	computeBurnFrom,
+	formatCollection,
+	type BurnSource,
+} from './burn-actions.ts';
 import {type CommandResult} from './operator-command.ts';
 import {reportFormats} from './report-formats.ts';
 
 export type ReportOptions = {
 	readonly format: string;
 	readonly out: string | undefined;
-	/** File of readings in place of the object store. */
-	readonly samplesFile: string | undefined;
+	readonly source: BurnSource;
+	/** File of rows in place of the object store. */
+	readonly rowsFile: string | undefined;
 };
 
-async function readSamplesFile(
-	file: string | undefined,
-): Promise<Result<readonly CounterSample[] | undefined, OperatorError>> {
-	if (file === undefined) {
-		return ok(undefined);
-	}
-
+async function readRowsFile(file: string): Promise<Result<readonly BurnRow[], OperatorError>> {
 	try {
 		const text = await readFile(file, 'utf8');
-		return decodeSamples(text).mapErr(error =>
+		return decodeRows(text).mapErr(error =>
 			OperatorError.create('failed', `${file}: ${error.message}`, 'Correct or remove the line.'),
 		);
 	} catch (error) {
 		const code = (error as NodeJS.ErrnoException).code ?? 'unreadable';
-		const nextStep = 'Name a file of readings, or leave --samples out.';
+		const nextStep = 'Name a file of rows, or leave --rows out.';
 		return err(OperatorError.create('usage', `can't read "${file}" (${code})`, nextStep));
 	}
 }
 
+async function computeReport(
+	workspace: Workspace,
+	{source, rowsFile}: ReportOptions,
+): Promise<Result<BurnReport, OperatorError>> {
+	if (rowsFile === undefined) {
+		const computed = await computeBurnFrom(workspace, source);
+		return computed.map(({report}) => report);
+	}
+
+	const rows = await readRowsFile(rowsFile);
+	return rows.isErr()
+		? err(rows.error)
+		: computeBurn(workspace, {kind: 'file', rows: rows.value}, Date.now());
+}
+
 async function writeOut(file: string, text: string): Promise<Result<void, OperatorError>> {
 	try {
 		await writeFile(file, text);
@@ -54,7 +70,7 @@
  * Writes the burn report in one of the formats.
  *
  * @example
- * const result = await writeReport('operator.ini', {format: 'html', out: 'burn.html', samplesFile: undefined});
+ * const result = await writeReport('operator.ini', {format: 'html', out: 'burn.html', source: 'live', rowsFile: undefined});
  */
 export async function writeReport(
 	settingsFile: string,
@@ -74,12 +90,7 @@
 		return err(workspace.error);
 	}
 
-	const samples = await readSamplesFile(options.samplesFile);
-	if (samples.isErr()) {
-		return err(samples.error);
-	}
-
-	const report = await computeStoredBurn(workspace.value, Date.now(), samples.value);
+	const report = await computeReport(workspace.value, options);
 	if (report.isErr()) {
 		return err(report.error);
 	}
@@ -110,7 +121,10 @@
 	}
 
 	const collection = await collectCounters(workspace.value, Date.now());
-	return collection.map(value => ({text: `${formatCollection(value)}\n`, data: value}));
+	return collection.map(value => ({
+		text: `${formatCollection(value)}\n`,
+		data: {...value, reading: {...value.reading, samples: value.reading.samples.length}},
+	}));
 }
 
 /**
--- a/src/operator/workspace.ts
+++ b/src/operator/workspace.ts
@@ -4,7 +4,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {createPlatform, type Platform} from '../platform/create-platform.ts';
 import {PolicyStore} from '../policy/policy-store.ts';
-import {SampleStore} from '../reporting/burn/sample-store.ts';
+import {BurnStore} from '../reporting/burn/burn-store.ts';
 import {loadSettings} from '../settings/load.ts';
 import {operatorSettingsSchema, type OperatorSettings} from '../settings/operator-settings.ts';
 import {type PlatformSection} from '../settings/platform-settings.ts';
@@ -15,7 +15,7 @@
 	readonly settings: OperatorSettings;
 	readonly platform: Platform;
 	readonly policies: PolicyStore;
-	readonly samples: SampleStore;
+	readonly burn: BurnStore;
 	readonly admin: AdminClient;
 };
 
@@ -52,7 +52,7 @@
 		settings,
 		platform,
 		policies: PolicyStore.create(platform.table, {readTimeMs: () => Date.now()}),
-		samples: SampleStore.create(platform.objects, settings.burn.collector),
+		burn: BurnStore.create(platform.objects, settings.burn.collector),
 		admin: AdminClient.create({key, urls, port, timeoutMs}),
 	});
 }
--- a/src/reporting/burn/report.ts
+++ b/src/reporting/burn/report.ts
@@ -2,12 +2,10 @@
  * Computes the burn report: multi-window, multi-burn-rate alerts and the error budget left.
  */
 import {type Objective} from '../../policy/schema.ts';
-import {computeIntervals} from './intervals.ts';
 import {
 	type BudgetReport,
 	type BurnReport,
-	type CounterSample,
-	type CountInterval,
+	type BurnRow,
 	type HourBurn,
 	type ObjectiveReport,
 	type PairReport,
@@ -59,18 +57,18 @@
 function computePair(
 	pair: WindowPair,
 	objective: Objective,
-	intervals: readonly CountInterval[],
+	rows: readonly BurnRow[],
 	nowMs: number,
 ): PairReport {
 	const objectiveMs = objective.windowDays * dayMs;
 	const threshold = (pair.budgetShare * objectiveMs) / pair.longMs;
 	const short = computeWindowBurn(
-		intervals,
+		rows,
 		{fromMs: nowMs - pair.shortMs, toMs: nowMs},
 		objective.target,
 	);
 	const long = computeWindowBurn(
-		intervals,
+		rows,
 		{fromMs: nowMs - pair.longMs, toMs: nowMs},
 		objective.target,
 	);
@@ -81,11 +79,11 @@
 
 function computeBudget(
 	objective: Objective,
-	intervals: readonly CountInterval[],
+	rows: readonly BurnRow[],
 	nowMs: number,
 ): BudgetReport {
 	const window = {fromMs: nowMs - objective.windowDays * dayMs, toMs: nowMs};
-	const counts = countWindow(intervals, window);
+	const counts = countWindow(rows, window);
 	switch (counts.kind) {
 		case 'gap': {
 			return {kind: 'gap'};
@@ -108,7 +106,7 @@
 /** Computes whole hours up to the present one, the oldest first. */
 function computeHours(
 	objective: Objective,
-	intervals: readonly CountInterval[],
+	rows: readonly BurnRow[],
 	nowMs: number,
 ): readonly HourBurn[] {
 	const lastHourMs = Math.floor(nowMs / hourMs) * hourMs;
@@ -116,25 +114,31 @@
 	for (let index = plotHours - 1; index >= 0; index--) {
 		const hourStartMs = lastHourMs - index * hourMs;
 		const window = {fromMs: hourStartMs, toMs: hourStartMs + hourMs};
-		hours.push({hourStartMs, burn: computeWindowBurn(intervals, window, objective.target)});
+		hours.push({hourStartMs, burn: computeWindowBurn(rows, window, objective.target)});
 	}
 
 	return hours;
 }
 
+/** Tells whether a row bears on an objective; readings bear on all. */
+function isOwnRow(row: BurnRow, {service, caller}: Objective): boolean {
+	switch (row.kind) {
+		case 'reading': {
+			return true;
+		}
+
+		case 'calls': {
+			return row.service === service && (caller === '*' || row.caller === caller);
+		}
+	}
+}
+
 function computeObjective(
 	objective: Objective,
-	intervals: readonly CountInterval[],
+	rows: readonly BurnRow[],
 	nowMs: number,
 ): ObjectiveReport {
-	const own: CountInterval[] = [];
-	for (const interval of intervals) {
-		const isOwnCaller = objective.caller === '*' || objective.caller === interval.caller;
-		if (interval.service === objective.service && isOwnCaller) {
-			own.push(interval);
-		}
-	}
-
+	const own = rows.filter(row => isOwnRow(row, objective));
 	return {
 		service: objective.service,
 		caller: objective.caller,
@@ -149,7 +153,7 @@
 export type BurnRequest = {
 	readonly objectives: readonly Objective[];
 	readonly policyVersion: number;
-	readonly samples: readonly CounterSample[];
+	readonly rows: readonly BurnRow[];
 	/** Wall time in milliseconds at which the windows end. */
 	readonly nowMs: number;
 };
@@ -158,15 +162,15 @@
  * Computes the burn of each objective. A window without readings is a gap and never counts as good.
  *
  * @example
- * const report = computeBurnReport({objectives: policy.objectives, policyVersion: 4, samples, nowMs: Date.now()});
+ * const report = computeBurnReport({objectives: policy.objectives, policyVersion: 4, rows, nowMs: Date.now()});
  */
 export function computeBurnReport(request: BurnRequest): BurnReport {
-	const intervals = computeIntervals(request.samples);
+	const {rows} = request;
 	return {
 		atMs: request.nowMs,
 		policyVersion: request.policyVersion,
 		objectives: request.objectives.map(objective =>
-			computeObjective(objective, intervals, request.nowMs),
+			computeObjective(objective, rows, request.nowMs),
 		),
 	};
 }
--- /dev/null
+++ b/src/reporting/burn/row-codec.ts
@@ -0,0 +1,98 @@
+/**
+ * Codec of kept readings: rows as JSON lines, and the state of the collection as one JSON value.
+ */
+import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
+import {BurnError} from './errors.ts';
+import {type BurnRow} from './types.ts';
+
+const count = z.number().min(0);
+
+const rowSchema = z.discriminatedUnion('kind', [
+	z.object({
+		kind: z.literal('calls'),
+		fromMs: z.number(),
+		toMs: z.number(),
+		service: z.string(),
+		caller: z.string(),
+		total: count,
+		good: count,
+		isResolved: z.boolean(),
+	}),
+	z.object({
+		kind: z.literal('reading'),
+		fromMs: z.number(),
+		toMs: z.number(),
+		coveredShare: z.number().min(0).max(1),
+	}),
+]);
+
+const sampleSchema = z.object({
+	atMs: z.number(),
+	server: z.string(),
+	instanceId: z.string(),
+	startedAtMs: z.number(),
+	service: z.string(),
+	caller: z.string(),
+	total: count,
+	good: count,
+});
+
+const currentHourSchema = z.object({
+	/** Start of the hour that the rows belong to. */
+	hourStartMs: z.number(),
+	lastReadingMs: z.number(),
+	rows: z.array(rowSchema),
+	samples: z.array(sampleSchema),
+});
+
+/** Rows of the hour that goes on and the state of the collection, kept as one object. */
+export type CurrentHour = z.infer<typeof currentHourSchema>;
+
+/**
+ * Encodes rows as JSON lines.
+ *
+ * @example
+ * const text = encodeRows(rows);
+ */
+export function encodeRows(rows: readonly BurnRow[]): string {
+	return rows.map(row => `${JSON.stringify(row)}\n`).join('');
+}
+
+/**
+ * Decodes JSON lines into rows.
+ *
+ * @returns the rows, or an error that names the first malformed line
+ * @example
+ * const rows = decodeRows(text);
+ */
+export function decodeRows(text: string): Result<readonly BurnRow[], BurnError> {
+	const rows: BurnRow[] = [];
+	for (const [index, line] of text.split('\n').entries()) {
+		if (line === '') {
+			continue;
+		}
+
+		try {
+			rows.push(rowSchema.parse(JSON.parse(line)));
+		} catch (error) {
+			return err(BurnError.create(`line ${index + 1} is malformed`, error));
+		}
+	}
+
+	return ok(rows);
+}
+
+/**
+ * Decodes the current hour.
+ *
+ * @example
+ * const hour = decodeCurrentHour(text);
+ */
+export function decodeCurrentHour(text: string): Result<CurrentHour, BurnError> {
+	try {
+		return ok(currentHourSchema.parse(JSON.parse(text)));
+	} catch (error) {
+		return err(BurnError.create('the current hour is malformed', error));
+	}
+}
--- a/src/reporting/burn/types.ts
+++ b/src/reporting/burn/types.ts
@@ -19,14 +19,39 @@
 	readonly good: number;
 };
 
-/** Calls that ended between two readings of one daemon's counters. */
-export type CountInterval = {
+/** Calls that ended between two readings of the daemons' counters. */
+export type CountRow = {
+	readonly kind: 'calls';
 	readonly fromMs: number;
 	readonly toMs: number;
 	readonly service: string;
 	readonly caller: string;
 	readonly total: number;
 	readonly good: number;
+	/** False when the readings are too far apart to tell when in between the calls ended. */
+	readonly isResolved: boolean;
+};
+
+/** Time between two readings that are close enough to cover it. */
+export type ReadingRow = {
+	readonly kind: 'reading';
+	readonly fromMs: number;
+	readonly toMs: number;
+	/** Share of the known daemons that answered the later reading. */
+	readonly coveredShare: number;
+};
+
+/** What is kept of the readings. */
+export type BurnRow = CountRow | ReadingRow;
+
+/** Counters read at one time from the daemons that answered. */
+export type CounterReading = {
+	readonly atMs: number;
+	/** Daemons that were asked. */
+	readonly known: number;
+	/** Daemons that answered. */
+	readonly answered: number;
+	readonly samples: readonly CounterSample[];
 };
 
 /** Calls of a window, or why there are none. */
@@ -39,7 +64,7 @@
 			readonly kind: 'measured';
 			readonly total: number;
 			readonly good: number;
-			/** Share of the window's time for which counters were read. */
+			/** Share of the window's time, and of the daemons in it, for which counters were read. */
 			readonly coveredShare: number;
 	  };
 
--- a/src/reporting/burn/window.ts
+++ b/src/reporting/burn/window.ts
@@ -1,74 +1,51 @@
 /**
  * Counts the calls of a time window and computes its burn rate.
  */
-import {type CountInterval, type WindowBurn, type WindowCounts} from './types.ts';
+import {type BurnRow, type WindowBurn, type WindowCounts} from './types.ts';
 
-/** Readings further apart leave the time between them uncovered. */
-export const maxReadingGapMs = 300_000;
-
-/** Least share of a window that must be covered before it counts as measured. */
+/** Least share of a window that must be covered before it counts as read. */
 const minCoveredShare = 0.01;
 
 type Span = {readonly fromMs: number; readonly toMs: number};
 
-/** Computes the part of an interval that lies within a window; undefined when none does. */
-function computeOverlap(interval: Span, window: Span): Span | undefined {
-	const fromMs = Math.max(interval.fromMs, window.fromMs);
-	const toMs = Math.min(interval.toMs, window.toMs);
-	return toMs > fromMs ? {fromMs, toMs} : undefined;
-}
-
-/** Computes the length of the union of spans. */
-function computeCoveredMs(spans: Span[]): number {
-	spans.sort((a, b) => a.fromMs - b.fromMs);
-	let coveredMs = 0;
-	let endMs = Number.NEGATIVE_INFINITY;
-	for (const span of spans) {
-		if (span.toMs <= endMs) {
-			continue;
-		}
-
-		coveredMs += span.toMs - Math.max(span.fromMs, endMs);
-		endMs = span.toMs;
-	}
-
-	return coveredMs;
+/** Computes how many milliseconds of a row lie within a window. */
+function computeOverlapMs(row: Span, window: Span): number {
+	return Math.max(0, Math.min(row.toMs, window.toMs) - Math.max(row.fromMs, window.fromMs));
 }
 
 /**
  * Counts the calls that ended within a window.
  *
- * An interval across the window's edge counts in proportion. One longer than `maxReadingGapMs` says nothing
- * about any part of it: its calls count only when it lies wholly within, and its time stays uncovered.
+ * A resolved row across the window's edge counts in proportion. An unresolved one says nothing about any
+ * part of it: its calls count only when it lies wholly within.
  *
- * @param intervals - intervals of the service and caller in question
+ * @param rows - rows of the readings, and of the service and caller in question
  * @example
- * const counts = countWindow(intervals, {fromMs: nowMs - 3_600_000, toMs: nowMs});
+ * const counts = countWindow(rows, {fromMs: nowMs - 3_600_000, toMs: nowMs});
  */
-export function countWindow(intervals: readonly CountInterval[], window: Span): WindowCounts {
-	const covered: Span[] = [];
+export function countWindow(rows: readonly BurnRow[], window: Span): WindowCounts {
+	let coveredMs = 0;
 	let total = 0;
 	let good = 0;
-	for (const interval of intervals) {
-		const overlap = computeOverlap(interval, window);
-		if (overlap === undefined) {
+	for (const row of rows) {
+		const overlapMs = computeOverlapMs(row, window);
+		if (overlapMs === 0) {
 			continue;
 		}
 
-		const lengthMs = interval.toMs - interval.fromMs;
-		const share = (overlap.toMs - overlap.fromMs) / lengthMs;
-		if (lengthMs > maxReadingGapMs && share < 1) {
+		if (row.kind === 'reading') {
+			coveredMs += overlapMs * row.coveredShare;
 			continue;
 		}
 
-		total += interval.total * share;
-		good += interval.good * share;
-		if (lengthMs <= maxReadingGapMs) {
-			covered.push(overlap);
+		const share = overlapMs / (row.toMs - row.fromMs);
+		if (row.isResolved || share === 1) {
+			total += row.total * share;
+			good += row.good * share;
 		}
 	}
 
-	const coveredShare = computeCoveredMs(covered) / (window.toMs - window.fromMs);
+	const coveredShare = coveredMs / (window.toMs - window.fromMs);
 	if (total > 0) {
 		return {kind: 'measured', total, good, coveredShare};
 	}
@@ -77,18 +54,18 @@
 }
 
 /**
- * Computes the burn rate of a window that ends at `toMs`.
+ * Computes the burn rate of a window.
  *
  * @param target - share of calls that must be good, below 1
  * @example
- * const burn = computeWindowBurn(intervals, {fromMs, toMs}, 0.999);
+ * const burn = computeWindowBurn(rows, {fromMs, toMs}, 0.999);
  */
 export function computeWindowBurn(
-	intervals: readonly CountInterval[],
+	rows: readonly BurnRow[],
 	window: Span,
 	target: number,
 ): WindowBurn {
-	const counts = countWindow(intervals, window);
+	const counts = countWindow(rows, window);
 	const windowMs = window.toMs - window.fromMs;
 	switch (counts.kind) {
 		case 'gap':
--- a/stand-ins/daemon/admin-stand-in.ts
+++ b/stand-ins/daemon/admin-stand-in.ts
@@ -21,14 +21,15 @@
 	keepAliveMs: 1000,
 };
 
-const identity: Identity = {
+/** Identity of the daemon that isn't there. */
+export const standInIdentity: Identity = {
 	server: 'commandes-1',
 	service: 'commandes',
 	dataCentre: 'est-a',
 	region: 'qc-est',
 	address: '127.0.0.1',
 	instanceId: 'i-1',
-	startedAtMs: Date.UTC(2026, 0, 1),
+	startedAtMs: Date.now() - 60_000,
 };
 
 /** One administration port with counters that a test can raise. */
@@ -43,7 +44,7 @@
 		return standIn;
 	}
 
-	readonly metrics = Metrics.create({server: identity.server});
+	readonly metrics = Metrics.create({server: standInIdentity.server});
 	policy: PolicyVersion = builtInVersion;
 	/** Orders to drain that arrived. */
 	drainCount = 0;
@@ -54,12 +55,12 @@
 			adminKey: standInAdminKey,
 			metrics: this.metrics,
 			port: {
-				identity,
+				identity: standInIdentity,
 				readPolicy: () => this.policy,
 				readMembers: () => [this.#createMember()],
 				readReport: () => ({
-					server: identity.server,
-					instanceId: identity.instanceId,
+					server: standInIdentity.server,
+					instanceId: standInIdentity.instanceId,
 					admissionLevel: 3,
 					slotsInUse: 4,
 					slotLimit: 10,
@@ -87,7 +88,7 @@
 
 	#createMember(): Member {
 		return {
-			...identity,
+			...standInIdentity,
 			peerPort: 1,
 			incarnation: 1,
 			state: 'serving',
