--- a/bench/routing-trial.ts
+++ b/bench/routing-trial.ts
@@ -6,11 +6,10 @@
 import process from 'node:process';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
-import {importance} from '../src/call/types.ts';
+import {importance, type GuardReport} from '../src/call/types.ts';
 import {type Member} from '../src/membership/types.ts';
 import {policySchema} from '../src/policy/schema.ts';
 import {ServiceRouter} from '../src/routing/service-router.ts';
-import {type AttemptResult} from '../src/routing/types.ts';
 import {EventQueue} from './trials/event-queue.ts';
 
 type Random = () => number;
@@ -68,8 +67,6 @@
 		instanceId: `s${index}-1`,
 		startedAtMs: 0,
 		incarnation: 0,
-		shedShare: 0,
-		neededRank: 0,
 		state: 'serving',
 		policyVersion: 1,
 	};
@@ -105,13 +102,15 @@
 		},
 		recordEnd({server, callName, latencyMs, load}, nowMs) {
 			const member = members[server]!;
-			const report: AttemptResult['report'] = {
+			const report: GuardReport = {
 				server: member.server,
 				instanceId: member.instanceId,
 				admissionLevel: importance.background,
 				slotsInUse: Math.round(load * slots),
 				slotLimit: slots,
 				queued: 0,
+				shedShare: 0,
+				neededRank: 0,
 				state: 'serving',
 			};
 			router.recordResult({member, callName, kind: 'answered', latencyMs, bytes: 0, report}, nowMs);
--- a/src/daemon/control/control-client.ts
+++ b/src/daemon/control/control-client.ts
@@ -3,9 +3,9 @@
  */
 import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
 import {ResultAsync} from 'neverthrow';
-import {Agent, request} from 'undici';
 import {headerNames} from '../../call/headers.ts';
 import {type Endpoint, type GossipRequest, type GossipResponse} from '../../membership/messages.ts';
+import {createAgent} from '../../http/pool.ts';
 import {ControlError} from '../errors.ts';
 import {controlPath, type ControlRouter} from './control-router.ts';
 import {type PackedPolicy} from './packed-policy.ts';
@@ -32,7 +32,7 @@
 		return new ControlClient(peerKey);
 	}
 
-	readonly #agent = new Agent({
+	readonly #agent = createAgent({
 		connections: 2,
 		keepAliveTimeout: keepAliveMs,
 		keepAliveMaxTimeout: keepAliveMs,
@@ -90,8 +90,10 @@
 	}
 
 	async #fetch(url: string, init: FetchInit) {
-		const answer = await request(url, {
-			dispatcher: this.#agent,
+		const {origin, pathname, search} = new URL(url);
+		const answer = await this.#agent.request({
+			origin,
+			path: `${pathname}${search}`,
 			method: init.method === 'POST' ? 'POST' : 'GET',
 			headers: init.headers as Record<string, string>,
 			body: typeof init.body === 'string' ? init.body : null,
--- a/src/policy/schema.ts
+++ b/src/policy/schema.ts
@@ -191,7 +191,7 @@
 				),
 		})
 		.prefault({})
-		.describe('Choice of a server'),
+		.describe('Choice of servers'),
 	link: z
 		.strictObject({
 			bitsPerSecond: z
