Call a window quiet only when at least half of it was read

A pair was ok when a single reading showed no failures, whatever share of its windows was covered; the walk through README showed ok at 0 % covered. It is 'too little data' now. The test of a collector that stopped expects that where it expected quiet.

--- a/src/reporting/burn/format-text.ts
+++ b/src/reporting/burn/format-text.ts
@@ -107,6 +107,10 @@
 			return 'no data';
 		}
 
+		case 'partial': {
+			return 'too little data';
+		}
+
 		case 'unsuited': {
 			return 'window too long for this objective';
 		}
--- a/src/reporting/burn/render-page.ts
+++ b/src/reporting/burn/render-page.ts
@@ -12,7 +12,7 @@
 th, td { border: 1px solid #c8c8c8; padding: 0.3rem 0.7rem; text-align: left; }
 th { background: #f3f3f3; }
 .firing { background: #fbe3e4; font-weight: 600; }
-.gap { background: #ececec; }
+.gap, .partial { background: #ececec; }
 svg { max-width: 100%; height: auto; }
 `);
 
--- a/src/reporting/burn/report.test.ts
+++ b/src/reporting/burn/report.test.ts
@@ -79,7 +79,7 @@
 
 test('a window without readings is a gap, neither good nor quiet', t => {
 	const report = computeObjective(createSamples(startedAtMs, nowMs - 2 * hourMs, 0));
-	t.deepEqual(listStates(report), ['gap', 'gap', 'quiet']);
+	t.deepEqual(listStates(report), ['gap', 'gap', 'partial']);
 	t.is(report.pairs[0]!.short.burnRate, undefined);
 	t.deepEqual(
 		report.hours.slice(-4).map(hour => hour.burn.counts.kind),
--- a/src/reporting/burn/report.ts
+++ b/src/reporting/burn/report.ts
@@ -19,6 +19,9 @@
 const hourMs = 60 * minuteMs;
 const dayMs = 24 * hourMs;
 
+/** Share of a window that must be read before it counts as quiet. */
+const minJudgedShare = 0.5;
+
 /** Hours that the plot shows. */
 const plotHours = 72;
 
@@ -44,14 +47,22 @@
 	{name: 'trend', severity: 'ticket', shortMs: 6 * hourMs, longMs: 3 * dayMs, budgetShare: 0.1},
 ];
 
+/** Tells whether enough of a window was read to call it quiet. */
+function isWellCovered({counts}: WindowBurn): boolean {
+	return counts.kind !== 'gap' && counts.coveredShare >= minJudgedShare;
+}
+
 /** Judges a pair: it fires when both windows exceed the threshold. */
 function computePairState(short: WindowBurn, long: WindowBurn, threshold: number): PairState {
 	if (short.counts.kind === 'gap' || long.counts.kind === 'gap') {
 		return {kind: 'gap'};
 	}
 
-	const isFiring = (short.burnRate ?? 0) > threshold && (long.burnRate ?? 0) > threshold;
-	return {kind: isFiring ? 'firing' : 'quiet'};
+	if ((short.burnRate ?? 0) > threshold && (long.burnRate ?? 0) > threshold) {
+		return {kind: 'firing'};
+	}
+
+	return {kind: isWellCovered(short) && isWellCovered(long) ? 'quiet' : 'partial'};
 }
 
 function computePair(
--- a/src/reporting/burn/types.ts
+++ b/src/reporting/burn/types.ts
@@ -84,6 +84,8 @@
 	| {readonly kind: 'quiet'}
 	/** At least one of the windows has no data. */
 	| {readonly kind: 'gap'}
+	/** At least one of the windows was read too little to be called quiet. */
+	| {readonly kind: 'partial'}
 	/** The long window exceeds the objective's window. */
 	| {readonly kind: 'unsuited'};
 
