--- a/bench/fakes/sim-daemon.ts
+++ b/bench/fakes/sim-daemon.ts
@@ -36,6 +36,8 @@
 	/** Time of one operation of the table. */
 	readonly tableDelayMs: number;
 	readonly canReachTable: () => boolean;
+	/** Endpoints of a few daemons, as the platform's table would name them. */
+	readonly listSeeds: () => readonly Endpoint[];
 	/** Finds the daemon that listens at an endpoint now. */
 	readonly findDaemon: (endpoint: Endpoint) => SimDaemon | undefined;
 	/** Called when a version comes into force; throws on a step backwards. */
@@ -78,8 +80,8 @@
 		return this.gossip.self;
 	}
 
-	start(seeds: readonly Endpoint[]): void {
-		this.#runGossip(this.gossip.handle({kind: 'seeds', endpoints: seeds}, this.parts.clock.nowMs));
+	start(): void {
+		this.#readSeeds();
 		this.#tick();
 		this.parts.clock.schedule(this.parts.random() * gossipPeriodMs, () => {
 			this.#scheduleTick();
@@ -129,9 +131,17 @@
 		});
 	}
 
+	#readSeeds(): void {
+		this.#handleGossip({kind: 'seeds', endpoints: this.parts.listSeeds()});
+	}
+
 	#tick(): void {
 		this.#handleGossip({kind: 'tick'});
 		const members = this.gossip.listMembers();
+		if (members.length === 1 && this.parts.canReachTable()) {
+			this.#readSeeds();
+		}
+
 		const isPoller = isAmongFirst(this.member, members, spreadLimits.pollersPerDataCentre);
 		this.#handleSpread({kind: 'tick', isPoller});
 	}
--- a/bench/fakes/sim-fleet.ts
+++ b/bench/fakes/sim-fleet.ts
@@ -78,14 +78,14 @@
 			store: this.store,
 			tableDelayMs: 5,
 			canReachTable: () => !this.platformCuts.has(place.dataCentre),
+			listSeeds: () => this.#pickSeeds(),
 			findDaemon: endpoint => this.#listening.get(endpoint.address),
 			onReady: starter => this.onReady?.(starter),
 			onAdopt: (adopter, version) => this.onAdopt?.(adopter, version),
 		});
-		const seeds = this.#pickSeeds();
 		this.daemons.push(daemon);
 		this.#listening.set(address, daemon);
-		daemon.start(seeds);
+		daemon.start();
 		return daemon;
 	}
 
--- a/bench/scenarios/registry.ts
+++ b/bench/scenarios/registry.ts
@@ -9,6 +9,7 @@
 	goodput: async () => import('./goodput.ts'),
 	recovery: async () => import('./recovery.ts'),
 	added: async () => import('./added.ts'),
+	control: async () => import('./control.ts'),
 	slowed: async () => import('./slowed.ts'),
 };
 
