--- a/src/daemon/control/control-client.ts
+++ b/src/daemon/control/control-client.ts
@@ -1,11 +1,13 @@
 /**
  * Calls of control procedures on peers.
  */
-import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
+import {createTRPCClient, type TRPCClient} from '@trpc/client';
+import {httpLink} from '@trpc/client/links/httpLink';
 import {ResultAsync} from 'neverthrow';
-import {Agent, request} from 'undici';
 import {headerNames} from '../../call/headers.ts';
+import {createPool, type HttpPool} from '../../http/pool.ts';
 import {type Endpoint, type GossipRequest, type GossipResponse} from '../../membership/messages.ts';
+import {readMonotonicMs} from '../clock.ts';
 import {ControlError} from '../errors.ts';
 import {controlPath, type ControlRouter} from './control-router.ts';
 import {type PackedPolicy} from './packed-policy.ts';
@@ -14,7 +16,8 @@
 const keepAliveMs = 1000;
 const connectTimeoutMs = 400;
 const fetchTimeoutMs = 3000;
-const maxClients = 64;
+/** Time without a call after which a peer's client is closed. */
+const idleClientMs = 5000;
 
 type FetchInit = {
 	readonly method?: string | undefined;
@@ -23,6 +26,12 @@
 	readonly signal?: AbortSignal | undefined;
 };
 
+type PeerClient = {
+	readonly client: TRPCClient<ControlRouter>;
+	readonly pool: HttpPool;
+	usedAtMs: number;
+};
+
 export class ControlClient {
 	/**
 	 * @example
@@ -32,14 +41,7 @@
 		return new ControlClient(peerKey);
 	}
 
-	readonly #agent = new Agent({
-		connections: 2,
-		keepAliveTimeout: keepAliveMs,
-		keepAliveMaxTimeout: keepAliveMs,
-		connect: {timeout: connectTimeoutMs},
-	});
-
-	readonly #clients = new Map<string, TRPCClient<ControlRouter>>();
+	readonly #peers = new Map<string, PeerClient>();
 
 	private constructor(private readonly peerKey: string) {}
 
@@ -61,44 +63,66 @@
 		return ResultAsync.fromPromise(answer, error => convertError('policy', error));
 	}
 
+	/** Closes the clients that had no call for a while. */
+	prune(): void {
+		const nowMs = readMonotonicMs();
+		for (const [origin, peer] of this.#peers) {
+			if (nowMs - peer.usedAtMs >= idleClientMs) {
+				this.#peers.delete(origin);
+				void peer.pool.close();
+			}
+		}
+	}
+
 	async close(): Promise<void> {
-		await this.#agent.destroy();
+		const peers = [...this.#peers.values()];
+		this.#peers.clear();
+		await Promise.all(peers.map(async peer => peer.pool.destroy()));
 	}
 
 	#openClient(endpoint: Endpoint): TRPCClient<ControlRouter> {
 		const origin = `http://${endpoint.address}:${endpoint.peerPort}`;
-		const known = this.#clients.get(origin);
+		const known = this.#peers.get(origin);
 		if (known) {
-			return known;
+			known.usedAtMs = readMonotonicMs();
+			return known.client;
 		}
 
-		if (this.#clients.size >= maxClients) {
-			this.#clients.clear();
-		}
+		const pool = createPool(origin, {
+			connections: 2,
+			keepAliveTimeout: keepAliveMs,
+			keepAliveMaxTimeout: keepAliveMs,
+			connectTimeout: connectTimeoutMs,
+		});
+		const client = this.#createClient(origin, pool);
+		this.#peers.set(origin, {client, pool, usedAtMs: readMonotonicMs()});
+		return client;
+	}
 
-		const client = createTRPCClient<ControlRouter>({
+	#createClient(origin: string, pool: HttpPool): TRPCClient<ControlRouter> {
+		return createTRPCClient<ControlRouter>({
 			links: [
 				httpLink({
 					url: `${origin}${controlPath}`,
 					headers: {[headerNames.peerKey]: this.peerKey},
-					fetch: async (url, init) => this.#fetch(String(url), (init ?? {}) as FetchInit),
+					fetch: async (url, init) =>
+						sendRequest(pool, String(url).slice(origin.length), (init ?? {}) as FetchInit),
 				}),
 			],
 		});
-		this.#clients.set(origin, client);
-		return client;
 	}
+}
 
-	async #fetch(url: string, init: FetchInit) {
-		const answer = await request(url, {
-			dispatcher: this.#agent,
-			method: init.method === 'POST' ? 'POST' : 'GET',
-			headers: init.headers as Record<string, string>,
-			body: typeof init.body === 'string' ? init.body : null,
-			signal: init.signal ?? null,
-		});
-		return {ok: answer.statusCode < 400, json: async () => answer.body.json()};
-	}
+/** Sends one request in the way that trpc's link expects of a fetch function. */
+async function sendRequest(pool: HttpPool, path: string, init: FetchInit) {
+	const answer = await pool.request({
+		path,
+		method: init.method === 'POST' ? 'POST' : 'GET',
+		headers: init.headers as Record<string, string>,
+		body: typeof init.body === 'string' ? init.body : null,
+		signal: init.signal ?? null,
+	});
+	return {ok: answer.statusCode < 400, json: async () => answer.body.json()};
 }
 
 function convertError(procedure: string, error: unknown): ControlError {
--- a/src/daemon/control/control-task.ts
+++ b/src/daemon/control/control-task.ts
@@ -1,8 +1,6 @@
 /**
  * The control task: membership by gossip and the policy in force.
  */
-import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import {type GuardState} from '../../call/types.ts';
 import {isAmongFirst} from '../../membership/rank.ts';
 import {gossipPeriodMs} from '../../membership/settings.ts';
@@ -15,7 +13,7 @@
 import {type Identity} from '../identity.ts';
 import {type ControlMessage} from '../messages.ts';
 import {ControlClient} from './control-client.ts';
-import {controlPath, createControlRouter} from './control-router.ts';
+import {createControlHandler, type ControlRequestHandler} from './control-server.ts';
 import {GossipTask, type GossipNews} from './gossip-task.ts';
 import {SeedRows} from './seed-rows.ts';
 import {SpreadTask, type SpreadNews} from './spread-task.ts';
@@ -32,9 +30,6 @@
 	readonly onSuperseded: () => void;
 };
 
-/** Handles a control request that passed the check of the peer key. */
-export type ControlRequestHandler = (request: IncomingMessage, response: ServerResponse) => void;
-
 type AnnouncedState = 'cold' | 'serving' | 'leaving';
 
 const seedWriteMs = 120_000;
@@ -91,12 +86,9 @@
 				this.#receiveGossip(news);
 			},
 		});
-		this.handleRequest = createHTTPHandler({
-			basePath: controlPath,
-			router: createControlRouter({
-				exchange: async request => this.#gossip.answer(request),
-				readPolicy: () => this.#spread.readPacked(),
-			}),
+		this.handleRequest = createControlHandler({
+			exchange: async request => this.#gossip.answer(request),
+			readPolicy: () => this.#spread.readPacked(),
 		});
 	}
 
@@ -148,6 +140,7 @@
 	#tick(): void {
 		this.#announceState();
 		this.#gossip.handle({kind: 'tick'});
+		this.#client.prune();
 		const {gossip} = this.#gossip;
 		const {pollersPerDataCentre} = spreadLimits;
 		const isPoller = isAmongFirst(gossip.self, gossip.listMembers(), pollersPerDataCentre);
