--- a/bench/scenarios/control.ts
+++ b/bench/scenarios/control.ts
@@ -12,7 +12,7 @@
 import {PolicyStore} from '../../src/policy/policy-store.ts';
 import {policySchema} from '../../src/policy/schema.ts';
 import {BenchProcess} from '../harness/child-process.ts';
-import {createPlatformSection, writeDaemonSettings} from '../harness/daemon-settings-file.ts';
+import {createPlatformSection, writeDaemonSettings} from '../harness/settings-files.ts';
 import {lachancePolicy} from '../lachance.ts';
 import {type Figures, type Scenario} from './types.ts';
 
--- a/src/daemon/control/control-task.ts
+++ b/src/daemon/control/control-task.ts
@@ -140,7 +140,6 @@
 	#tick(): void {
 		this.#announceState();
 		this.#gossip.handle({kind: 'tick'});
-		this.#client.prune();
 		const {gossip} = this.#gossip;
 		const {pollersPerDataCentre} = spreadLimits;
 		const isPoller = isAmongFirst(gossip.self, gossip.listMembers(), pollersPerDataCentre);
--- a/src/daemon/entry/entry-call.ts
+++ b/src/daemon/entry/entry-call.ts
@@ -19,8 +19,9 @@
 import {relayBody} from '../http/relay.ts';
 import {type RequestBody} from '../http/request-body.ts';
 import {convertToEndToEnd} from '../http/request-headers.ts';
+import {relayAndCollect} from '../once/answer-collector.ts';
 import {type Attempt, type AttemptHead} from './attempt.ts';
-import {AttemptRunner, type RunningAttempt} from './attempt-runner.ts';
+import {AttemptRunner, type OnceSending, type RunningAttempt} from './attempt-runner.ts';
 import {type CallOrigin} from './call-origin.ts';
 import {type ClassifiedCall} from './classify-call.ts';
 import {type EntryTask} from './entry-task.ts';
@@ -32,6 +33,7 @@
 	readonly body: RequestBody;
 	readonly request: IncomingMessage;
 	readonly response: ServerResponse;
+	readonly once?: OnceSending;
 };
 
 /** Time beyond the deadline in which a guard's own word on it may still arrive. */
@@ -52,7 +54,7 @@
 	readonly #input: EntryCallInput;
 	readonly #allowance: RetryAllowance;
 	readonly #runner: AttemptRunner;
-	readonly #proof = RunProof.create();
+	readonly #proof: RunProof;
 	readonly #tried = new Set<string>();
 	#relayed: Attempt | undefined;
 	#ended: 'no' | 'deadline' | 'cancelled' = 'no';
@@ -60,7 +62,9 @@
 	private constructor(entry: EntryTask, input: EntryCallInput) {
 		this.#entry = entry;
 		this.#input = input;
-		const {origin, call, request, body} = input;
+		const {origin, call, request, body, once} = input;
+		// A minted key may have run before; only the instance that it names can tell.
+		this.#proof = RunProof.create(once?.onlyInstanceId !== undefined);
 		// A child call spends and lends from the allowance of its parent, which runs in this process.
 		this.#allowance =
 			origin.kind === 'server' && call.retryKind === 'allowance'
@@ -72,6 +76,7 @@
 			request,
 			body,
 			allowance: this.#allowance,
+			...(once === undefined ? {} : {once}),
 		});
 	}
 
@@ -90,7 +95,8 @@
 
 		const removeChild = origin.kind === 'server' ? origin.parent.addChild(cancel) : undefined;
 		response.once('close', () => {
-			if (!response.writableFinished) {
+			// A once call runs to its end, so that it is not left half done.
+			if (!response.writableFinished && this.#input.once === undefined) {
 				cancel();
 			}
 		});
@@ -134,6 +140,7 @@
 			}
 
 			const {head, winner} = await this.#runAttempt(choice.member);
+			this.#recordProof(head);
 			const decision = this.#decide(head.outcome, attempts);
 			if (decision.kind === 'stop') {
 				return head.answer === undefined
@@ -143,7 +150,6 @@
 
 			// An answer that says "not now" is dropped and asked for elsewhere.
 			winner.attempt.cancel();
-			this.#proof.record(head.outcome);
 			this.#spendRetry();
 			await this.#waitBeforeRetry(decision);
 			if (this.#ended !== 'no') {
@@ -152,6 +158,15 @@
 		}
 	}
 
+	#recordProof(head: AttemptHead): void {
+		if (this.#input.once?.onlyInstanceId !== undefined && head.report !== undefined) {
+			this.#proof.recordOnlyGuard(head.outcome);
+			return;
+		}
+
+		this.#proof.record(head.outcome);
+	}
+
 	#spendRetry(): void {
 		this.#entry.metrics.countRetry(this.#input.call.context.service);
 		if (!this.#allowance.spend()) {
@@ -161,8 +176,9 @@
 
 	/** Without an allowance a hop doesn't remember which servers it has tried. */
 	#chooseServer(): RouteChoice {
-		const {call} = this.#input;
-		return this.#entry.chooseServer(call, call.retryKind === 'perHop' ? noServers : this.#tried);
+		const {call, once} = this.#input;
+		const excluded = call.retryKind === 'perHop' ? noServers : this.#tried;
+		return this.#entry.chooseServer(call, excluded, once?.onlyInstanceId);
 	}
 
 	#decide(outcome: Outcome, attempts: number): RetryDecision {
@@ -254,9 +270,10 @@
 	}
 
 	async #relay(head: AttemptHead, attempt: Attempt): Promise<Outcome> {
-		const {response, call} = this.#input;
+		const {response, call, once} = this.#input;
 		const {answer} = head;
-		if (answer === undefined || response.destroyed) {
+		const isWanted = !response.destroyed || once !== undefined;
+		if (answer === undefined || !isWanted) {
 			attempt.cancel();
 			return {kind: 'unknown', reason: 'cancelled'};
 		}
@@ -267,12 +284,20 @@
 		}
 
 		this.#relayed = attempt;
-		response.writeHead(answer.status, {
-			...convertToEndToEnd(answer.headers),
-			[headerNames.request]: call.context.requestId,
-			[headerNames.version]: String(call.context.policyVersion),
-		});
-		const end = await relayBody(attempt.exchange, response);
+		const headers = convertToEndToEnd(answer.headers);
+		once?.collector?.start(answer.status, headers);
+		if (!response.destroyed) {
+			response.writeHead(answer.status, {
+				...headers,
+				[headerNames.request]: call.context.requestId,
+				[headerNames.version]: String(call.context.policyVersion),
+			});
+		}
+
+		const end =
+			once === undefined
+				? await relayBody(attempt.exchange, response)
+				: await relayAndCollect(attempt.exchange, response, once.collector);
 		return end.kind === 'whole' ? head.outcome : {kind: 'unknown', reason: 'truncated'};
 	}
 
@@ -286,6 +311,10 @@
 			return {kind: 'unknown', reason: this.#ended};
 		}
 
+		if (this.#ended !== 'no' && outcome.kind === 'notRun' && outcome.reason === 'cancelled') {
+			return {kind: 'notRun', reason: this.#ended};
+		}
+
 		return outcome;
 	}
 
@@ -308,14 +337,20 @@
 	}
 }
 
+/** Statuses of unknown outcomes that callers treat in their own way. */
+const unknownStatuses: ReadonlyMap<string, number> = new Map([
+	['deadline', 504],
+	['in-progress', 409],
+]);
+
 function chooseStatus(outcome: Refusal): number {
 	switch (outcome.kind) {
 		case 'notRun': {
-			return 503;
+			return outcome.reason === 'key-mismatch' ? 422 : 503;
 		}
 
 		case 'unknown': {
-			return outcome.reason === 'deadline' ? 504 : 502;
+			return unknownStatuses.get(outcome.reason) ?? 502;
 		}
 
 		case 'failed': {
