Add the record of the policy in force and of the calls that each version judged

Each daemon stores a batch a minute, which carries the hash of the one before; a batch that may have been stored is put again with the same bytes, entries that the buffer can't hold are stated as a gap, and verifyRecord checks chains, gaps, steps backwards and agreement with the history.

Not wired yet: a command that reads the record (verifyRecord is there for it).

--- a/bench/scenarios/control.ts
+++ b/bench/scenarios/control.ts
@@ -1,4 +1,3 @@
-import process from 'node:process';
 /**
  * Scenario `control`: what the exchange between daemons costs each of them, at several numbers of
  * daemons as processes, and the slopes from one number to the next.
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -19,6 +19,7 @@
 import {type ListenerOptions} from './http/listener.ts';
 import {createIdentity, type Identity} from './identity.ts';
 import {type TaskMessage} from './messages.ts';
+import {RecordTask} from './record-task.ts';
 import {EntryOnce} from './once/entry-once.ts';
 
 /** Time in which work that was sent before the announcement spread is still taken. */
@@ -52,6 +53,7 @@
 	readonly #guard: GuardTask;
 	readonly #entry: EntryTask;
 	readonly #admin: AdminTask;
+	readonly #record: RecordTask;
 	#control: ControlTask | undefined;
 	#once: EntryOnce | undefined;
 	#isReady = false;
@@ -84,8 +86,22 @@
 			region: identity.region,
 			random: Math.random,
 		});
+		this.#record = RecordTask.create(
+			{identity, objects: this.#platform.objects, logger},
+			builtInVersion,
+		);
 		this.#entry = EntryTask.create(
-			{identity, peerKey, logger, metrics, router, running: this.#guard.running},
+			{
+				identity,
+				peerKey,
+				logger,
+				metrics,
+				router,
+				running: this.#guard.running,
+				countJudged: version => {
+					this.#record.countCall(version);
+				},
+			},
 			builtInVersion,
 		);
 		this.#admin = AdminTask.create({
@@ -130,6 +146,7 @@
 		});
 		this.#guard.setControlHandler(this.#control.handleRequest);
 		await this.#control.start();
+		this.#record.start();
 		this.#isReady = true;
 		const ports = this.#readPorts();
 		this.#logger.info({server: this.#identity.server, ...ports}, 'daemon is ready');
@@ -161,6 +178,7 @@
 		await this.#control?.stop();
 		await Promise.all([this.#entry.closeCallers(), this.#guard.close(), this.#entry.close()]);
 		this.#admin.close();
+		await this.#record.stop();
 		await this.#platform.close();
 		this.#logger.info({server: this.#identity.server}, 'daemon has stopped');
 		this.#onStopped?.();
@@ -193,6 +211,7 @@
 	#broadcast(message: TaskMessage): void {
 		this.#guard.receive(message);
 		this.#entry.receive(message);
+		this.#record.receive(message);
 	}
 
 	#readPorts(): DaemonPorts {
--- a/src/daemon/entry/entry-task.ts
+++ b/src/daemon/entry/entry-task.ts
@@ -37,6 +37,8 @@
 	readonly router: Router;
 	/** Calls that run on the local backend server; their tokens name the parents of child calls. */
 	readonly running: RunningCalls;
+	/** Counts a call that a policy version judged. */
+	readonly countJudged?: (version: number) => void;
 };
 
 const pruneIntervalMs = 10_000;
@@ -324,6 +326,7 @@
 	}
 
 	#countCall(call: ClassifiedCall, outcome: Outcome, latencyMs: number): void {
+		this.#options.countJudged?.(call.context.policyVersion);
 		const {service, caller} = call.context;
 		const isGood =
 			outcome.kind === 'answered' &&
--- /dev/null
+++ b/src/reporting/record/record.test.ts
@@ -0,0 +1,93 @@
+import {Buffer} from 'node:buffer';
+import test from 'ava';
+import {builtInVersion} from '../../policy/built-in.ts';
+import {type PolicyVersion} from '../../policy/types.ts';
+import {RecordWriter} from './record-writer.ts';
+import {verifyRecord, type StoredBatch} from './verify-record.ts';
+
+const history: PolicyVersion[] = [1, 2, 3].map(version => ({
+	...builtInVersion,
+	version,
+	digest: `digest-${version}`,
+}));
+
+function createWriter(maxEntries = 100): RecordWriter {
+	return RecordWriter.create({server: 'c-1', instanceId: 'i1', maxEntries, startedAtMs: 0});
+}
+
+function writeBatch(writer: RecordWriter, nowMs: number): StoredBatch {
+	const batch = writer.prepareBatch(nowMs)!;
+	writer.settleBatch();
+	return batch;
+}
+
+function writeThree(): StoredBatch[] {
+	const writer = createWriter();
+	const batches: StoredBatch[] = [];
+	for (const version of [1, 2, 3]) {
+		writer.addInForce(version, `digest-${version}`, version * 1000);
+		writer.countCall(version);
+		writer.countCall(version);
+		batches.push(writeBatch(writer, version * 1000 + 500));
+	}
+
+	return batches;
+}
+
+function listKinds(batches: readonly StoredBatch[]): string[] {
+	return verifyRecord(batches, history).findings.map(finding => finding.kind);
+}
+
+test('an unbroken record is verified and counts the calls of each version', t => {
+	const verdict = verifyRecord(writeThree(), history);
+	t.deepEqual(verdict.findings, []);
+	t.deepEqual(
+		[...verdict.calls],
+		[
+			[1, 2],
+			[2, 2],
+			[3, 2],
+		],
+	);
+	t.is(verdict.batches, 3);
+});
+
+test('a changed, a missing and an unreadable batch are found', t => {
+	const batches = writeThree();
+	const text = Buffer.from(batches[1]!.body).toString('utf8').replace('"calls":2', '"calls":9');
+	const changed = {...batches[1]!, body: Buffer.from(text)};
+	t.deepEqual(listKinds([batches[0]!, changed, batches[2]!]), ['brokenChain']);
+	t.deepEqual(listKinds([batches[0]!, batches[2]!]), ['missingBatch']);
+	const unreadable = {...batches[1]!, body: Buffer.from('{')};
+	t.deepEqual(listKinds([batches[0]!, unreadable]), ['unreadable']);
+});
+
+test('a version that fell, or that the history has otherwise, is found', t => {
+	const writer = createWriter();
+	writer.addInForce(2, 'digest-2', 1);
+	writer.addInForce(1, 'digest-1', 2);
+	writer.addInForce(3, 'another', 3);
+	writer.countCall(9);
+	t.deepEqual(listKinds([writeBatch(writer, 10)]), ['backwards', 'disagreement', 'disagreement']);
+});
+
+test('a batch stays the same until it is stored, and a loss in between is stated', t => {
+	const writer = createWriter(3);
+	writer.addInForce(1, 'digest-1', 1);
+	const first = writer.prepareBatch(10)!;
+	for (let call = 0; call < 5; call++) {
+		writer.addInForce(2, 'digest-2', 20 + call);
+		writer.countCall(2);
+	}
+
+	t.is(writer.prepareBatch(30), first);
+	writer.settleBatch();
+	const second = writeBatch(writer, 40);
+	const verdict = verifyRecord([first, second], history);
+	t.deepEqual(
+		verdict.findings.map(finding => finding.detail),
+		['3 entries lost from 20 to 40'],
+	);
+	t.is(verdict.calls.get(2), 5);
+	t.is(writer.prepareBatch(50), undefined);
+});
