Add record verify

Reads all batches of the record and the history of the policy and fails on any finding. The check was seen to fail when findings were let pass.

--- /dev/null
+++ b/src/operator/commands/record-commands.ts
@@ -0,0 +1,23 @@
+/**
+ * Commands over the record of which policy was in force where.
+ */
+import {Command} from 'clipanion';
+import {exitCodeHelp, OperatorCommand} from './operator-command.ts';
+
+export class RecordVerifyCommand extends OperatorCommand {
+	static override paths = [['record', 'verify']];
+	static override usage = Command.Usage({
+		category: 'Reports',
+		description: 'verify the record of the policies in force',
+		details: `Reads the batches that daemons keep in the object store and verifies that no batch is missing or changed, that no daemon went back to an older version, and that each version is the one of the configuration's history. Fails when anything is found, entries that daemons say they lost included. ${exitCodeHelp}`,
+		examples: [
+			['The whole record', '$0 record verify'],
+			['For a program', '$0 record verify --json'],
+		],
+	});
+
+	protected override async run() {
+		const {verifyWholeRecord} = await import('./record-actions.ts');
+		return verifyWholeRecord(this.settingsFile);
+	}
+}
--- a/src/operator/commands/registry.ts
+++ b/src/operator/commands/registry.ts
@@ -10,6 +10,7 @@
 	ConfigValidateCommand,
 } from './config-commands.ts';
 import {DrainCommand, ServersCommand, StatusCommand} from './fleet-commands.ts';
+import {RecordVerifyCommand} from './record-commands.ts';
 import {type CliProgram} from './run-cli.ts';
 
 export const controlProgram: CliProgram = {
@@ -25,5 +26,6 @@
 		ServersCommand,
 		DrainCommand,
 		BurnCommand,
+		RecordVerifyCommand,
 	],
 };
--- a/stand-ins/daemon/operator-fixture.ts
+++ b/stand-ins/daemon/operator-fixture.ts
@@ -7,6 +7,7 @@
 import {PassThrough} from 'node:stream';
 import {stringify} from 'ini';
 import {runCli, type CliProgram} from '../../src/operator/commands/run-cli.ts';
+import {type ObjectStore} from '../../src/platform/types.ts';
 import {PolicyStore} from '../../src/policy/policy-store.ts';
 import {defaultStandInOptions, type PlatformStandIn} from '../platform/platform-stand-in.ts';
 import {startPlatform} from '../platform/start-platform.ts';
@@ -18,6 +19,7 @@
 	readonly standIn: PlatformStandIn;
 	readonly daemon: AdminStandIn;
 	readonly policies: PolicyStore;
+	readonly objects: ObjectStore;
 	readonly run: (...args: readonly string[]) => Promise<Run>;
 	readonly writeText: (name: string, text: string) => string;
 	readonly writeSettings: (key: string) => string;
@@ -80,6 +82,7 @@
 		await check({
 			standIn,
 			daemon,
+			objects: platform.objects,
 			policies: PolicyStore.create(platform.table, {readTimeMs: () => Date.now()}),
 			run: async (...args) => runCommand(program, [...args, '--settings', settings]),
 			writeText,
