--- a/src/operator/commands/fleet-actions.ts
+++ b/src/operator/commands/fleet-actions.ts
@@ -1,19 +1,15 @@
 /**
- * Work of the commands over the running daemons.
+ * Work of the commands that show the running daemons.
  */
-import {setTimeout as wait} from 'node:timers/promises';
-import {err, ok, type Result} from 'neverthrow';
+import {err, ok} from 'neverthrow';
 import {importance, type GuardReport} from '../../call/types.ts';
 import {type Member} from '../../membership/types.ts';
-import {type AdminClient, type DaemonAnswer} from '../admin/admin-client.ts';
+import {type DaemonAnswer} from '../admin/admin-client.ts';
 import {type AdminStatus} from '../admin/types.ts';
-import {OperatorError} from '../errors.ts';
 import {formatTable} from '../table.ts';
 import {openWorkspace} from '../workspace.ts';
 import {type CommandResult} from './operator-command.ts';
 
-const pollMs = 250;
-const maxWaitSeconds = 3600;
 const unknownCell = '-';
 
 /** A member and, if its daemon could be asked, what it says of itself. */
@@ -171,110 +167,3 @@
 		return {text: formatTable(head, rows), data: members};
 	});
 }
-
-/** Finds the administration address of a server's daemon. */
-async function findDaemon(
-	admin: AdminClient,
-	server: string,
-): Promise<Result<string, OperatorError>> {
-	const members = await admin.readMembers();
-	if (members.isErr()) {
-		return err(members.error);
-	}
-
-	const answers = await admin.readStatuses(members.value);
-	for (const {url, answer} of answers) {
-		if (answer.kind === 'answered' && answer.value.guard.server === server) {
-			return ok(url);
-		}
-	}
-
-	const isMember = members.value.some(member => member.server === server);
-	return err(
-		isMember
-			? OperatorError.create(
-					'failed',
-					`the daemon of "${server}" can't be reached through its administration port`,
-					'Add its address to [admin] urls or set [admin] port.',
-				)
-			: OperatorError.create(
-					'failed',
-					`no server is called "${server}"`,
-					'List the servers with "servers".',
-				),
-	);
-}
-
-function parseWaitMs(text: string): Result<number, OperatorError> {
-	const seconds = /^\d{1,4}$/v.test(text) ? Number(text) : Number.NaN;
-	return seconds <= maxWaitSeconds
-		? ok(seconds * 1000)
-		: err(
-				OperatorError.create(
-					'usage',
-					`--wait "${text}" is not a number of seconds`,
-					`Give a whole number up to ${maxWaitSeconds}.`,
-				),
-			);
-}
-
-/** Waits until a daemon answers no more; false when it still does after the time given. */
-async function waitForStop(admin: AdminClient, url: string, waitMs: number): Promise<boolean> {
-	const startedAtMs = performance.now();
-	while (performance.now() - startedAtMs < waitMs) {
-		if (!(await admin.isAnswering(url))) {
-			return true;
-		}
-
-		await wait(pollMs);
-	}
-
-	return false;
-}
-
-/**
- * Drains a server and waits until its daemon has stopped.
- *
- * @param waitSeconds - longest time to wait
- * @example
- * const result = await drainServer('operator.ini', 'commandes-1', '60');
- */
-export async function drainServer(
-	settingsFile: string,
-	server: string,
-	waitSeconds: string,
-): Promise<CommandResult> {
-	const waitMs = parseWaitMs(waitSeconds);
-	if (waitMs.isErr()) {
-		return err(waitMs.error);
-	}
-
-	const workspace = openWorkspace(settingsFile);
-	if (workspace.isErr()) {
-		return err(workspace.error);
-	}
-
-	const {admin} = workspace.value;
-	const url = await findDaemon(admin, server);
-	if (url.isErr()) {
-		return err(url.error);
-	}
-
-	const drained = await admin.drain(url.value);
-	if (drained.isErr()) {
-		return err(drained.error);
-	}
-
-	return (await waitForStop(admin, url.value, waitMs.value))
-		? ok({
-				text: `"${server}" has left; its work in flight has ended\n`,
-				data: {server, stopped: true},
-			})
-		: err(
-				OperatorError.create(
-					'failed',
-					`"${server}" is leaving and gets no new work, but has work in flight after ${waitSeconds} s`,
-					'Wait on with the same command and a longer --wait; "status" shows its slots in use.',
-				),
-			);
-}
--- a/src/operator/commands/fleet-commands.ts
+++ b/src/operator/commands/fleet-commands.ts
@@ -60,7 +60,7 @@
 	wait = Option.String('--wait', '60', {description: 'Longest time to wait, in seconds'});
 
 	protected override async run() {
-		const {drainServer} = await import('./fleet-actions.ts');
+		const {drainServer} = await import('./drain-action.ts');
 		return drainServer(this.settingsFile, this.server, this.wait);
 	}
 }
--- a/src/operator/forms/console-server.ts
+++ b/src/operator/forms/console-server.ts
@@ -7,7 +7,8 @@
 import polka from 'polka';
 import {type PolicyStore} from '../../policy/policy-store.ts';
 import {ConsoleHandler, type ConsolePage, type ConsolePost} from './console-handler.ts';
-import {consoleStyle, renderErrorPage, renderLoginPage} from './render.ts';
+import {consoleStyle} from './page-frame.ts';
+import {renderErrorPage, renderLoginPage} from './render.ts';
 import {formatSessionCookie, Sessions, type Session} from './sessions.ts';
 
 const maxBodyBytes = 1_048_576;
--- a/src/operator/forms/policy-form.ts
+++ b/src/operator/forms/policy-form.ts
@@ -34,7 +34,7 @@
 	return (id, current) => (typed === undefined ? current : (typed.get(id) ?? ''));
 }
 
-function createStrainFields(service: ServicePolicy, read: ValueSource): readonly FormField[] {
+function createLimitFields(service: ServicePolicy, read: ValueSource): readonly FormField[] {
 	const {admission} = service;
 	const createNumber = (field: string, label: string, value: number, step = '1'): FormField => {
 		const id = serviceFieldId(service.name, field);
@@ -133,7 +133,7 @@
 	for (const service of policy.services) {
 		services.push({
 			name: service.name,
-			strain: createStrainFields(service, read),
+			limits: createLimitFields(service, read),
 			calls: service.calls.map(call => createCallForm(service, call, read)),
 			newCall: createNewCallFields(service, read),
 		});
@@ -159,7 +159,7 @@
 export function listFields(form: PolicyForm): readonly FormField[] {
 	const fields: FormField[] = [];
 	for (const service of form.services) {
-		fields.push(...service.strain);
+		fields.push(...service.limits);
 		for (const call of service.calls) {
 			fields.push(call.importance, call.once, call.remove);
 		}
--- a/src/operator/forms/render.ts
+++ b/src/operator/forms/render.ts
@@ -2,23 +2,9 @@
  * Renders the console's pages. They need no script; every input has a label.
  */
 import {renderHtml, type Html} from '../../html/template.ts';
-import {type CallForm, type FieldNotes, type FormField, type PolicyForm} from './types.ts';
-
-/** Style sheet of all pages. */
-export const consoleStyle = `
-body { font: 16px/1.5 system-ui, sans-serif; color: #1b1b1b; background: #fff; max-width: 64rem; margin: 2rem auto; padding: 0 1rem; }
-fieldset { border: 1px solid #c8c8c8; margin: 0 0 1.5rem; padding: 0.5rem 1rem 1rem; }
-legend { font-weight: 600; }
-label { display: inline-block; margin-right: 0.5rem; }
-p.field { margin: 0.4rem 0; }
-input, select, button { font: inherit; padding: 0.2rem 0.4rem; }
-:focus-visible { outline: 3px solid #1f4e8c; outline-offset: 2px; }
-table { border-collapse: collapse; margin: 0.5rem 0; }
-th, td { border: 1px solid #c8c8c8; padding: 0.3rem 0.7rem; text-align: left; }
-.note { display: block; color: #8a1c26; font-weight: 600; }
-.message { border-left: 4px solid #8a1c26; background: #fbe3e4; padding: 0.5rem 1rem; }
-.done { border-left: 4px solid #1d6b37; background: #e3f3e8; padding: 0.5rem 1rem; }
-`;
+import {renderPage} from './page-frame.ts';
+import {renderField, renderFields} from './render-fields.ts';
+import {type CallForm, type FieldNotes, type PolicyForm, type ServiceForm} from './types.ts';
 
 /** Part of each form that a session posts. */
 export type FormToken = {
@@ -33,71 +19,6 @@
 	readonly after: string;
 };
 
-/** Renders a whole page around its main part. */
-function renderPage(title: string, main: Html): string {
-	return renderHtml`<!doctype html>
-<html lang="en">
-<head>
-<meta charset="utf-8">
-<meta name="viewport" content="width=device-width, initial-scale=1">
-<title>${title} - primrosevalve</title>
-<link rel="stylesheet" href="/style.css">
-</head>
-<body>
-<main>
-<h1>${title}</h1>
-${main}
-</main>
-</body>
-</html>
-`.text;
-}
-
-function renderChoice(value: string, options: readonly string[]): readonly Html[] {
-	const known = options.includes(value) ? options : [value, ...options];
-	return known.map(option =>
-		option === value
-			? renderHtml`<option selected>${option}</option>`
-			: renderHtml`<option>${option}</option>`,
-	);
-}
-
-/** Renders the input; `noteId` names the note that describes it. */
-function renderInput(field: FormField, noteId: string): Html {
-	const {id, value} = field;
-	const described =
-		noteId === '' ? renderHtml`` : renderHtml` aria-invalid="true" aria-describedby="${noteId}"`;
-	switch (field.kind) {
-		case 'text': {
-			return renderHtml`<input type="text" id="${id}" name="${id}" value="${value}"${described}>`;
-		}
-
-		case 'number': {
-			// A text input keeps what was typed even when it is not a number.
-			return renderHtml`<input type="text" inputmode="decimal" id="${id}" name="${id}" value="${value}"${described}>`;
-		}
-
-		case 'choice': {
-			return renderHtml`<select id="${id}" name="${id}"${described}>${renderChoice(value, field.options)}</select>`;
-		}
-
-		case 'checkbox': {
-			const checked = value === '' ? renderHtml`` : renderHtml` checked`;
-			return renderHtml`<input type="checkbox" id="${id}" name="${id}" value="yes"${checked}${described}>`;
-		}
-	}
-}
-
-function renderField(field: FormField, notes: FieldNotes): Html {
-	const note = notes.get(field.id);
-	if (note === undefined) {
-		return renderHtml`<label for="${field.id}">${field.label}</label>${renderInput(field, '')}`;
-	}
-
-	const noteId = `${field.id}.note`;
-	return renderHtml`<label for="${field.id}">${field.label}</label>${renderInput(field, noteId)}<span class="note" id="${noteId}">${note.text}</span>`;
-}
-
 function renderCall(call: CallForm, notes: FieldNotes): Html {
 	return renderHtml`<tr>
 <th scope="row">${call.name}</th>
@@ -108,10 +29,6 @@
 </tr>`;
 }
 
-function renderFields(fields: readonly FormField[], notes: FieldNotes): readonly Html[] {
-	return fields.map(field => renderHtml`<p class="field">${renderField(field, notes)}</p>`);
-}
-
 function renderToken(token: FormToken): Html {
 	return renderHtml`<input type="hidden" name="csrfToken" value="${token.csrfToken}">
 <input type="hidden" name="baseVersion" value="${token.baseVersion}">`;
@@ -147,6 +64,31 @@
 	);
 }
 
+/** Tells whether the inputs of a call to add are in use. */
+function isAdding(service: ServiceForm, notes: FieldNotes): boolean {
+	const [name] = service.newCall;
+	return name?.value !== '' || service.newCall.some(field => notes.has(field.id));
+}
+
+function renderService(service: ServiceForm, notes: FieldNotes): Html {
+	const open = isAdding(service, notes) ? renderHtml` open` : renderHtml``;
+	return renderHtml`<fieldset>
+<legend>Service ${service.name}</legend>
+<h2>Calls of ${service.name}: importance and at-most-once</h2>
+<table>
+<thead><tr><th scope="col">call</th><th scope="col">matches</th><th scope="col">importance</th><th scope="col">at most once</th><th scope="col">remove</th></tr></thead>
+<tbody>
+${service.calls.map(call => renderCall(call, notes))}
+</tbody>
+</table>
+<details${open}><summary>Add a call to ${service.name}</summary>
+${renderFields(service.newCall, notes)}
+</details>
+<h2>Limits of each server of ${service.name}</h2>
+${renderFields(service.limits, notes)}
+</fieldset>`;
+}
+
 /**
  * Renders the forms of the policy.
  *
@@ -161,23 +103,7 @@
 	readonly notes: FieldNotes;
 }): string {
 	const {form, token, messages, notes} = page;
-	const services = form.services.map(
-		service => renderHtml`<fieldset>
-<legend>Service ${service.name}</legend>
-<h2>Calls of ${service.name}: which matter most, which run at most once</h2>
-<table>
-<thead><tr><th scope="col">call</th><th scope="col">matches</th><th scope="col">importance</th><th scope="col">at most once</th><th scope="col">remove</th></tr></thead>
-<tbody>
-${service.calls.map(call => renderCall(call, notes))}
-</tbody>
-</table>
-<details${service.newCall.some(field => notes.has(field.id) || (field.kind === 'text' && field.id.endsWith('.name') && field.value !== '')) ? renderHtml` open` : renderHtml``}><summary>Add a call to ${service.name}</summary>
-${renderFields(service.newCall, notes)}
-</details>
-<h2>Strain on each server of ${service.name}</h2>
-${renderFields(service.strain, notes)}
-</fieldset>`,
-	);
+	const services = form.services.map(service => renderService(service, notes));
 	const alerts = messages.map(
 		message => renderHtml`<p class="message" role="alert">${message}</p>`,
 	);
--- a/src/operator/forms/types.ts
+++ b/src/operator/forms/types.ts
@@ -33,7 +33,7 @@
 /** Fields of one service. */
 export type ServiceForm = {
 	readonly name: string;
-	readonly strain: readonly FormField[];
+	readonly limits: readonly FormField[];
 	readonly calls: readonly CallForm[];
 	/** Inputs of a call rule to add; ignored while its name is empty. */
 	readonly newCall: readonly FormField[];
