--- a/bench/scenarios/registry.ts
+++ b/bench/scenarios/registry.ts
@@ -10,6 +10,7 @@
 	recovery: async () => import('./recovery.ts'),
 	added: async () => import('./added.ts'),
 	control: async () => import('./control.ts'),
+	members: async () => import('./members.ts'),
 	slowed: async () => import('./slowed.ts'),
 };
 
