--- a/bench/scenarios/registry.ts
+++ b/bench/scenarios/registry.ts
@@ -12,6 +12,7 @@
 	'short-behind-long': async () => import('./short-behind-long.ts'),
 	added: async () => import('./added.ts'),
 	control: async () => import('./control.ts'),
+	members: async () => import('./members.ts'),
 	slowed: async () => import('./slowed.ts'),
 };
 
