--- a/src/daemon/control/control-client.ts
+++ b/src/daemon/control/control-client.ts
@@ -1,7 +1,8 @@
 /**
  * Calls of control procedures on peers.
  */
-import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
+import {createTRPCClient, type TRPCClient} from '@trpc/client';
+import {httpLink} from '@trpc/client/links/httpLink';
 import {ResultAsync} from 'neverthrow';
 import {headerNames} from '../../call/headers.ts';
 import {type Endpoint, type GossipRequest, type GossipResponse} from '../../membership/messages.ts';
--- a/src/daemon/entry/entry-call.ts
+++ b/src/daemon/entry/entry-call.ts
@@ -29,6 +29,7 @@
 import {type ClassifiedCall} from './classify-call.ts';
 import {type EntryTask} from './entry-task.ts';
 import {runHedged, type HedgeResult} from './hedged-attempt.ts';
+import {classifyLoad, findOverload, type OverloadPlace} from './load-outcome.ts';
 import {RetryAdvisor} from './retry-advisor.ts';
 
 export type EntryCallInput = {
@@ -63,6 +64,9 @@
 	readonly #tried = new Set<string>();
 	#relayed: Attempt | undefined;
 	#ended: 'no' | 'deadline' | 'cancelled' = 'no';
+	#wasSent = false;
+	/** Where the last attempt met an overload. */
+	#overload: OverloadPlace = 'none';
 
 	private constructor(entry: EntryTask, input: EntryCallInput) {
 		this.#entry = entry;
@@ -80,6 +84,7 @@
 			body,
 			allowance: this.#allowance,
 			router: entry.router,
+			isShedding: () => entry.isOverloaded(call),
 			random: Math.random,
 		});
 		this.#runner = AttemptRunner.create(entry, {
@@ -105,7 +110,8 @@
 			this.#stop('cancelled');
 		};
 
-		const removeChild = origin.kind === 'server' ? origin.parent.addChild(cancel) : undefined;
+		const isChild = origin.kind === 'server' && this.#input.once === undefined;
+		const removeChild = isChild ? origin.parent.addChild(cancel) : undefined;
 		response.once('close', () => {
 			// A once call runs to its end, so that it is not left half done.
 			if (!response.writableFinished && this.#input.once === undefined) {
@@ -113,7 +119,7 @@
 			}
 		});
 		try {
-			return await this.#runAttempts();
+			return this.#recordLoad(await this.#runAttempts());
 		} finally {
 			clearTimeout(timer);
 			removeChild?.();
@@ -139,12 +145,28 @@
 		this.#relayed?.cancel();
 	}
 
+	/** Counts the end of the call for early shedding, and tells a parent call of an overload. */
+	#recordLoad(outcome: Outcome): Outcome {
+		const {call, origin} = this.#input;
+		if (!this.#wasSent || this.#ended === 'cancelled') {
+			return outcome;
+		}
+
+		const load = classifyLoad(outcome, this.#overload !== 'none', this.#ended === 'deadline');
+		this.#entry.recordLoadOutcome(call, load);
+		if (load === 'overloaded' && origin.kind === 'server') {
+			origin.parent.recordOverloadBelow();
+		}
+
+		return outcome;
+	}
+
 	/** Makes attempts until one gives the answer or no other is allowed. */
 	async #runAttempts(): Promise<Outcome> {
 		const {origin} = this.#input;
 		if (this.#entry.isShedEarly(this.#input.call, origin)) {
 			if (origin.kind === 'server') {
-				origin.parent.recordShedChild();
+				origin.parent.recordOverloadBelow();
 			}
 
 			return this.#refuse({kind: 'notRun', reason: 'overload'}, 'its guards shed such calls');
@@ -156,7 +178,9 @@
 				return this.#refuse({kind: 'notRun', reason: choice.reason}, 'no server takes the call');
 			}
 
+			this.#wasSent = true;
 			const {head, winner} = await this.#runAttempt(choice.member);
+			this.#overload = findOverload(head);
 			this.#recordProof(head);
 			const decision = this.#advisor.chooseNext(head, attempts, this.#tried);
 			if (decision.kind === 'stop' || this.#ended !== 'no') {
--- a/src/daemon/entry/retry-advisor.ts
+++ b/src/daemon/entry/retry-advisor.ts
@@ -10,12 +10,15 @@
 import {type RequestBody} from '../http/request-body.ts';
 import {type AttemptHead} from './attempt.ts';
 import {type ClassifiedCall} from './classify-call.ts';
+import {findOverload} from './load-outcome.ts';
 
 export type RetryAdvisorInput = {
 	readonly call: ClassifiedCall;
 	readonly body: RequestBody;
 	readonly allowance: RetryAllowance;
 	readonly router: Router;
+	/** Whether guards refuse most calls of this kind at present. */
+	readonly isShedding: () => boolean;
 	readonly random: () => number;
 };
 
@@ -44,7 +47,7 @@
 	 */
 	chooseNext(head: AttemptHead, attempts: number, tried: ReadonlySet<string>): RetryDecision {
 		const {call, router, random} = this.#input;
-		const {outcome, isShedBelow} = head;
+		const {outcome} = head;
 		const nowMs = readMonotonicMs();
 		const deadlineLeftMs = call.deadlineAtMs - nowMs;
 		const available = this.#countAvailable();
@@ -61,7 +64,8 @@
 				deadlineLeftMs,
 				available,
 				untriedServers: router.countUntried(service, tried),
-				isOverloaded: isShedBelow || router.isOverloaded(service, nowMs),
+				// A child call that was shed has already been tried elsewhere.
+				isOverloaded: findOverload(head) === 'below' || this.#isOverloaded(nowMs),
 				expectedMs: router.readUsualMs(service, callName),
 			},
 			random,
@@ -83,11 +87,17 @@
 			idempotent,
 			available: this.#countAvailable(),
 			deadlineLeftMs: call.deadlineAtMs - nowMs,
-			isOverloaded: router.isOverloaded(service, nowMs),
+			isOverloaded: this.#isOverloaded(nowMs),
 			lateAfterMs: router.readHedgeDelayMs(service, callName),
 		});
 	}
 
+	/** Whether another attempt would only add to an overload. */
+	#isOverloaded(nowMs: number): boolean {
+		const {call, router, isShedding} = this.#input;
+		return isShedding() || router.isOverloaded(call.context.service, nowMs);
+	}
+
 	/** A body that is streamed can be sent once only. */
 	#countAvailable(): number {
 		return this.#input.body.kind === 'stream' ? 0 : this.#input.allowance.available;
--- a/src/daemon/guard/guarded-call.ts
+++ b/src/daemon/guard/guarded-call.ts
@@ -229,7 +229,6 @@
 			this.#response.writeHead(head.status, {
 				...headers,
 				...this.#encodeAnswerHeaders(allowanceLeft),
-				...(this.#isShedBelow(head.status) ? {[headerNames.below]: 'overload'} : {}),
 			});
 		}
 
@@ -241,14 +240,9 @@
 		return head.status >= 500 ? 'failed' : 'answered';
 	}
 
-	/** Whether the server failed the call because a call further down was shed. */
-	#isShedBelow(status: number): boolean {
-		return status >= 500 && this.#running?.hasShedChild === true;
-	}
-
 	#encodeAnswerHeaders(allowanceLeft: number) {
-		const neededRank = this.#running?.neededRank ?? 0;
-		return this.#guard.encodeAnswerHeaders(this.#context, allowanceLeft, neededRank);
+		const isOverloadedBelow = this.#running?.isOverloadedBelow ?? false;
+		return this.#guard.encodeAnswerHeaders(this.#context, allowanceLeft, isOverloadedBelow);
 	}
 
 	/** Relays the body; that of a minted call is kept for repeats. */
