--- a/src/daemon/entry/attempt-runner.ts
+++ b/src/daemon/entry/attempt-runner.ts
@@ -14,6 +14,7 @@
 import {Attempt, type AttemptHead} from './attempt.ts';
 import {type CallOrigin} from './call-origin.ts';
 import {type ClassifiedCall} from './classify-call.ts';
+import {findOverload} from './load-outcome.ts';
 import {type EntryTask} from './entry-task.ts';
 
 export type AttemptRunnerInput = {
@@ -104,11 +105,6 @@
 		}
 
 		this.#recordResult(attempt, head);
-		this.#recordShedChild(head);
-		if (head.report !== undefined) {
-			this.#entry.recordReport(this.#input.call, this.#input.origin, head.report);
-		}
-
 		return this.#settleLost(attempt, head);
 	}
 
@@ -138,16 +134,6 @@
 		}
 	}
 
-	/** Tells the parent call that what it needs was shed, so that nobody above tries it again. */
-	#recordShedChild(head: AttemptHead): void {
-		const {origin} = this.#input;
-		const {outcome} = head;
-		const isShed = outcome.kind === 'notRun' && outcome.reason === 'overload';
-		if (origin.kind === 'server' && (isShed || head.isShedBelow)) {
-			origin.parent.recordShedChild();
-		}
-	}
-
 	#recordResult(attempt: Attempt, head: AttemptHead): void {
 		this.#entry.router.recordResult(
 			{
@@ -164,6 +150,11 @@
 }
 
 function classifyResult(head: AttemptHead): AttemptResult['kind'] {
+	// A server is not at fault for an overload of the servers that it calls.
+	if (findOverload(head) !== 'none') {
+		return 'refused';
+	}
+
 	switch (head.outcome.kind) {
 		case 'answered': {
 			return head.outcome.status >= 500 ? 'failed' : 'answered';
--- /dev/null
+++ b/src/daemon/entry/load-outcome.ts
@@ -0,0 +1,50 @@
+/**
+ * What the end of an attempt or of a call says about load.
+ */
+import {type LoadOutcome} from '../../admission/early-shedder.ts';
+import {type Outcome} from '../../call/types.ts';
+import {type AttemptHead} from './attempt.ts';
+
+/** Where an attempt met an overload: at its guard, or at one that a child call went to. */
+export type OverloadPlace = 'none' | 'here' | 'below';
+
+/**
+ * Finds where an attempt met an overload.
+ *
+ * @example
+ * const place = findOverload(head);
+ */
+export function findOverload(head: AttemptHead): OverloadPlace {
+	const below = head.isShedBelow ? 'below' : 'none';
+	switch (head.outcome.kind) {
+		case 'answered': {
+			return head.outcome.status >= 500 ? below : 'none';
+		}
+
+		case 'notRun': {
+			const {reason} = head.outcome;
+			return reason === 'overload' || reason === 'deadline' ? 'here' : 'none';
+		}
+
+		case 'unknown':
+		case 'failed': {
+			return below;
+		}
+	}
+}
+
+/**
+ * Sorts the end of a call by what it says about load.
+ *
+ * @param metOverload - whether its last attempt met an overload
+ * @param isLate - whether its deadline passed
+ * @example
+ * const load = classifyLoad(outcome, false, false);
+ */
+export function classifyLoad(outcome: Outcome, metOverload: boolean, isLate: boolean): LoadOutcome {
+	if (outcome.kind === 'answered' && outcome.status < 500) {
+		return 'answered';
+	}
+
+	return metOverload || isLate ? 'overloaded' : 'other';
+}
