--- a/src/membership/settings.ts
+++ b/src/membership/settings.ts
@@ -24,7 +24,7 @@
 	pruneIntervalMs: 60_000,
 	/** A longer gap between ticks means that this process stood still. */
 	maxTickGapMs: 3000,
-	deltasPerMessage: 6,
+	deltasPerMessage: 4,
 	membersPerSync: 64,
 	sendsPerDoubling: 2,
 	syncIntervalMs: 10_000,
