--- a/src/policy/spread.ts
+++ b/src/policy/spread.ts
@@ -43,7 +43,7 @@
 	/** Sources of a wanted version that are kept. */
 	maxSources: 4,
 	/** Time after which a fetch counts as failed. */
-	fetchTimeoutMs: 3000,
+	fetchTimeoutMs: 1000,
 } as const;
 
 const tableSource: PolicySource = {kind: 'table'};
