--- a/src/daemon/entry/entry-call.ts
+++ b/src/daemon/entry/entry-call.ts
@@ -8,10 +8,8 @@
 import {type Outcome} from '../../call/types.ts';
 import {type Member} from '../../membership/types.ts';
 import {CallAllowance} from '../../retry/allowance.ts';
-import {choosePerHopRetry} from '../../retry/per-hop-decision.ts';
 import {AllowanceInvariantError} from '../../retry/errors.ts';
-import {chooseHedge, type HedgeDecision} from '../../retry/hedge-decision.ts';
-import {chooseRetry, type RetryDecision} from '../../retry/retry-decision.ts';
+import {type RetryDecision} from '../../retry/retry-decision.ts';
 import {type RetryAllowance} from '../../retry/types.ts';
 import {type RouteChoice} from '../../routing/types.ts';
 import {readMonotonicMs} from '../clock.ts';
@@ -26,6 +24,8 @@
 import {type ClassifiedCall} from './classify-call.ts';
 import {type EntryTask} from './entry-task.ts';
 import {runHedged, type HedgeResult} from './hedged-attempt.ts';
+import {classifyLoad, findOverload, type OverloadPlace} from './load-outcome.ts';
+import {RetryAdvisor} from './retry-advisor.ts';
 
 export type EntryCallInput = {
 	readonly call: ClassifiedCall;
@@ -54,10 +54,14 @@
 	readonly #input: EntryCallInput;
 	readonly #allowance: RetryAllowance;
 	readonly #runner: AttemptRunner;
+	readonly #advisor: RetryAdvisor;
 	readonly #proof: RunProof;
 	readonly #tried = new Set<string>();
 	#relayed: Attempt | undefined;
 	#ended: 'no' | 'deadline' | 'cancelled' = 'no';
+	#wasSent = false;
+	/** Where the last attempt met an overload. */
+	#overload: OverloadPlace = 'none';
 
 	private constructor(entry: EntryTask, input: EntryCallInput) {
 		this.#entry = entry;
@@ -70,6 +74,14 @@
 			origin.kind === 'server' && call.retryKind === 'allowance'
 				? origin.parent.allowance
 				: CallAllowance.create(call.context.retryAllowance);
+		this.#advisor = RetryAdvisor.create({
+			call,
+			body,
+			allowance: this.#allowance,
+			router: entry.router,
+			isShedding: () => entry.isOverloaded(call),
+			random: Math.random,
+		});
 		this.#runner = AttemptRunner.create(entry, {
 			call,
 			origin,
@@ -93,7 +105,8 @@
 			this.#stop('cancelled');
 		};
 
-		const removeChild = origin.kind === 'server' ? origin.parent.addChild(cancel) : undefined;
+		const isChild = origin.kind === 'server' && this.#input.once === undefined;
+		const removeChild = isChild ? origin.parent.addChild(cancel) : undefined;
 		response.once('close', () => {
 			// A once call runs to its end, so that it is not left half done.
 			if (!response.writableFinished && this.#input.once === undefined) {
@@ -101,7 +114,7 @@
 			}
 		});
 		try {
-			return await this.#runAttempts();
+			return this.#recordLoad(await this.#runAttempts());
 		} finally {
 			clearTimeout(timer);
 			removeChild?.();
@@ -127,9 +140,30 @@
 		this.#relayed?.cancel();
 	}
 
+	/** Counts the end of the call for early shedding, and tells a parent call of an overload. */
+	#recordLoad(outcome: Outcome): Outcome {
+		const {call, origin} = this.#input;
+		if (!this.#wasSent || this.#ended === 'cancelled') {
+			return outcome;
+		}
+
+		const load = classifyLoad(outcome, this.#overload !== 'none', this.#ended === 'deadline');
+		this.#entry.recordLoadOutcome(call, load);
+		if (load === 'overloaded' && origin.kind === 'server') {
+			origin.parent.recordOverloadBelow();
+		}
+
+		return outcome;
+	}
+
 	/** Makes attempts until one gives the answer or no other is allowed. */
 	async #runAttempts(): Promise<Outcome> {
-		if (this.#entry.isShedEarly(this.#input.call, this.#input.origin)) {
+		const {origin} = this.#input;
+		if (this.#entry.isShedEarly(this.#input.call, origin)) {
+			if (origin.kind === 'server') {
+				origin.parent.recordOverloadBelow();
+			}
+
 			return this.#refuse({kind: 'notRun', reason: 'overload'}, 'its guards shed such calls');
 		}
 
@@ -139,10 +173,12 @@
 				return this.#refuse({kind: 'notRun', reason: choice.reason}, 'no server takes the call');
 			}
 
+			this.#wasSent = true;
 			const {head, winner} = await this.#runAttempt(choice.member);
+			this.#overload = findOverload(head);
 			this.#recordProof(head);
-			const decision = this.#decide(head.outcome, attempts);
-			if (decision.kind === 'stop') {
+			const decision = this.#advisor.chooseNext(head, attempts, this.#tried);
+			if (decision.kind === 'stop' || this.#ended !== 'no') {
 				return head.answer === undefined
 					? this.#refuse(this.#settleOutcome(head.outcome), head.detail)
 					: this.#relay(head, winner.attempt);
@@ -181,35 +217,6 @@
 		return this.#entry.chooseServer(call, excluded, once?.onlyInstanceId);
 	}
 
-	#decide(outcome: Outcome, attempts: number): RetryDecision {
-		const {call} = this.#input;
-		const deadlineLeftMs = call.deadlineAtMs - readMonotonicMs();
-		const available = this.#canSendAgain() ? this.#allowance.available : 0;
-		if (call.retryKind === 'perHop') {
-			return choosePerHopRetry({outcome, once: call.rule.once, available, deadlineLeftMs});
-		}
-
-		const {service, callName, idempotent} = call.context;
-		const {router} = this.#entry;
-		return chooseRetry(
-			{
-				outcome,
-				idempotent,
-				attempts,
-				deadlineLeftMs,
-				available,
-				untriedServers: router.countUntried(service, this.#tried),
-				isOverloaded: router.isOverloaded(service, readMonotonicMs()),
-				expectedMs: router.readUsualMs(service, callName),
-			},
-			Math.random,
-		);
-	}
-
-	#canSendAgain(): boolean {
-		return this.#input.body.kind !== 'stream' && this.#ended === 'no';
-	}
-
 	async #waitBeforeRetry(decision: Exclude<RetryDecision, {kind: 'stop'}>): Promise<void> {
 		if (decision.kind === 'again') {
 			this.#tried.clear();
@@ -224,7 +231,7 @@
 	async #runAttempt(member: Member): Promise<HedgeResult> {
 		this.#tried.add(member.server);
 		const first = this.#runner.start(member);
-		const hedge = this.#decideHedge();
+		const hedge = this.#advisor.chooseHedge();
 		if (hedge.kind === 'none') {
 			return {winner: first, head: await first.head};
 		}
@@ -236,24 +243,9 @@
 		});
 	}
 
-	#decideHedge(): HedgeDecision {
-		const {call} = this.#input;
-		const {service, callName, idempotent} = call.context;
-		const {router} = this.#entry;
-		const nowMs = readMonotonicMs();
-		return chooseHedge({
-			isWanted: call.rule.hedge && call.retryKind === 'allowance',
-			idempotent,
-			available: this.#canSendAgain() ? this.#allowance.available : 0,
-			deadlineLeftMs: call.deadlineAtMs - nowMs,
-			isOverloaded: router.isOverloaded(service, nowMs),
-			lateAfterMs: router.readHedgeDelayMs(service, callName),
-		});
-	}
-
 	/** Sends the second attempt of a hedge, unless the service has become overloaded since. */
 	#startHedge(): RunningAttempt | undefined {
-		if (this.#decideHedge().kind === 'none') {
+		if (this.#ended !== 'no' || this.#advisor.chooseHedge().kind === 'none') {
 			return undefined;
 		}
 
