--- a/bench/routing-trial.ts
+++ b/bench/routing-trial.ts
@@ -106,11 +106,10 @@
 				server: member.server,
 				instanceId: member.instanceId,
 				admissionLevel: importance.background,
+				isOverloadedBelow: false,
 				slotsInUse: Math.round(load * slots),
 				slotLimit: slots,
 				queued: 0,
-				shedShare: 0,
-				neededRank: 0,
 				state: 'serving',
 			};
 			router.recordResult({member, callName, kind: 'answered', latencyMs, bytes: 0, report}, nowMs);
--- a/src/daemon/entry/attempt-runner.ts
+++ b/src/daemon/entry/attempt-runner.ts
@@ -14,6 +14,7 @@
 import {Attempt, type AttemptHead} from './attempt.ts';
 import {type CallOrigin} from './call-origin.ts';
 import {type ClassifiedCall} from './classify-call.ts';
+import {findOverload} from './load-outcome.ts';
 import {type EntryTask} from './entry-task.ts';
 
 export type AttemptRunnerInput = {
@@ -104,10 +105,6 @@
 		}
 
 		this.#recordResult(attempt, head);
-		if (head.report !== undefined) {
-			this.#entry.recordReport(this.#input.call, this.#input.origin, head.report);
-		}
-
 		return this.#settleLost(attempt, head);
 	}
 
@@ -142,7 +139,7 @@
 			{
 				member: attempt.input.member,
 				callName: this.#input.call.context.callName,
-				kind: attempt.isCancelled ? 'cancelled' : classifyResult(head),
+				kind: attempt.isCancelled || head.isShedBelow ? 'cancelled' : classifyResult(head),
 				latencyMs: head.latencyMs,
 				bytes: readContentLength(head),
 				...(head.report === undefined ? {} : {report: head.report}),
@@ -153,6 +150,11 @@
 }
 
 function classifyResult(head: AttemptHead): AttemptResult['kind'] {
+	// A server is not at fault for an overload of the servers that it calls.
+	if (findOverload(head) !== 'none') {
+		return 'refused';
+	}
+
 	switch (head.outcome.kind) {
 		case 'answered': {
 			return head.outcome.status >= 500 ? 'failed' : 'answered';
--- a/src/daemon/guard/guarded-call.ts
+++ b/src/daemon/guard/guarded-call.ts
@@ -241,8 +241,8 @@
 	}
 
 	#encodeAnswerHeaders(allowanceLeft: number) {
-		const neededRank = this.#running?.neededRank ?? 0;
-		return this.#guard.encodeAnswerHeaders(this.#context, allowanceLeft, neededRank);
+		const isOverloadedBelow = this.#running?.isOverloadedBelow ?? false;
+		return this.#guard.encodeAnswerHeaders(this.#context, allowanceLeft, isOverloadedBelow);
 	}
 
 	/** Relays the body; that of a minted call is kept for repeats. */
