--- a/bench/fuzz/once-oracle.ts
+++ b/bench/fuzz/once-oracle.ts
@@ -74,7 +74,7 @@
 
 		const violations: Violation[] = [];
 		for (const [key, attempts] of this.#keys) {
-			violations.push(...this.#judgeKey(key, attempts, runs.get(key) ?? []));
+			violations.push(...this.#compareRuns(key, attempts, runs.get(key) ?? []));
 		}
 
 		return violations;
@@ -89,7 +89,7 @@
 		return {keys: this.#keys.size, attempts: this.#attempts.length, ...counts};
 	}
 
-	#judgeKey(key: string, attempts: readonly Attempt[], runs: readonly string[]): Violation[] {
+	#compareRuns(key: string, attempts: readonly Attempt[], runs: readonly string[]): Violation[] {
 		const violations: Violation[] = [];
 		if (runs.length > 1) {
 			violations.push({kind: 'duplicateRun', key, detail: `ran as ${runs.join(', ')}`});
--- a/bench/fuzz/once/sequences.ts
+++ b/bench/fuzz/once/sequences.ts
@@ -160,9 +160,9 @@
  * Calls until the guard does not shed the call.
  *
  * @example
- * const attempt = await callUntilServed(world, request);
+ * const attempt = await sendUntilServed(world, request);
  */
-export async function callUntilServed(world: World, repeated: OnceRequest): Promise<Attempt> {
+export async function sendUntilServed(world: World, repeated: OnceRequest): Promise<Attempt> {
 	for (let attempts = 0; attempts < maxAttempts; attempts++) {
 		const attempt = await world.call('a', repeated);
 		await world.heal();
@@ -180,7 +180,7 @@
 	assertAttempts(world);
 	for (const repeated of requests) {
 		const mustRun = !world.isSent(repeated) && world.isHolderAlive(repeated);
-		const attempt = await callUntilServed(world, repeated);
+		const attempt = await sendUntilServed(world, repeated);
 		assertAttempts(world);
 		const kind = attempt.result?.kind;
 		if (mustRun && kind !== 'ran') {
--- a/bench/fuzz/once/world-entry.ts
+++ b/bench/fuzz/once/world-entry.ts
@@ -42,7 +42,7 @@
 			{
 				table: WorldTable.create(world, instanceId),
 				objects: store,
-				holders: {killNonce: async (holder, nonce) => world.askHolder(instanceId, holder, nonce)},
+				holders: {killNonce: async (holder, nonce) => world.probeHolder(instanceId, holder, nonce)},
 				readNowMs: () => world.nowMs,
 				readRandom: () => world.createRandom(),
 				wait: async () => world.wait(instanceId),
--- a/bench/fuzz/once/world.ts
+++ b/bench/fuzz/once/world.ts
@@ -113,7 +113,7 @@
 	}
 
 	/** Carries a question to a holder; a holder that does not answer may still act on it later. */
-	async askHolder(asker: string, holder: Holder, nonce: string): Promise<KillVerdict> {
+	async probeHolder(asker: string, holder: Holder, nonce: string): Promise<KillVerdict> {
 		const verdict = await Promise.race([
 			this.deliverQuestion(holder, nonce),
 			this.answerTimeout(asker, holder),
@@ -266,7 +266,7 @@
 		const run = (this.runs.get(name) ?? 0) + 1;
 		this.runs.set(name, run);
 		await this.wait(network);
-		guard.endSend(nonce);
+		guard.finishSend(nonce);
 		if (!this.guards.includes(guard)) {
 			return undefined;
 		}
--- a/src/daemon/entry/attempt-runner.ts
+++ b/src/daemon/entry/attempt-runner.ts
@@ -116,7 +116,7 @@
 			return head;
 		}
 
-		const verdict = await this.#entry.askGuard(attempt.input.member, once.ticket.nonce);
+		const verdict = await this.#entry.probeGuard(attempt.input.member, once.ticket.nonce);
 		if (verdict !== 'neverSent') {
 			return head;
 		}
--- a/src/daemon/entry/entry-call.ts
+++ b/src/daemon/entry/entry-call.ts
@@ -17,7 +17,7 @@
 import {relayBody} from '../http/relay.ts';
 import {type RequestBody} from '../http/request-body.ts';
 import {convertToEndToEnd} from '../http/request-headers.ts';
-import {relayAndCollect} from '../once/answer-collector.ts';
+import {relayAndCopy} from '../once/answer-collector.ts';
 import {type Attempt, type AttemptHead} from './attempt.ts';
 import {AttemptRunner, type OnceSending, type RunningAttempt} from './attempt-runner.ts';
 import {type CallOrigin} from './call-origin.ts';
@@ -289,7 +289,7 @@
 		const end =
 			once === undefined
 				? await relayBody(attempt.exchange, response)
-				: await relayAndCollect(attempt.exchange, response, once.collector);
+				: await relayAndCopy(attempt.exchange, response, once.collector);
 		return end.kind === 'whole' ? head.outcome : {kind: 'unknown', reason: 'truncated'};
 	}
 
--- a/src/daemon/entry/entry-task.ts
+++ b/src/daemon/entry/entry-task.ts
@@ -18,7 +18,7 @@
 import {type RunningCalls} from '../guard/running-calls.ts';
 import {Listener, type ListenerOptions} from '../http/listener.ts';
 import {answerProblem} from '../http/problem.ts';
-import {collectBody, readRequestBody} from '../http/request-body.ts';
+import {readWholeBody, readRequestBody} from '../http/request-body.ts';
 import {type EntryOnce} from '../once/entry-once.ts';
 import {type RequestBodyError} from '../errors.ts';
 import {type Identity} from '../identity.ts';
@@ -196,8 +196,8 @@
 	}
 
 	/** Asks a guard whether it sent anything under a nonce. */
-	async askGuard(member: Member, nonce: string): Promise<KillVerdict> {
-		return this.#once?.askGuard(member, nonce) ?? 'unreachable';
+	async probeGuard(member: Member, nonce: string): Promise<KillVerdict> {
+		return this.#once?.probeGuard(member, nonce) ?? 'unreachable';
 	}
 
 	#findCaller(request: IncomingMessage): CallOrigin | 'badToken' {
@@ -309,7 +309,7 @@
 
 	/** A once call is digested before it is claimed, so its body is read whole. */
 	async #runOnce(once: EntryOnce, input: EntryCallInput): Promise<Outcome> {
-		const body = await collectBody(input.body, input.call.rule.maxBodyBytes);
+		const body = await readWholeBody(input.body, input.call.rule.maxBodyBytes);
 		return body.isErr()
 			? this.#refuseBody(input.response, body.error)
 			: OnceCall.create(this, once, {...input, body: body.value}).run();
--- a/src/daemon/http/request-body.ts
+++ b/src/daemon/http/request-body.ts
@@ -74,9 +74,9 @@
  *
  * @returns the whole body, or `tooLarge` or `aborted`
  * @example
- * const whole = await collectBody(body, rule.maxBodyBytes);
+ * const whole = await readWholeBody(body, rule.maxBodyBytes);
  */
-export async function collectBody(
+export async function readWholeBody(
 	body: RequestBody,
 	maxBytes: number,
 ): Promise<Result<RequestBody, RequestBodyError>> {
--- a/src/daemon/once/answer-collector.ts
+++ b/src/daemon/once/answer-collector.ts
@@ -118,9 +118,9 @@
  * Relays an answer's body and copies it, to its end even when the receiver has gone.
  *
  * @example
- * const end = await relayAndCollect(exchange, response, collector);
+ * const end = await relayAndCopy(exchange, response, collector);
  */
-export async function relayAndCollect(
+export async function relayAndCopy(
 	exchange: Exchange,
 	response: ServerResponse,
 	collector: AnswerCollector | undefined,
--- a/src/daemon/once/entry-once.ts
+++ b/src/daemon/once/entry-once.ts
@@ -53,7 +53,7 @@
 			{
 				table: options.table,
 				objects: options.objects,
-				holders: {killNonce: async (holder, nonce) => this.#askHolder(holder, nonce)},
+				holders: {killNonce: async (holder, nonce) => this.#probeHolder(holder, nonce)},
 				readNowMs: () => Date.now(),
 				readRandom: () => randomBytes(nonceBytes).toString('hex'),
 				async wait(delayMs) {
@@ -81,7 +81,7 @@
 	}
 
 	/** Asks the guard of a lost attempt; `neverSent` is its word that it won't send it either. */
-	async askGuard(member: Member, nonce: string): Promise<KillVerdict> {
+	async probeGuard(member: Member, nonce: string): Promise<KillVerdict> {
 		const {pools, peerKey} = this.#options;
 		const question = {role: 'guard', instanceId: member.instanceId, nonce} as const;
 		return sendKill(pools.open(member, readMonotonicMs()), peerKey, question);
@@ -92,7 +92,7 @@
 		await Promise.race([this.ledger.waitForSettlements(), wait(settleGraceMs)]);
 	}
 
-	async #askHolder(holder: Holder, nonce: string): Promise<KillVerdict> {
+	async #probeHolder(holder: Holder, nonce: string): Promise<KillVerdict> {
 		const {pools, peerKey} = this.#options;
 		const question = {role: 'holder', instanceId: holder.instanceId, nonce} as const;
 		return sendKill(pools.open(holder, readMonotonicMs()), peerKey, question);
--- a/src/daemon/once/guard-once.ts
+++ b/src/daemon/once/guard-once.ts
@@ -110,7 +110,7 @@
 		}
 
 		if (!this.#isMinted && this.#state === 'sent') {
-			this.#once.nonces.endSend(nonce);
+			this.#once.nonces.finishSend(nonce);
 		}
 
 		this.#state = 'ended';
--- a/src/once/claimer.ts
+++ b/src/once/claimer.ts
@@ -151,12 +151,12 @@
 
 		return claim.nonce === this.nonce
 			? {kind: 'end', result: {kind: 'claimed'}}
-			: this.judgeClaim(claim, read.value);
+			: this.chooseStep(claim, read.value);
 	}
 
 	/** Decides about the claim of another attempt. */
-	private async judgeClaim(claim: Claim, row: TableRow): Promise<Step> {
-		const verdict = await this.askHolder(claim);
+	private async chooseStep(claim: Claim, row: TableRow): Promise<Step> {
+		const verdict = await this.probeHolder(claim);
 		if (verdict === 'neverSent') {
 			return {kind: 'replace', revision: row.revision};
 		}
@@ -170,7 +170,7 @@
 	}
 
 	/** Asks the holder of a claim that is open; an ended one needs no question. */
-	private async askHolder(claim: Claim): Promise<KillVerdict> {
+	private async probeHolder(claim: Claim): Promise<KillVerdict> {
 		if (claim.state.kind !== 'claimed') {
 			return 'ended';
 		}
--- a/src/once/nonce-registry.test.ts
+++ b/src/once/nonce-registry.test.ts
@@ -52,7 +52,7 @@
 					}
 
 					case 'end': {
-						registry.endSend(nonce);
+						registry.finishSend(nonce);
 						break;
 					}
 
--- a/src/once/nonce-registry.ts
+++ b/src/once/nonce-registry.ts
@@ -40,7 +40,7 @@
 	}
 
 	/** Records that a sent call is no longer awaited. */
-	endSend(nonce: string): void {
+	finishSend(nonce: string): void {
 		this.replaceInFlight(nonce, 'ended');
 	}
 
--- a/src/once/once-ledger.test.ts
+++ b/src/once/once-ledger.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava';
 import {
-	callUntilServed,
+	sendUntilServed,
 	entryNames,
 	request,
 	runSequences,
@@ -50,7 +50,7 @@
 test('the same key with another body is refused, unless the first was never sent', async t => {
 	const world = World.create(entryNames);
 	const other = {...request, fingerprint: 'g'};
-	await callUntilServed(world, request);
+	await sendUntilServed(world, request);
 	const differing = await world.call('b', other);
 	await world.heal();
 	t.is(differing.result?.kind, 'mismatch');
@@ -63,14 +63,14 @@
 	t.deepEqual(orphan.result, {kind: 'notRun', reason: 'claim-unavailable'});
 	world.applyLateEffect(0);
 	world.setFault('ok');
-	const replaced = await callUntilServed(world, {...orphaned, fingerprint: 'g'});
+	const replaced = await sendUntilServed(world, {...orphaned, fingerprint: 'g'});
 	t.is(replaced.result?.kind, 'ran');
 });
 
 test('a caller with the same key text meets neither claim nor answer of another', async t => {
 	const world = World.create(entryNames);
-	await callUntilServed(world, request);
-	const other = await callUntilServed(world, {...request, caller: 'y'});
+	await sendUntilServed(world, request);
+	const other = await sendUntilServed(world, {...request, caller: 'y'});
 	t.is(other.result?.kind, 'ran');
 	t.is(world.countRuns({...request, caller: 'y'}), 1);
 });
--- a/src/once/settlement.ts
+++ b/src/once/settlement.ts
@@ -32,7 +32,7 @@
 }
 
 /** Drops the answer of an end; only its status remains. */
-function dropAnswer(end: SendEnd): SendEnd {
+function removeAnswer(end: SendEnd): SendEnd {
 	if (end.kind !== 'answered' || end.record.kind !== 'kept') {
 		return end;
 	}
@@ -57,7 +57,7 @@
 	/** Starts to settle one claim. A repeat that comes earlier asks the holder instead. */
 	start(context: ClaimerContext, request: OnceRequest, nonce: string, end: SendEnd): void {
 		const isTooMuch = this.answerBytes + countAnswerBytes(end) > maxAnswerBytes;
-		const settled = isTooMuch ? dropAnswer(end) : end;
+		const settled = isTooMuch ? removeAnswer(end) : end;
 		const bytes = countAnswerBytes(settled);
 		this.answerBytes += bytes;
 		const settlement = this.settle(context, request, nonce, settled);
@@ -130,7 +130,7 @@
 		};
 		for (let attempt = 1; attempt <= settleBackoff.attempts; attempt++) {
 			const written = await ports.table.write(write);
-			nonces.endSend(nonce);
+			nonces.finishSend(nonce);
 			if (written.isOk()) {
 				return;
 			}
