--- a/src/admission/adaptive-admission.ts
+++ b/src/admission/adaptive-admission.ts
@@ -2,7 +2,7 @@
  * Admission by importance, deadline and size class, within a limit that adapts to measured latency.
  */
 import PQueue from 'p-queue';
-import {importance, type Importance, type SizeClass} from '../call/types.ts';
+import {type SizeClass} from '../call/types.ts';
 import {type ServicePolicy} from '../policy/schema.ts';
 import {AdaptiveLimit, type ConcurrencyLimit} from './adaptive-limit.ts';
 import {AdmissionLevel} from './admission-level.ts';
@@ -13,7 +13,7 @@
 } from './admission-queue.ts';
 import {assertInvariant} from './errors.ts';
 import {LongLane, type LaneRule} from './long-lane.ts';
-import {OverloadDetector} from './overload-detector.ts';
+import {QueueCut} from './queue-cut.ts';
 import {ServiceTimes} from './service-times.ts';
 import {
 	type Admission,
@@ -25,15 +25,6 @@
 } from './types.ts';
 import {WaitingRequest} from './waiting-request.ts';
 
-/** By importance: important requests may wait longer, up to the bound of the queue and their deadline. */
-const patience: Record<Importance, number> = {
-	[importance.background]: 1,
-	[importance.low]: 1,
-	[importance.normal]: 1,
-	[importance.high]: 4,
-	[importance.critical]: Number.POSITIVE_INFINITY,
-};
-
 /** Parts of the admission control that can be replaced for a comparison. */
 export type AdmissionParts = {
 	readonly limit?: ConcurrencyLimit;
@@ -62,24 +53,23 @@
 	readonly #level = AdmissionLevel.create();
 	readonly #limit: ConcurrencyLimit;
 	readonly #lane: LaneRule;
-	readonly #shortDetector: OverloadDetector;
-	readonly #longDetector: OverloadDetector;
+	readonly #cut: QueueCut;
 	#sequence = 0;
 
 	private constructor(
 		private policy: ServicePolicy,
 		private readonly clock: MonotonicClock,
-		parts: AdmissionParts,
+		replaced: AdmissionParts,
 	) {
 		const {slotsPerServer, admission} = policy;
-		this.#limit = parts.limit ?? AdaptiveLimit.create(slotsPerServer);
-		this.#lane = parts.lane ?? LongLane.create(slotsPerServer, admission.longShare);
-		this.#shortDetector = OverloadDetector.create(admission.targetDelayMs);
-		this.#longDetector = OverloadDetector.create(admission.targetDelayMs);
+		this.#limit = replaced.limit ?? AdaptiveLimit.create(slotsPerServer);
+		this.#lane = replaced.lane ?? LongLane.create(slotsPerServer, admission.longShare);
 		const queueClass = createQueueClass(this.#lane, queue => {
 			this.#waiting = queue;
 		});
 		this.#queue = new PQueue({concurrency: slotsPerServer, queueClass});
+		const parts = {queue: this.#waiting, lane: this.#lane, times: this.#times};
+		this.#cut = QueueCut.create(parts, admission);
 	}
 
 	async admit(request: AdmissionRequest): Promise<AdmissionVerdict> {
@@ -124,8 +114,7 @@
 	applyPolicy(policy: ServicePolicy): void {
 		this.policy = policy;
 		this.#limit.setCeiling(policy.slotsPerServer);
-		this.#shortDetector.setTarget(policy.admission.targetDelayMs);
-		this.#longDetector.setTarget(policy.admission.targetDelayMs);
+		this.#cut.applyPolicy(policy.admission);
 		const nowMs = this.clock.readNowMs();
 		this.#updateBounds(nowMs);
 		this.#shedOverload(nowMs);
@@ -229,60 +218,23 @@
 
 	/** Sheds the newest of the least important while more wait than may. */
 	#shedOverload(nowMs: number): void {
-		const {maxQueued, longShare} = this.policy.admission;
-		const {longSlots} = this.#lane;
-		const shortAllowed = this.#updateDetector('short', this.#limit.limit, maxQueued, nowMs);
-		const longAllowed = this.#updateDetector('long', longSlots, maxQueued * longShare, nowMs);
-		while (this.#waiting.waitingShort > shortAllowed * this.#readPatience()) {
-			this.#shedVictim('short', nowMs);
-		}
-
-		while (
-			this.#waiting.waitingLong > longAllowed * this.#readPatience() &&
-			this.#isLongLeastImportant()
-		) {
-			this.#shedVictim('long', nowMs);
-		}
+		this.#cut.update(this.#limit.limit, nowMs);
+		for (;;) {
+			const victim = this.#cut.findVictim();
+			if (victim === undefined) {
+				return;
+			}
 
-		while (this.#waiting.waiting > maxQueued) {
-			this.#shedVictim('short', nowMs);
+			this.#remove(victim, 'overload');
+			this.#level.recordShed(victim.request.importance, nowMs);
+			const least = this.#waiting.findLeastImportance();
+			assertInvariant(
+				least === undefined || least >= victim.request.importance,
+				() => `importance ${victim.request.importance} shed while ${least} waits`,
+			);
 		}
 	}
 
-	/** Reads how many times the allowed queue may stand before the least important that waits is shed. */
-	#readPatience(): number {
-		const least = this.#waiting.findLeastImportance();
-		return least === undefined ? Number.POSITIVE_INFINITY : patience[least];
-	}
-
-	/** Whether a long request may be shed without shedding less important short ones first. */
-	#isLongLeastImportant(): boolean {
-		return this.#waiting.findLeastLongImportance() === this.#waiting.findLeastImportance();
-	}
-
-	/** Updates the detector of one line and computes how many requests may wait in it. */
-	#updateDetector(line: SizeClass, slots: number, most: number, nowMs: number): number {
-		const isShort = line === 'short';
-		const detector = isShort ? this.#shortDetector : this.#longDetector;
-		const serviceMs = this.#times.readMeanMs(line);
-		const waiting = isShort ? this.#waiting.waitingShort : this.#waiting.waitingLong;
-		const allowed = detector.computeAllowed(slots, serviceMs);
-		detector.update(waiting, allowed, nowMs);
-		return detector.isOverloaded ? Math.min(allowed, most) : most;
-	}
-
-	#shedVictim(line: SizeClass, nowMs: number): void {
-		const victim = this.#waiting.findVictim(line);
-		assertInvariant(victim !== undefined, () => 'a request to shed is missing from the queue');
-		this.#remove(victim, 'overload');
-		this.#level.recordShed(victim.request.importance, nowMs);
-		const least = this.#waiting.findLeastImportance();
-		assertInvariant(
-			least === undefined || least >= victim.request.importance,
-			() => `importance ${victim.request.importance} shed while ${least} waits`,
-		);
-	}
-
 	#remove(waiting: WaitingRequest, reason: 'overload' | 'deadline' | 'cancelled'): void {
 		assertInvariant(this.#waiting.remove(waiting), () => 'a waiting request is not in the queue');
 		this.#requests.delete(waiting.request.attemptId);
--- a/src/daemon/entry/entry-call.ts
+++ b/src/daemon/entry/entry-call.ts
@@ -131,7 +131,7 @@
 		this.#relayed?.cancel();
 	}
 
-	/** Counts the end of the call for early shedding, and tells a parent call of an overload. */
+	/** Counts the end of the call for early shedding. */
 	#recordLoad(outcome: Outcome): Outcome {
 		const {call, origin} = this.#input;
 		if (!this.#wasSent || this.#ended === 'cancelled') {
@@ -139,17 +139,13 @@
 		}
 
 		const load = classifyLoad(outcome, this.#overload !== 'none', this.#ended === 'deadline');
-		this.#entry.recordLoadOutcome(call, load);
-		if (load === 'overloaded' && origin.kind === 'server') {
-			origin.parent.recordOverloadBelow();
-		}
-
+		this.#entry.load.recordOutcome(call, origin, load);
 		return outcome;
 	}
 
 	/** Makes attempts until one gives the answer or no other is allowed. */
 	async #runAttempts(): Promise<Outcome> {
-		if (this.#entry.isShedEarly(this.#input.call, this.#input.origin)) {
+		if (this.#entry.load.isShedEarly(this.#input.call, this.#input.origin)) {
 			return this.#refuse({kind: 'notRun', reason: 'overload'}, 'its guards shed such calls');
 		}
 
@@ -241,7 +237,7 @@
 			case 'none': {
 				const {service} = call.context;
 				return (
-					this.#entry.isOverloaded(call) ||
+					this.#entry.load.isOverloaded(call) ||
 					this.#entry.router.isOverloaded(service, readMonotonicMs())
 				);
 			}
--- a/src/daemon/entry/entry-task.ts
+++ b/src/daemon/entry/entry-task.ts
@@ -2,14 +2,12 @@
  * The entry: takes calls of callers and of the local backend server and sends them to guards.
  */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
-import {EarlyShedder, type LoadOutcome} from '../../admission/early-shedder.ts';
 import {headerNames} from '../../call/headers.ts';
 import {type Outcome} from '../../call/types.ts';
 import {type Member} from '../../membership/types.ts';
 import {type KillVerdict} from '../../once/types.ts';
 import {LatencyObjectives} from '../../policy/latency-objectives.ts';
 import {PolicyMatcher} from '../../policy/match.ts';
-import {type Policy} from '../../policy/schema.ts';
 import {type PolicyVersion} from '../../policy/types.ts';
 import {type Logger} from '../../reporting/logger.ts';
 import {type Metrics} from '../../reporting/metrics.ts';
@@ -26,6 +24,7 @@
 import {type CallOrigin} from './call-origin.ts';
 import {classifyCall, type CallRefusal, type ClassifiedCall} from './classify-call.ts';
 import {EntryCall, type EntryCallInput} from './entry-call.ts';
+import {LoadWatch} from './load-watch.ts';
 import {keysPath, mintKey} from './mint-key.ts';
 import {OnceCall} from './once-call.ts';
 import {PeerPools} from './peer-pools.ts';
@@ -53,13 +52,12 @@
 	}
 
 	readonly router: Router;
+	readonly load: LoadWatch;
 	readonly pools = PeerPools.create();
 	readonly metrics: Metrics;
 	readonly peerKey: string;
 	readonly #options: EntryOptions;
-	readonly #shedder = EarlyShedder.create(Math.random);
 	#matcher: PolicyMatcher;
-	#adaptive: ReadonlySet<string>;
 	#objectives: LatencyObjectives;
 	#policyVersion: number;
 	#callerListener: Listener | undefined;
@@ -74,7 +72,7 @@
 		this.metrics = options.metrics;
 		this.peerKey = options.peerKey;
 		this.#matcher = PolicyMatcher.create(policy.document);
-		this.#adaptive = listAdaptiveServices(policy.document);
+		this.load = LoadWatch.create(policy.document);
 		this.#objectives = LatencyObjectives.create(policy.document);
 		this.#policyVersion = policy.version;
 		this.router.applyPolicy(policy.document);
@@ -126,7 +124,7 @@
 
 			case 'policy': {
 				this.#matcher = PolicyMatcher.create(message.policy.document);
-				this.#adaptive = listAdaptiveServices(message.policy.document);
+				this.load.applyPolicy(message.policy.document);
 				this.#objectives = LatencyObjectives.create(message.policy.document);
 				this.#policyVersion = message.policy.version;
 				this.router.applyPolicy(message.policy.document);
@@ -145,30 +143,6 @@
 		}
 	}
 
-	/** Whether the call would be shed further down; child calls are left to guards, since work was spent on them. */
-	isShedEarly(call: ClassifiedCall, origin: CallOrigin): boolean {
-		return (
-			origin.kind !== 'server' &&
-			this.#adaptive.has(call.context.service) &&
-			this.#shedder.isShed(call.context, readMonotonicMs())
-		);
-	}
-
-	/** Whether calls like this one are refused for overload at present. */
-	isOverloaded(call: ClassifiedCall): boolean {
-		return (
-			this.#adaptive.has(call.context.service) &&
-			this.#shedder.isOverloaded(call.context, readMonotonicMs())
-		);
-	}
-
-	/** Counts how a call ended that was sent. */
-	recordLoadOutcome(call: ClassifiedCall, outcome: LoadOutcome): void {
-		if (this.#adaptive.has(call.context.service)) {
-			this.#shedder.recordOutcome(call.context, outcome, readMonotonicMs());
-		}
-	}
-
 	/** Chooses a server that this call has not tried. */
 	chooseServer(
 		call: ClassifiedCall,
@@ -361,15 +335,3 @@
 		});
 	}
 }
-
-/** Lists the services whose guards shed by importance; only for them entries shed early. */
-function listAdaptiveServices(policy: Policy): ReadonlySet<string> {
-	const names = new Set<string>();
-	for (const service of policy.services) {
-		if (service.admission.kind === 'adaptive') {
-			names.add(service.name);
-		}
-	}
-
-	return names;
-}
