--- a/src/daemon/guard/guard-task.ts
+++ b/src/daemon/guard/guard-task.ts
@@ -54,6 +54,8 @@
 	readonly #identity: Identity;
 	readonly #peerKey: SecretKey;
 	#policy: Policy;
+	/** The part of the policy for the own service. */
+	#service: ServicePolicy;
 	#state: GuardState = 'cold';
 	#listener: Listener | undefined;
 	#controlHandler: ControlHandler | undefined;
@@ -67,10 +69,10 @@
 		this.#policy = policy;
 		this.logger = options.logger;
 		this.metrics = options.metrics;
-		const service = this.#findServicePolicy();
-		this.admission = options.createAdmission(service);
+		this.#service = this.#findServicePolicy();
+		this.admission = options.createAdmission(this.#service);
 		this.pool = createPool(`http://127.0.0.1:${options.backendPort}`, {
-			connections: service.connectionsPerServer,
+			connections: this.#service.connectionsPerServer,
 			pipelining: 1,
 			connectTimeout: 1000,
 		});
@@ -122,7 +124,8 @@
 		switch (message.kind) {
 			case 'policy': {
 				this.#policy = message.policy.document;
-				this.admission.applyPolicy(this.#findServicePolicy());
+				this.#service = this.#findServicePolicy();
+				this.admission.applyPolicy(this.#service);
 				break;
 			}
 
@@ -156,7 +159,7 @@
 
 	/** Finds the size class that the policy in force gives a call. */
 	findSizeClass(callName: string): CallRule['sizeClass'] {
-		const rule = this.#findServicePolicy().calls.find(candidate => candidate.name === callName);
+		const rule = this.#service.calls.find(candidate => candidate.name === callName);
 		return rule?.sizeClass ?? 'learned';
 	}
 
