Hold no call back while less important ones of its kind go through

Calls that missed their deadline on a slow machine count as overloaded, and an entry could then hold back important calls before the others. That this was the cause of the lost important calls there is not proved.

--- a/src/admission/early-shedder.test.ts
+++ b/src/admission/early-shedder.test.ts
@@ -81,3 +81,23 @@
 
 	t.false(shedder.isShed(kind, 1000));
 });
+
+test('no importance is held back while a less important one goes through', t => {
+	const shedder = createShedder();
+	const important = {...kind, importance: importance.high};
+	let heldImportant = 0;
+	for (let atMs = 0; atMs < 3000; atMs++) {
+		heldImportant += shedder.isShed(important, atMs) ? 1 : 0;
+		shedder.recordOutcome(important, atMs % 2 === 0 ? 'answered' : 'overloaded', atMs);
+		shedder.recordOutcome(kind, 'answered', atMs);
+	}
+
+	t.is(heldImportant, 0);
+	for (let atMs = 3000; atMs < 6000; atMs++) {
+		heldImportant += shedder.isShed(important, atMs) ? 1 : 0;
+		shedder.recordOutcome(important, atMs % 2 === 0 ? 'answered' : 'overloaded', atMs);
+		shedder.recordOutcome(kind, 'overloaded', atMs);
+	}
+
+	t.true(heldImportant > 0);
+});
--- a/src/admission/early-shedder.ts
+++ b/src/admission/early-shedder.ts
@@ -2,10 +2,11 @@
  * Sheds calls at the entry that would be shed further down, before any work is spent on them.
  *
  * The entry counts how its own calls ended, for each kind of call and importance, and lets little more through
- * than what was answered of late. Since guards shed the least important first, only what they shed is held back.
+ * than what was answered of late. Since guards shed the least important first, only what they shed is held back,
+ * and never while less important calls of the same kind still go through.
  * The share let through grows quickly once refusals end, so the entry opens by itself.
  */
-import {type Importance} from '../call/types.ts';
+import {importance, type Importance} from '../call/types.ts';
 
 /** Time constant of the counts. */
 const memoryMs = 500;
@@ -26,6 +27,9 @@
 const minCalls = 4;
 /** With fewer calls sent of late, the refused share counts as 0. */
 const leastSent = 0.5;
+/** Share held back from which a less important kind counts as closed. */
+const closedShare = 0.9;
+const levels = Object.values(importance);
 const maxKinds = 4096;
 
 /** Names what is counted together. */
@@ -73,9 +77,14 @@
 	return sent < leastSent ? 0 : counts.lateOverloaded / sent;
 }
 
+/** Calls within the memory, held back or sent. */
+function countCalls(counts: Counts): number {
+	return counts.answered + counts.overloaded + counts.held;
+}
+
 /** Computes the share of calls to hold back. */
 function computeHeldShare(counts: Counts): number {
-	const all = counts.answered + counts.overloaded + counts.held;
+	const all = countCalls(counts);
 	if (all < minCalls) {
 		return 0;
 	}
@@ -114,7 +123,7 @@
 
 		updateCounts(counts, nowMs);
 		const share = computeHeldShare(counts);
-		if (share === 0 || this.#random() >= share) {
+		if (share === 0 || this.#random() >= share || this.#isLessImportantOpen(kind, nowMs)) {
 			return false;
 		}
 
@@ -157,6 +166,27 @@
 		return counts.overloaded >= 1 && computeRefusedShare(counts) > steadyRefusedShare / 2;
 	}
 
+	/** Whether less important calls of the same service and name come and go through. */
+	#isLessImportantOpen(kind: EarlyShedKind, nowMs: number): boolean {
+		for (const level of levels) {
+			if (level >= kind.importance) {
+				return false;
+			}
+
+			const counts = this.#kinds.get(formatKind({...kind, importance: level}));
+			if (counts === undefined) {
+				continue;
+			}
+
+			updateCounts(counts, nowMs);
+			if (countCalls(counts) >= minCalls && computeHeldShare(counts) < closedShare) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
 	#readOrAdd(name: string, nowMs: number): Counts {
 		const known = this.#kinds.get(name);
 		if (known !== undefined) {
