--- a/src/daemon/entry/entry-call.ts
+++ b/src/daemon/entry/entry-call.ts
@@ -84,7 +84,7 @@
 			body,
 			allowance: this.#allowance,
 			router: entry.router,
-			isShedding: () => entry.isOverloaded(call),
+			isShedding: () => entry.load.isOverloaded(call),
 			random: Math.random,
 		});
 		this.#runner = AttemptRunner.create(entry, {
@@ -145,7 +145,7 @@
 		this.#relayed?.cancel();
 	}
 
-	/** Counts the end of the call for early shedding, and tells a parent call of an overload. */
+	/** Counts the end of the call for early shedding. */
 	#recordLoad(outcome: Outcome): Outcome {
 		const {call, origin} = this.#input;
 		if (!this.#wasSent || this.#ended === 'cancelled') {
@@ -153,18 +153,14 @@
 		}
 
 		const load = classifyLoad(outcome, this.#overload !== 'none', this.#ended === 'deadline');
-		this.#entry.recordLoadOutcome(call, load);
-		if (load === 'overloaded' && origin.kind === 'server') {
-			origin.parent.recordOverloadBelow();
-		}
-
+		this.#entry.load.recordOutcome(call, origin, load);
 		return outcome;
 	}
 
 	/** Makes attempts until one gives the answer or no other is allowed. */
 	async #runAttempts(): Promise<Outcome> {
 		const {origin} = this.#input;
-		if (this.#entry.isShedEarly(this.#input.call, origin)) {
+		if (this.#entry.load.isShedEarly(this.#input.call, origin)) {
 			if (origin.kind === 'server') {
 				origin.parent.recordOverloadBelow();
 			}
