--- a/bench/scenarios/registry.ts
+++ b/bench/scenarios/registry.ts
@@ -11,6 +11,8 @@
 	crest: async () => import('./crest.ts'),
 	'short-behind-long': async () => import('./short-behind-long.ts'),
 	added: async () => import('./added.ts'),
+	control: async () => import('./control.ts'),
+	members: async () => import('./members.ts'),
 	slowed: async () => import('./slowed.ts'),
 };
 
--- a/src/daemon/entry/attempt-runner.ts
+++ b/src/daemon/entry/attempt-runner.ts
@@ -139,7 +139,7 @@
 			{
 				member: attempt.input.member,
 				callName: this.#input.call.context.callName,
-				kind: attempt.isCancelled ? 'cancelled' : classifyResult(head),
+				kind: attempt.isCancelled || head.isShedBelow ? 'cancelled' : classifyResult(head),
 				latencyMs: head.latencyMs,
 				bytes: readContentLength(head),
 				...(head.report === undefined ? {} : {report: head.report}),
--- a/src/daemon/entry/load-outcome.ts
+++ b/src/daemon/entry/load-outcome.ts
@@ -15,7 +15,7 @@
  * const place = findOverload(head);
  */
 export function findOverload(head: AttemptHead): OverloadPlace {
-	const below = head.report?.isOverloadedBelow ? 'below' : 'none';
+	const below = head.isShedBelow ? 'below' : 'none';
 	switch (head.outcome.kind) {
 		case 'answered': {
 			return head.outcome.status >= 500 ? below : 'none';
--- a/src/reporting/burn/report.ts
+++ b/src/reporting/burn/report.ts
@@ -2,12 +2,10 @@
  * Computes the burn report: multi-window, multi-burn-rate alerts and the error budget left.
  */
 import {type Objective} from '../../policy/schema.ts';
-import {computeIntervals} from './intervals.ts';
 import {
 	type BudgetReport,
 	type BurnReport,
-	type CounterSample,
-	type CountInterval,
+	type BurnRow,
 	type HourBurn,
 	type ObjectiveReport,
 	type PairReport,
@@ -21,6 +19,9 @@
 const hourMs = 60 * minuteMs;
 const dayMs = 24 * hourMs;
 
+/** Share of a window that must be read before it counts as quiet. */
+const minJudgedShare = 0.5;
+
 /** Hours that the plot shows. */
 const plotHours = 72;
 
@@ -46,31 +47,39 @@
 	{name: 'trend', severity: 'ticket', shortMs: 6 * hourMs, longMs: 3 * dayMs, budgetShare: 0.1},
 ];
 
+/** Tells whether enough of a window was read to call it quiet. */
+function isWellCovered({counts}: WindowBurn): boolean {
+	return counts.kind !== 'gap' && counts.coveredShare >= minJudgedShare;
+}
+
 /** Judges a pair: it fires when both windows exceed the threshold. */
 function computePairState(short: WindowBurn, long: WindowBurn, threshold: number): PairState {
 	if (short.counts.kind === 'gap' || long.counts.kind === 'gap') {
 		return {kind: 'gap'};
 	}
 
-	const isFiring = (short.burnRate ?? 0) > threshold && (long.burnRate ?? 0) > threshold;
-	return {kind: isFiring ? 'firing' : 'quiet'};
+	if ((short.burnRate ?? 0) > threshold && (long.burnRate ?? 0) > threshold) {
+		return {kind: 'firing'};
+	}
+
+	return {kind: isWellCovered(short) && isWellCovered(long) ? 'quiet' : 'partial'};
 }
 
 function computePair(
 	pair: WindowPair,
 	objective: Objective,
-	intervals: readonly CountInterval[],
+	rows: readonly BurnRow[],
 	nowMs: number,
 ): PairReport {
 	const objectiveMs = objective.windowDays * dayMs;
 	const threshold = (pair.budgetShare * objectiveMs) / pair.longMs;
 	const short = computeWindowBurn(
-		intervals,
+		rows,
 		{fromMs: nowMs - pair.shortMs, toMs: nowMs},
 		objective.target,
 	);
 	const long = computeWindowBurn(
-		intervals,
+		rows,
 		{fromMs: nowMs - pair.longMs, toMs: nowMs},
 		objective.target,
 	);
@@ -81,11 +90,11 @@
 
 function computeBudget(
 	objective: Objective,
-	intervals: readonly CountInterval[],
+	rows: readonly BurnRow[],
 	nowMs: number,
 ): BudgetReport {
 	const window = {fromMs: nowMs - objective.windowDays * dayMs, toMs: nowMs};
-	const counts = countWindow(intervals, window);
+	const counts = countWindow(rows, window);
 	switch (counts.kind) {
 		case 'gap': {
 			return {kind: 'gap'};
@@ -108,7 +117,7 @@
 /** Computes whole hours up to the present one, the oldest first. */
 function computeHours(
 	objective: Objective,
-	intervals: readonly CountInterval[],
+	rows: readonly BurnRow[],
 	nowMs: number,
 ): readonly HourBurn[] {
 	const lastHourMs = Math.floor(nowMs / hourMs) * hourMs;
@@ -116,25 +125,31 @@
 	for (let index = plotHours - 1; index >= 0; index--) {
 		const hourStartMs = lastHourMs - index * hourMs;
 		const window = {fromMs: hourStartMs, toMs: hourStartMs + hourMs};
-		hours.push({hourStartMs, burn: computeWindowBurn(intervals, window, objective.target)});
+		hours.push({hourStartMs, burn: computeWindowBurn(rows, window, objective.target)});
 	}
 
 	return hours;
 }
 
+/** Tells whether a row bears on an objective; readings bear on all. */
+function isOwnRow(row: BurnRow, {service, caller}: Objective): boolean {
+	switch (row.kind) {
+		case 'reading': {
+			return true;
+		}
+
+		case 'calls': {
+			return row.service === service && (caller === '*' || row.caller === caller);
+		}
+	}
+}
+
 function computeObjective(
 	objective: Objective,
-	intervals: readonly CountInterval[],
+	rows: readonly BurnRow[],
 	nowMs: number,
 ): ObjectiveReport {
-	const own: CountInterval[] = [];
-	for (const interval of intervals) {
-		const isOwnCaller = objective.caller === '*' || objective.caller === interval.caller;
-		if (interval.service === objective.service && isOwnCaller) {
-			own.push(interval);
-		}
-	}
-
+	const own = rows.filter(row => isOwnRow(row, objective));
 	return {
 		service: objective.service,
 		caller: objective.caller,
@@ -149,7 +164,7 @@
 export type BurnRequest = {
 	readonly objectives: readonly Objective[];
 	readonly policyVersion: number;
-	readonly samples: readonly CounterSample[];
+	readonly rows: readonly BurnRow[];
 	/** Wall time in milliseconds at which the windows end. */
 	readonly nowMs: number;
 };
@@ -158,15 +173,15 @@
  * Computes the burn of each objective. A window without readings is a gap and never counts as good.
  *
  * @example
- * const report = computeBurnReport({objectives: policy.objectives, policyVersion: 4, samples, nowMs: Date.now()});
+ * const report = computeBurnReport({objectives: policy.objectives, policyVersion: 4, rows, nowMs: Date.now()});
  */
 export function computeBurnReport(request: BurnRequest): BurnReport {
-	const intervals = computeIntervals(request.samples);
+	const {rows} = request;
 	return {
 		atMs: request.nowMs,
 		policyVersion: request.policyVersion,
 		objectives: request.objectives.map(objective =>
-			computeObjective(objective, intervals, request.nowMs),
+			computeObjective(objective, rows, request.nowMs),
 		),
 	};
 }
