--- a/src/daemon/entry/entry-call.ts
+++ b/src/daemon/entry/entry-call.ts
@@ -159,12 +159,7 @@
 
 	/** Makes attempts until one gives the answer or no other is allowed. */
 	async #runAttempts(): Promise<Outcome> {
-		const {origin} = this.#input;
-		if (this.#entry.load.isShedEarly(this.#input.call, origin)) {
-			if (origin.kind === 'server') {
-				origin.parent.recordOverloadBelow();
-			}
-
+		if (this.#entry.load.isShedEarly(this.#input.call, this.#input.origin)) {
 			return this.#refuse({kind: 'notRun', reason: 'overload'}, 'its guards shed such calls');
 		}
 
