Let early shedding open by time alone after the last refusal

Entries still held back the low calls: an entry sees few of a kind, clients resend each held call four times, none is answered, and 2% probes of few calls are one a second or less. Ruled out: guard queues, admission level and limits (read each 250 ms: q0, level 0, limit 4 of 4 from 750 ms on). Change: the probing share doubles with each quiet time since the last refusal. The new test fails without the change.

--- a/src/admission/early-shedder.test.ts
+++ b/src/admission/early-shedder.test.ts
@@ -101,3 +101,23 @@
 
 	t.true(heldImportant > 0);
 });
+
+test('a kind with few calls, none of them answered, opens within a second after the last refusal', t => {
+	const shedder = createShedder();
+	const offerEach = 30;
+	for (let atMs = 0; atMs < 3000; atMs += offerEach) {
+		if (!shedder.isShed(kind, atMs)) {
+			shedder.recordOutcome(kind, 'overloaded', atMs);
+		}
+	}
+
+	// Held calls come again at once, as those of clients that retry hard do.
+	shedder.recordOutcome(kind, 'overloaded', 3000);
+	let held = 0;
+	for (let atMs = 3000; atMs < 5000; atMs += offerEach) {
+		const isHeld = shedder.isShed(kind, atMs);
+		held += isHeld && atMs >= 4000 ? 1 : 0;
+	}
+
+	t.is(held, 0);
+});
--- a/src/admission/early-shedder.ts
+++ b/src/admission/early-shedder.ts
@@ -21,7 +21,10 @@
 const maxQuietGain = 4;
 /** Share of refusals among the calls let through at which the factor is the steady one. */
 const steadyRefusedShare = 0.17;
-/** Share of the calls that always goes through, so that a closed kind opens again. */
+/**
+ * Share of the calls that always goes through, so that a closed kind opens again. It doubles with each quiet
+ * time since the last refusal, so that a kind with few calls or none answered opens as well.
+ */
 const probeShare = 0.02;
 /** Fewer calls than this within the memory are no measure. */
 const minCalls = 4;
@@ -90,9 +93,10 @@
 	}
 
 	const calm = Math.max(0, 1 - computeRefusedShare(counts) / steadyRefusedShare);
-	const quiet = Math.min(maxQuietGain, 1 + (counts.atMs - counts.refusedAtMs) / quietMs);
-	const allowed =
-		(steadyFactor + openingFactor * calm * quiet) * counts.answered + probeShare * all;
+	const quietTimes = (counts.atMs - counts.refusedAtMs) / quietMs;
+	const quiet = Math.min(maxQuietGain, 1 + quietTimes);
+	const probes = Math.min(1, probeShare * 2 ** quietTimes) * all;
+	const allowed = (steadyFactor + openingFactor * calm * quiet) * counts.answered + probes;
 	return Math.max(0, 1 - allowed / all);
 }
 
