Share the choice of body and status between entry and guard; refuse malformed peer headers

decodeURIComponent threw on a malformed caller or once key, which would have ended the daemon; a ticket without its nonce was taken for a plain call. The new test fails without the change.

--- a/src/call/headers.test.ts
+++ b/src/call/headers.test.ts
@@ -65,3 +65,10 @@
 		accept: '*/*',
 	});
 });
+
+test('a malformed caller or once key is refused, not thrown', t => {
+	for (const name of ['primrosevalve-caller', 'primrosevalve-once-key']) {
+		const headers = {...(encodeContext(context) as Record<string, string>), [name]: '%'};
+		t.is(decodeContext(headers)._unsafeUnwrapErr().header, name);
+	}
+});
--- a/src/call/headers.ts
+++ b/src/call/headers.ts
@@ -81,6 +81,15 @@
 	return value as Importance | undefined;
 }
 
+/** Decodes percent-encoded text. */
+function decodeText(text: string): string | undefined {
+	try {
+		return decodeURIComponent(text);
+	} catch {
+		return undefined;
+	}
+}
+
 /** Reads the once claim, if the call has one. */
 function readOnceTicket(headers: IncomingHttpHeaders): OnceTicket | undefined {
 	const key = readText(headers, headerNames.onceKey);
@@ -90,7 +99,8 @@
 		return undefined;
 	}
 
-	return {key: decodeURIComponent(key), nonce, fingerprint};
+	const decodedKey = decodeText(key);
+	return decodedKey === undefined ? undefined : {key: decodedKey, nonce, fingerprint};
 }
 
 /**
@@ -160,13 +170,22 @@
 		return err(CallHeaderError.create(headerNames.allowance, headers[headerNames.allowance]));
 	}
 
+	const caller = decodeText(readText(headers, headerNames.caller) ?? 'anonymous');
+	if (caller === undefined) {
+		return err(CallHeaderError.create(headerNames.caller, headers[headerNames.caller]));
+	}
+
 	const once = readOnceTicket(headers);
+	if (once === undefined && headers[headerNames.onceKey] !== undefined) {
+		return err(CallHeaderError.create(headerNames.onceKey, headers[headerNames.onceKey]));
+	}
+
 	return ok({
 		requestId,
 		attemptId,
 		service: call.slice(0, separator),
 		callName: call.slice(separator + 1),
-		caller: decodeURIComponent(readText(headers, headerNames.caller) ?? 'anonymous'),
+		caller,
 		importance: level,
 		deadlineMs,
 		retryAllowance,
--- a/src/daemon/entry/attempt.ts
+++ b/src/daemon/entry/attempt.ts
@@ -9,7 +9,7 @@
 import {readMonotonicMs} from '../clock.ts';
 import {Exchange, type ExchangeHead} from '../http/exchange.ts';
 import {discardBody} from '../http/relay.ts';
-import {type RequestBody} from '../http/request-body.ts';
+import {chooseSentBody, type RequestBody} from '../http/request-body.ts';
 
 export type AttemptInput = {
 	readonly dispatcher: Dispatcher;
@@ -52,7 +52,7 @@
 				...encodeContext(input.context),
 				[headerNames.peerKey]: input.peerKey,
 			},
-			body: chooseBody(input.body),
+			body: chooseSentBody(input.body),
 		});
 		return new Attempt(input, exchange);
 	}
@@ -140,20 +140,3 @@
 function readAllowanceLeft(value: string | string[] | undefined): number | undefined {
 	return typeof value === 'string' && /^\d{1,4}$/v.test(value) ? Number(value) : undefined;
 }
-
-/** Chooses what undici sends as the body. */
-function chooseBody(body: RequestBody) {
-	switch (body.kind) {
-		case 'empty': {
-			return undefined;
-		}
-
-		case 'whole': {
-			return body.bytes;
-		}
-
-		case 'stream': {
-			return body.stream;
-		}
-	}
-}
--- a/src/daemon/entry/entry-call.ts
+++ b/src/daemon/entry/entry-call.ts
@@ -13,7 +13,7 @@
 import {type RetryAllowance} from '../../retry/types.ts';
 import {type RouteChoice} from '../../routing/types.ts';
 import {readMonotonicMs} from '../clock.ts';
-import {answerProblem} from '../http/problem.ts';
+import {answerProblem, chooseRefusalStatus} from '../http/problem.ts';
 import {relayBody} from '../http/relay.ts';
 import {type RequestBody} from '../http/request-body.ts';
 import {convertToEndToEnd} from '../http/request-headers.ts';
@@ -313,7 +313,7 @@
 		answerProblem(
 			response,
 			{
-				status: chooseStatus(outcome),
+				status: chooseRefusalStatus(outcome),
 				title: outcome.kind === 'notRun' ? 'Not run' : 'No whole answer',
 				detail,
 				outcome,
@@ -325,25 +325,3 @@
 		return outcome;
 	}
 }
-
-/** Statuses of unknown outcomes that callers treat in their own way. */
-const unknownStatuses: ReadonlyMap<string, number> = new Map([
-	['deadline', 504],
-	['in-progress', 409],
-]);
-
-function chooseStatus(outcome: Refusal): number {
-	switch (outcome.kind) {
-		case 'notRun': {
-			return outcome.reason === 'key-mismatch' ? 422 : 503;
-		}
-
-		case 'unknown': {
-			return unknownStatuses.get(outcome.reason) ?? 502;
-		}
-
-		case 'failed': {
-			return 502;
-		}
-	}
-}
--- a/src/daemon/guard/guarded-call.ts
+++ b/src/daemon/guard/guarded-call.ts
@@ -9,9 +9,9 @@
 import {type RetryAllowance} from '../../retry/types.ts';
 import {readMonotonicMs} from '../clock.ts';
 import {Exchange, type BodyEnd, type ExchangeHead} from '../http/exchange.ts';
-import {answerProblem} from '../http/problem.ts';
+import {answerProblem, chooseRefusalStatus} from '../http/problem.ts';
 import {relayBody} from '../http/relay.ts';
-import {readRequestBody, type RequestBody} from '../http/request-body.ts';
+import {chooseSentBody, readRequestBody, type RequestBody} from '../http/request-body.ts';
 import {convertToEndToEnd} from '../http/request-headers.ts';
 import {relayAndCopy} from '../once/answer-collector.ts';
 import {type GuardTurn} from '../once/guard-once.ts';
@@ -213,7 +213,7 @@
 			method: this.#request.method ?? 'GET',
 			path: this.#request.url ?? '/',
 			headers,
-			body: chooseBody(body),
+			body: chooseSentBody(body),
 		});
 	}
 
@@ -273,7 +273,7 @@
 		answerProblem(
 			this.#response,
 			{
-				status: chooseStatus(outcome),
+				status: chooseRefusalStatus(outcome),
 				title: outcome.kind === 'notRun' ? 'Not run' : 'No answer',
 				detail,
 				outcome,
@@ -283,37 +283,3 @@
 		);
 	}
 }
-
-/** Chooses what undici sends as the body. */
-function chooseBody(body: RequestBody) {
-	switch (body.kind) {
-		case 'empty': {
-			return undefined;
-		}
-
-		case 'whole': {
-			return body.bytes;
-		}
-
-		case 'stream': {
-			return body.stream;
-		}
-	}
-}
-
-/** Chooses the status of a refusal. */
-function chooseStatus(outcome: Refusal): number {
-	switch (outcome.kind) {
-		case 'notRun': {
-			return 503;
-		}
-
-		case 'unknown': {
-			return outcome.reason === 'deadline' ? 504 : 502;
-		}
-
-		case 'failed': {
-			return 502;
-		}
-	}
-}
--- a/src/daemon/http/problem.ts
+++ b/src/daemon/http/problem.ts
@@ -4,13 +4,13 @@
 import {Buffer} from 'node:buffer';
 import {type OutgoingHttpHeaders, type ServerResponse} from 'node:http';
 import {headerNames} from '../../call/headers.ts';
-import {type Outcome} from '../../call/types.ts';
+import {type Refusal} from '../../call/run-proof.ts';
 
 export type Problem = {
 	readonly status: number;
 	readonly title: string;
 	readonly detail: string;
-	readonly outcome: Exclude<Outcome, {kind: 'answered'}>;
+	readonly outcome: Refusal;
 	readonly requestId?: string;
 	/** Seconds after which a refused call may be sent again. */
 	readonly retryAfterSeconds?: number;
@@ -60,3 +60,31 @@
 function formatReason(reason: string): string {
 	return reason.replaceAll(/[^\u0020-\u007E]/gv, '?').slice(0, 200);
 }
+
+/** Statuses of unknown outcomes that callers treat in their own way. */
+const unknownStatuses: ReadonlyMap<string, number> = new Map([
+	['deadline', 504],
+	['in-progress', 409],
+]);
+
+/**
+ * Chooses the HTTP status of a call without a whole answer.
+ *
+ * @example
+ * chooseRefusalStatus({kind: 'notRun', reason: 'overload'}); // 503
+ */
+export function chooseRefusalStatus(outcome: Refusal): number {
+	switch (outcome.kind) {
+		case 'notRun': {
+			return outcome.reason === 'key-mismatch' ? 422 : 503;
+		}
+
+		case 'unknown': {
+			return unknownStatuses.get(outcome.reason) ?? 502;
+		}
+
+		case 'failed': {
+			return 502;
+		}
+	}
+}
--- a/src/daemon/http/request-body.ts
+++ b/src/daemon/http/request-body.ts
@@ -144,3 +144,25 @@
 	request.pipe(limit);
 	return ok({kind: 'stream', stream: limit});
 }
+
+/**
+ * Chooses what the HTTP client sends as the body.
+ *
+ * @example
+ * const sent = chooseSentBody({kind: 'empty'}); // undefined
+ */
+export function chooseSentBody(body: RequestBody): Uint8Array | Readable | undefined {
+	switch (body.kind) {
+		case 'empty': {
+			return undefined;
+		}
+
+		case 'whole': {
+			return body.bytes;
+		}
+
+		case 'stream': {
+			return body.stream;
+		}
+	}
+}
