--- a/src/daemon/guard/guard-task.ts
+++ b/src/daemon/guard/guard-task.ts
@@ -6,6 +6,7 @@
 import {type Admission} from '../../admission/types.ts';
 import {decodeContext, encodeReport, headerNames} from '../../call/headers.ts';
 import {type CallContext, type GuardReport, type GuardState} from '../../call/types.ts';
+import {createCautiousService} from '../../policy/built-in.ts';
 import {type CallRule, type Policy, type ServicePolicy} from '../../policy/schema.ts';
 import {type Logger} from '../../reporting/logger.ts';
 import {type Metrics} from '../../reporting/metrics.ts';
@@ -33,6 +34,7 @@
 export type ControlHandler = (request: IncomingMessage, response: ServerResponse) => void;
 
 const coldStartMs = 5000;
+const backendConnectTimeoutMs = 1000;
 
 /** Owns the peer listener, the admission control and the connections to the backend server. */
 export class GuardTask implements Task {
@@ -47,10 +49,11 @@
 	/** Calls that run on the local backend server. */
 	readonly running = RunningCalls.create();
 	readonly admission: Admission;
-	readonly pool: HttpPool;
 	readonly metrics: Metrics;
 	readonly logger: Logger;
 	readonly once: GuardOnce;
+	readonly #backendOrigin: string;
+	#pool: HttpPool;
 	readonly #identity: Identity;
 	readonly #peerKey: SecretKey;
 	#policy: Policy;
@@ -71,16 +74,18 @@
 		this.metrics = options.metrics;
 		this.#service = this.#findServicePolicy();
 		this.admission = options.createAdmission(this.#service);
-		this.pool = createPool(`http://127.0.0.1:${options.backendPort}`, {
-			connections: this.#service.connectionsPerServer,
-			pipelining: 1,
-			connectTimeout: 1000,
-		});
+		this.#backendOrigin = `http://127.0.0.1:${options.backendPort}`;
+		this.#pool = this.#openPool(this.#service);
 		setTimeout(() => {
 			this.#endColdStart();
 		}, coldStartMs).unref();
 	}
 
+	/** Connections to the backend server. */
+	get pool(): HttpPool {
+		return this.#pool;
+	}
+
 	/** Calls that wait for a slot or run. */
 	get inFlight(): number {
 		return this.#inFlight;
@@ -107,7 +112,7 @@
 
 	async close(): Promise<void> {
 		await this.#listener?.close();
-		await this.pool.close();
+		await this.#pool.close();
 	}
 
 	/** Sets who answers the questions of peers about once calls. */
@@ -123,9 +128,7 @@
 	receive(message: TaskMessage): void {
 		switch (message.kind) {
 			case 'policy': {
-				this.#policy = message.policy.document;
-				this.#service = this.#findServicePolicy();
-				this.admission.applyPolicy(this.#service);
+				this.#applyPolicy(message.policy.document);
 				break;
 			}
 
@@ -268,26 +271,30 @@
 		}
 	}
 
+	#applyPolicy(policy: Policy): void {
+		const {connectionsPerServer} = this.#service;
+		this.#policy = policy;
+		this.#service = this.#findServicePolicy();
+		this.admission.applyPolicy(this.#service);
+		if (this.#service.connectionsPerServer === connectionsPerServer) {
+			return;
+		}
+
+		// Calls on the former connections end first.
+		void this.#pool.close();
+		this.#pool = this.#openPool(this.#service);
+	}
+
+	#openPool(service: ServicePolicy): HttpPool {
+		return createPool(this.#backendOrigin, {
+			connections: service.connectionsPerServer,
+			pipelining: 1,
+			connectTimeout: backendConnectTimeoutMs,
+		});
+	}
+
 	#findServicePolicy(): ServicePolicy {
 		const found = this.#policy.services.find(service => service.name === this.#identity.service);
-		return found ?? createDefaultServicePolicy(this.#identity.service);
+		return found ?? createCautiousService(this.#identity.service);
 	}
 }
-
-/** A policy for a service that the document does not name. */
-function createDefaultServicePolicy(name: string): ServicePolicy {
-	return {
-		name,
-		slotsPerServer: 20,
-		connectionsPerServer: 200,
-		admission: {
-			kind: 'adaptive',
-			maxQueued: 100,
-			targetDelayMs: 20,
-			longShare: 0.5,
-		},
-		otherRegion: false,
-		maxEjectedShare: 0.3,
-		calls: [],
-	};
-}
