Convert platform settings in one place and drop code that nothing calls

Found in the read-through: the section of the settings file was converted to the adapters' settings in four places; stripControlHeaders was a twin of convertToEndToEnd that only its test called; InvariantError and OnceKeyError were never made; relayBody counted bytes that nobody read.

Behaviour is unchanged.

--- a/bench/harness/settings-files.ts
+++ b/bench/harness/settings-files.ts
@@ -5,6 +5,8 @@
 import path from 'node:path';
 import {stringify} from 'ini';
 import {defaultStandInOptions} from '../../stand-ins/platform/platform-stand-in.ts';
+import {createPlatform, type Platform} from '../../src/platform/create-platform.ts';
+import {convertPlatformSection} from '../../src/settings/platform-settings.ts';
 import {type ServerSpec} from './types.ts';
 
 export const benchKeys = {
@@ -23,6 +25,19 @@
 	secret_access_key: defaultStandInOptions.secretAccessKey,
 });
 
+const benchPlatformTimeoutMs = 2000;
+
+/**
+ * Connects the bench itself to the platform stand-in.
+ *
+ * @example
+ * const platform = createBenchPlatform(platformUrl);
+ */
+export function createBenchPlatform(platformUrl: string): Platform {
+	const section = createPlatformSection(platformUrl);
+	return createPlatform(convertPlatformSection({...section, timeout_ms: benchPlatformTimeoutMs}));
+}
+
 /**
  * Writes the file and returns its path.
  *
--- a/bench/harness/test-bed.ts
+++ b/bench/harness/test-bed.ts
@@ -7,14 +7,14 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import {request} from 'undici';
 import {type BackendBehaviour, type BackendOptions} from '../../stand-ins/backend/types.ts';
-import {createPlatform, type Platform} from '../../src/platform/create-platform.ts';
+import {type Platform} from '../../src/platform/create-platform.ts';
 import {PolicyStore} from '../../src/policy/policy-store.ts';
 import {policySchema, type PolicyInput} from '../../src/policy/schema.ts';
 import {type PolicyVersion} from '../../src/policy/types.ts';
 import {BenchProcess} from './child-process.ts';
 import {
 	benchKeys,
-	createPlatformSection,
+	createBenchPlatform,
 	writeDaemonSettings,
 	writeOperatorSettings,
 } from './settings-files.ts';
@@ -77,17 +77,7 @@
 		private readonly platformProcess: BenchProcess,
 		readonly platformUrl: string,
 	) {
-		const section = createPlatformSection(platformUrl);
-		this.platform = createPlatform({
-			tableUrl: section.table_url,
-			objectsUrl: section.objects_url,
-			tableName: section.table_name,
-			bucket: section.bucket,
-			awsRegion: section.aws_region,
-			accessKeyId: section.access_key_id,
-			secretAccessKey: section.secret_access_key,
-			timeoutMs: 2000,
-		});
+		this.platform = createBenchPlatform(platformUrl);
 		this.#store = PolicyStore.create(this.platform.table, {readTimeMs: () => Date.now()});
 	}
 
--- a/bench/scenarios/control.ts
+++ b/bench/scenarios/control.ts
@@ -7,11 +7,11 @@
 import path from 'node:path';
 import {performance} from 'node:perf_hooks';
 import {setTimeout as wait} from 'node:timers/promises';
-import {createPlatform, type Platform} from '../../src/platform/create-platform.ts';
+import {type Platform} from '../../src/platform/create-platform.ts';
 import {PolicyStore} from '../../src/policy/policy-store.ts';
 import {policySchema} from '../../src/policy/schema.ts';
 import {BenchProcess} from '../harness/child-process.ts';
-import {createPlatformSection, writeDaemonSettings} from '../harness/settings-files.ts';
+import {createBenchPlatform, writeDaemonSettings} from '../harness/settings-files.ts';
 import {lachancePolicy} from '../lachance.ts';
 import {type Figures, type Scenario} from './types.ts';
 
@@ -66,17 +66,7 @@
 		private readonly platformProcess: BenchProcess,
 		private readonly platformUrl: string,
 	) {
-		const section = createPlatformSection(platformUrl);
-		this.#platform = createPlatform({
-			tableUrl: section.table_url,
-			objectsUrl: section.objects_url,
-			tableName: section.table_name,
-			bucket: section.bucket,
-			awsRegion: section.aws_region,
-			accessKeyId: section.access_key_id,
-			secretAccessKey: section.secret_access_key,
-			timeoutMs: 2000,
-		});
+		this.#platform = createBenchPlatform(platformUrl);
 		this.#store = PolicyStore.create(this.#platform.table, {readTimeMs: () => Date.now()});
 	}
 
--- a/src/call/headers.test.ts
+++ b/src/call/headers.test.ts
@@ -5,7 +5,6 @@
 	decodeReport,
 	encodeContext,
 	encodeReport,
-	stripControlHeaders,
 } from './headers.ts';
 import {importance, type CallContext} from './types.ts';
 
@@ -60,12 +59,6 @@
 	t.is(outcome.kind, 'unknown');
 });
 
-test('control headers are stripped', t => {
-	t.deepEqual(stripControlHeaders({'primrosevalve-importance': '4', accept: '*/*'}), {
-		accept: '*/*',
-	});
-});
-
 test('a malformed caller or once key is refused, not thrown', t => {
 	for (const name of ['primrosevalve-caller', 'primrosevalve-once-key']) {
 		const headers = {...(encodeContext(context) as Record<string, string>), [name]: '%'};
--- a/src/call/headers.ts
+++ b/src/call/headers.ts
@@ -277,22 +277,3 @@
 		}
 	}
 }
-
-/**
- * Removes every header of the control layer from a message of a caller or of a backend server.
- *
- * @example
- * const clean = stripControlHeaders(request.headers);
- */
-export function stripControlHeaders(headers: IncomingHttpHeaders): OutgoingHttpHeaders {
-	const clean: OutgoingHttpHeaders = {};
-	for (const [name, value] of Object.entries(headers)) {
-		if (name.startsWith(headerPrefix) || value === undefined) {
-			continue;
-		}
-
-		clean[name] = value;
-	}
-
-	return clean;
-}
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -11,7 +11,7 @@
 import {addPlatformMetrics, type PlatformSource} from '../reporting/platform-metrics.ts';
 import {ServiceRouter} from '../routing/service-router.ts';
 import {type DaemonSettings} from '../settings/daemon-settings.ts';
-import {type PlatformSection} from '../settings/platform-settings.ts';
+import {convertPlatformSection} from '../settings/platform-settings.ts';
 import {AdminTask} from './admin/admin-task.ts';
 import {ControlTask} from './control/control-task.ts';
 import {EntryTask} from './entry/entry-task.ts';
@@ -64,7 +64,7 @@
 		this.#settings = settings;
 		this.#logger = logger;
 		this.#identity = createIdentity(settings);
-		this.#platform = createResilientPlatform(convertPlatformSettings(settings.platform));
+		this.#platform = createResilientPlatform(convertPlatformSection(settings.platform));
 		const identity = this.#identity;
 		const metrics = Metrics.create({server: identity.server, data_centre: identity.dataCentre});
 		addPlatformMetrics(metrics.registry, listPlatformSources(this.#platform));
@@ -252,16 +252,3 @@
 
 	return sources;
 }
-
-function convertPlatformSettings(section: PlatformSection) {
-	return {
-		tableUrl: section.table_url,
-		objectsUrl: section.objects_url,
-		tableName: section.table_name,
-		bucket: section.bucket,
-		awsRegion: section.aws_region,
-		accessKeyId: section.access_key_id,
-		secretAccessKey: section.secret_access_key,
-		timeoutMs: section.timeout_ms,
-	};
-}
--- a/src/daemon/errors.ts
+++ b/src/daemon/errors.ts
@@ -40,19 +40,6 @@
 	override readonly name = 'ListenError';
 }
 
-/** A broken invariant; the program must not go on. */
-export class InvariantError extends Error {
-	/**
-	 * @example
-	 * InvariantError.create('call ended twice', 'a-1');
-	 */
-	static create(rule: string, value: string): InvariantError {
-		return new InvariantError(`invariant "${rule}" is broken for ${value}`);
-	}
-
-	override readonly name = 'InvariantError';
-}
-
 /** A control message between daemons that did not get through. */
 export class ControlError extends Error {
 	/**
--- a/src/daemon/http/relay.ts
+++ b/src/daemon/http/relay.ts
@@ -4,25 +4,21 @@
 import {type ServerResponse} from 'node:http';
 import {type BodyEnd, type Exchange} from './exchange.ts';
 
-export type RelayEnd = BodyEnd & {readonly bytes: number};
-
 /**
  * Relays an answer's body. A truncated body destroys the connection of the response, so that its
  * receiver can't take the part for the whole.
  *
- * @returns how the body ended and how many bytes it had
+ * @returns how the body ended
  * @example
  * const end = await relayBody(exchange, response);
  */
-export async function relayBody(exchange: Exchange, response: ServerResponse): Promise<RelayEnd> {
+export async function relayBody(exchange: Exchange, response: ServerResponse): Promise<BodyEnd> {
 	return new Promise(resolve => {
-		let bytes = 0;
 		response.on('drain', () => {
 			exchange.resume();
 		});
 		exchange.relayTo({
 			receiveData(chunk) {
-				bytes += chunk.length;
 				return response.write(chunk);
 			},
 			receiveEnd(end) {
@@ -32,7 +28,7 @@
 					response.destroy();
 				}
 
-				resolve({...end, bytes});
+				resolve(end);
 			},
 		});
 	});
--- a/src/once/errors.ts
+++ b/src/once/errors.ts
@@ -18,20 +18,3 @@
 		super(message);
 	}
 }
-
-/** An idempotency key that can't be used. */
-export class OnceKeyError extends Error {
-	/**
-	 * @example
-	 * OnceKeyError.create('', 'is empty');
-	 */
-	static create(key: string, detail: string): OnceKeyError {
-		return new OnceKeyError(`idempotency key ${JSON.stringify(key)} ${detail}`);
-	}
-
-	override readonly name = 'OnceKeyError';
-
-	private constructor(message: string) {
-		super(message);
-	}
-}
--- a/src/operator/workspace.ts
+++ b/src/operator/workspace.ts
@@ -7,7 +7,7 @@
 import {BurnStore} from '../reporting/burn/burn-store.ts';
 import {loadSettings} from '../settings/load.ts';
 import {operatorSettingsSchema, type OperatorSettings} from '../settings/operator-settings.ts';
-import {type PlatformSection} from '../settings/platform-settings.ts';
+import {convertPlatformSection} from '../settings/platform-settings.ts';
 import {AdminClient} from './admin/admin-client.ts';
 import {OperatorError} from './errors.ts';
 
@@ -19,19 +19,6 @@
 	readonly admin: AdminClient;
 };
 
-function createOwnPlatform(section: PlatformSection): Platform {
-	return createPlatform({
-		tableUrl: section.table_url,
-		objectsUrl: section.objects_url,
-		tableName: section.table_name,
-		bucket: section.bucket,
-		awsRegion: section.aws_region,
-		accessKeyId: section.access_key_id,
-		secretAccessKey: section.secret_access_key,
-		timeoutMs: section.timeout_ms,
-	});
-}
-
 /**
  * Opens the workspace that a settings file describes.
  *
@@ -46,7 +33,7 @@
 	}
 
 	const settings = loaded.value;
-	const platform = createOwnPlatform(settings.platform);
+	const platform = createPlatform(convertPlatformSection(settings.platform));
 	const {key, urls, port, timeout_ms: timeoutMs} = settings.admin;
 	return ok({
 		settings,
--- a/src/settings/platform-settings.ts
+++ b/src/settings/platform-settings.ts
@@ -2,6 +2,7 @@
  * Settings of the platform's table and object store, the same for every binary.
  */
 import * as z from 'zod/mini';
+import {type PlatformSettings} from '../platform/settings.ts';
 import {httpUrl, text, wholeNumber} from './fields.ts';
 
 export const platformSection = z.strictObject({
@@ -20,3 +21,22 @@
 });
 
 export type PlatformSection = z.output<typeof platformSection>;
+
+/**
+ * Converts the section of a settings file to what the platform adapters take.
+ *
+ * @example
+ * const platform = createPlatform(convertPlatformSection(settings.platform));
+ */
+export function convertPlatformSection(section: PlatformSection): PlatformSettings {
+	return {
+		tableUrl: section.table_url,
+		objectsUrl: section.objects_url,
+		tableName: section.table_name,
+		bucket: section.bucket,
+		awsRegion: section.aws_region,
+		accessKeyId: section.access_key_id,
+		secretAccessKey: section.secret_access_key,
+		timeoutMs: section.timeout_ms,
+	};
+}
