--- /dev/null
+++ b/bench/path.test.ts
@@ -0,0 +1,180 @@
+import {connect} from 'node:net';
+import {setTimeout as wait} from 'node:timers/promises';
+import test, {type ExecutionContext} from 'ava';
+import {request} from 'undici';
+import {smallBedSpec} from './harness/small-bed.ts';
+import {TestBed, type RunningServer} from './harness/test-bed.ts';
+import {LoadGenerator} from './load/load-generator.ts';
+
+type Echo = {readonly server: string; readonly controlHeaders: readonly string[]};
+type Problem = {readonly status: number; readonly outcome: string; readonly reason: string};
+type Status = {readonly guard: {readonly slotsInUse: number}};
+
+let bed: TestBed;
+
+test.before(async () => {
+	bed = await TestBed.start(smallBedSpec);
+});
+
+test.after.always(async () => {
+	await bed?.stop();
+});
+
+function createUrl(server: RunningServer, path: string): string {
+	return `http://127.0.0.1:${server.ports.caller}${path}`;
+}
+
+/** Sends raw bytes and reads the answer until the connection closes. */
+async function sendRaw(port: number, text: string): Promise<string> {
+	return new Promise((resolve, reject) => {
+		const socket = connect({port, host: '127.0.0.1'});
+		let answer = '';
+		socket.setEncoding('utf8');
+		socket.on('data', (chunk: string) => {
+			answer += chunk;
+		});
+		socket.on('error', reject);
+		socket.on('close', () => {
+			resolve(answer);
+		});
+		socket.write(text);
+	});
+}
+
+async function assertNoSlotInUse(t: ExecutionContext): Promise<void> {
+	for (const server of bed.servers) {
+		const status = (await bed.readAdmin(server, '/admin/status')) as Status;
+		t.is(status.guard.slotsInUse, 0);
+	}
+}
+
+async function readWhole(url: string): Promise<number> {
+	const answer = await request(url);
+	const body = await answer.body.arrayBuffer();
+	return body.byteLength;
+}
+
+test.serial('a call passes entry, guard and server, and its child call as well', async t => {
+	const answer = await request(createUrl(bed.findServer('leaf-est-b'), '/root/page'));
+	t.is(answer.statusCode, 200);
+	const body = (await answer.body.json()) as Echo;
+	t.is(body.server, 'root-est-a');
+	t.truthy(answer.headers['primrosevalve-request']);
+	t.is(answer.headers['primrosevalve-version'], '1');
+});
+
+test.serial('context headers of a caller are not believed and not passed on', async t => {
+	const answer = await request(createUrl(bed.findServer('root-est-a'), '/leaf/short'), {
+		headers: {
+			'primrosevalve-importance': '4',
+			'primrosevalve-request': 'forged',
+			'primrosevalve-caller': 'inspector',
+			'primrosevalve-allowance': '1000',
+			'primrosevalve-context': 'forged',
+		},
+	});
+	const body = (await answer.body.json()) as Echo;
+	t.deepEqual(body.controlHeaders.toSorted(), ['primrosevalve-context', 'primrosevalve-deadline']);
+	t.not(answer.headers['primrosevalve-request'], 'forged');
+});
+
+test.serial('the peer port refuses a request without the key', async t => {
+	const {peer} = bed.findServer('leaf-est-a').ports;
+	const answer = await request(`http://127.0.0.1:${peer}/short`, {
+		headers: {'primrosevalve-importance': '4'},
+	});
+	t.is(answer.statusCode, 401);
+	const problem = (await answer.body.json()) as Problem;
+	t.is(problem.outcome, 'notRun');
+});
+
+test.serial('the local port refuses the context of a call that has ended', async t => {
+	const {local} = bed.findServer('leaf-est-a').ports;
+	const answer = await request(`http://127.0.0.1:${local}/leaf/short`, {
+		headers: {'primrosevalve-context': 'gone'},
+	});
+	t.is(answer.statusCode, 409);
+	const problem = (await answer.body.json()) as Problem;
+	t.is(problem.reason, 'parent-ended');
+});
+
+test.serial('malformed, oversized and slow requests get a 4xx problem and no slot', async t => {
+	const {caller} = bed.findServer('leaf-est-a').ports;
+	const malformed = await sendRaw(caller, 'GET / HTTP/1.1\r\nbad header\r\n\r\n');
+	t.regex(malformed, /^HTTP\/1\.1 400 /v);
+	t.regex(malformed, /application\/problem\+json/v);
+
+	const longHeader = `x-long: ${'a'.repeat(20_000)}`;
+	const oversized = await sendRaw(caller, `GET /leaf/short HTTP/1.1\r\n${longHeader}\r\n\r\n`);
+	t.regex(oversized, /^HTTP\/1\.1 431 /v);
+
+	const slow = await sendRaw(caller, 'GET /leaf/short HTTP/1.1\r\nhost: a\r\n');
+	t.regex(slow, /^HTTP\/1\.1 408 /v);
+
+	const large = await request(createUrl(bed.findServer('leaf-est-a'), '/leaf/echo'), {
+		method: 'POST',
+		body: 'a'.repeat(2001),
+	});
+	t.is(large.statusCode, 413);
+	const problem = (await large.body.json()) as Problem;
+	t.is(problem.outcome, 'notRun');
+
+	const unknown = await request(createUrl(bed.findServer('leaf-est-a'), '/nowhere/short'));
+	t.is(unknown.statusCode, 404);
+	await unknown.body.dump();
+	await assertNoSlotInUse(t);
+});
+
+test.serial('a truncated body of a server never ends cleanly at the caller', async t => {
+	const leaves = bed.servers.filter(server => server.spec.service === 'leaf');
+	await Promise.all(leaves.map(async leaf => bed.setBehaviour(leaf, {truncateShare: 1})));
+	await t.throwsAsync(readWhole(createUrl(bed.findServer('root-est-a'), '/leaf/short')));
+	await Promise.all(leaves.map(async leaf => bed.setBehaviour(leaf, {truncateShare: 0})));
+	t.true((await readWhole(createUrl(bed.findServer('root-est-a'), '/leaf/short'))) > 0);
+});
+
+test.serial(
+	'a daemon that is killed in the middle of an answer leaves no short answer',
+	async t => {
+		const entry = bed.findServer('root-est-a');
+		const guard = bed.findServer('leaf-est-a');
+		const answer = await request(createUrl(entry, '/leaf/stream'));
+		const body = answer.body.arrayBuffer();
+		guard.daemon.kill('SIGKILL');
+		await guard.daemon.waitForExit();
+		await t.throwsAsync(body);
+		await bed.restartDaemon(guard);
+		await bed.waitForVersion(1);
+		t.is(await readWhole(createUrl(entry, '/leaf/stream')), 100_000);
+	},
+);
+
+test.serial('a planned stop under load cuts nothing off and ends with exit code 0', async t => {
+	const entry = bed.findServer('root-est-a');
+	const leaving = bed.findServer('leaf-est-a');
+	const load = LoadGenerator.create({
+		ports: [entry.ports.caller],
+		seed: 1,
+		kinds: [
+			{name: 'slow', method: 'GET', path: '/leaf/slow', ratePerSecond: 30, timeoutMs: 20_000},
+			{
+				name: 'echo',
+				method: 'POST',
+				path: '/leaf/echo',
+				body: 'x',
+				ratePerSecond: 30,
+				timeoutMs: 20_000,
+			},
+		],
+		durationMs: 5000,
+	}).run();
+	await wait(1500);
+	leaving.daemon.kill('SIGTERM');
+	t.is(await leaving.daemon.waitForExit(), 0);
+	const {samples} = await load;
+	t.true(samples.length > 100);
+	t.deepEqual(
+		samples.filter(sample => sample.result !== 'whole'),
+		[],
+	);
+});
--- a/stand-ins/backend/backend-stand-in.ts
+++ b/stand-ins/backend/backend-stand-in.ts
@@ -23,6 +23,7 @@
 const reportLagMs = 2000;
 /** A caller's own name for an attempt, which the ledger keeps. */
 const attemptHeader = 'x-attempt';
+const bodyPieces = 10;
 const contextHeader = 'primrosevalve-context';
 
 /** One stand-in server process. */
@@ -215,6 +216,7 @@
 			server: this.#options.server,
 			path: request.url,
 			echo: Buffer.from(body.subarray(0, 1024)).toString(),
+			controlHeaders: listControlHeaders(request),
 		});
 		const content = Buffer.alloc(Math.max(route.bytes ?? 0, text.length), ' ');
 		content.write(text);
@@ -229,8 +231,25 @@
 			return;
 		}
 
+		void this.#sendBody(route, response, content);
+	}
+
+	/** Sends the body at once, or piece by piece. */
+	async #sendBody(route: Route, response: ServerResponse, content: Uint8Array): Promise<void> {
+		const pieceBytes = Math.ceil(content.length / bodyPieces);
+		const pauseMs = (route.sendMs ?? 0) / bodyPieces;
+		if (pauseMs > 0) {
+			for (let sent = 0; sent < content.length; sent += pieceBytes) {
+				response.write(content.subarray(sent, sent + pieceBytes));
+				await wait(pauseMs);
+			}
+
+			response.end();
+		} else {
+			response.end(content);
+		}
+
 		this.#served++;
-		response.end(content);
 	}
 
 	/** Control of the stand-in itself: behaviour, ledger and counts. */
@@ -257,6 +276,11 @@
 	}
 }
 
+/** Lists the headers of the control layer that reached the server. */
+function listControlHeaders(request: IncomingMessage): string[] {
+	return Object.keys(request.headers).filter(name => name.startsWith('primrosevalve-'));
+}
+
 async function readBody(request: IncomingMessage): Promise<Uint8Array> {
 	const chunks: Uint8Array[] = [];
 	for await (const chunk of request) {
--- a/stand-ins/backend/types.ts
+++ b/stand-ins/backend/types.ts
@@ -21,6 +21,8 @@
 	/** Bytes of the answer's body. */
 	readonly bytes?: number;
 	readonly calls?: readonly ChildCall[];
+	/** Time in milliseconds over which the body is sent piece by piece; 0 sends it at once. */
+	readonly sendMs?: number;
 };
 
 export type BackendOptions = {
