--- a/bench/fakes/memory-table.ts
+++ b/bench/fakes/memory-table.ts
@@ -2,14 +2,14 @@
  * Table in memory behind the platform's port, with faults on command.
  */
 import {err, ok, ResultAsync, type Result} from 'neverthrow';
-import {PlatformError} from '../../src/platform/errors.ts';
+import {PlatformError} from '../../src/store/errors.ts';
 import {
 	type RowKey,
 	type Table,
 	type TableRow,
 	type TableWrite,
 	type WriteCondition,
-} from '../../src/platform/types.ts';
+} from '../../src/store/types.ts';
 
 /** What the next operation meets. After `lateEffect` the write waits for `applyLateWrites`. */
 export type TableFault = 'none' | 'unreachable' | 'lostAnswer' | 'lostRequest' | 'lateEffect';
--- a/bench/fuzz/once/world-entry.ts
+++ b/bench/fuzz/once/world-entry.ts
@@ -4,7 +4,7 @@
 import {okAsync} from 'neverthrow';
 import {NonceRegistry} from '../../../src/once/nonce-registry.ts';
 import {OnceLedger} from '../../../src/once/once-ledger.ts';
-import {type ObjectStore} from '../../../src/platform/types.ts';
+import {type ObjectStore} from '../../../src/store/types.ts';
 import {maxNonces} from './types.ts';
 import {WorldTable} from './world-table.ts';
 import {type World} from './world.ts';
--- a/bench/fuzz/once/world-table.ts
+++ b/bench/fuzz/once/world-table.ts
@@ -2,13 +2,13 @@
  * The table of the world: behind gates, with faults on command.
  */
 import {errAsync, okAsync, ResultAsync, type Result} from 'neverthrow';
-import {PlatformError, type PlatformErrorKind} from '../../../src/platform/errors.ts';
+import {PlatformError, type PlatformErrorKind} from '../../../src/store/errors.ts';
 import {
 	type RowKey,
 	type Table,
 	type TableRow,
 	type TableWrite,
-} from '../../../src/platform/types.ts';
+} from '../../../src/store/types.ts';
 import {network} from './types.ts';
 import {type World} from './world.ts';
 
--- a/bench/fuzz/once/world.ts
+++ b/bench/fuzz/once/world.ts
@@ -14,8 +14,8 @@
 	type OnceRequest,
 	type SendEnd,
 } from '../../../src/once/types.ts';
-import {PlatformError} from '../../../src/platform/errors.ts';
-import {type TableRow, type TableWrite} from '../../../src/platform/types.ts';
+import {PlatformError} from '../../../src/store/errors.ts';
+import {type TableRow, type TableWrite} from '../../../src/store/types.ts';
 import {Gates} from './gates.ts';
 import {
 	createAnswer,
--- a/bench/harness/settings-files.ts
+++ b/bench/harness/settings-files.ts
@@ -5,7 +5,7 @@
 import path from 'node:path';
 import {stringify} from 'ini';
 import {defaultStandInOptions} from '../../stand-ins/platform/platform-stand-in.ts';
-import {createPlatform, type Platform} from '../../src/platform/create-platform.ts';
+import {createPlatform, type Platform} from '../../src/store/create-platform.ts';
 import {convertPlatformSection} from '../../src/settings/platform-settings.ts';
 import {type ServerSpec} from './types.ts';
 
--- a/src/daemon/control/control-task.ts
+++ b/src/daemon/control/control-task.ts
@@ -5,7 +5,7 @@
 import {isAmongFirst} from '../../membership/rank.ts';
 import {gossipPeriodMs} from '../../membership/settings.ts';
 import {type Member} from '../../membership/types.ts';
-import {type Table} from '../../platform/types.ts';
+import {type Table} from '../../store/types.ts';
 import {spreadLimits} from '../../policy/spread.ts';
 import {type PolicyVersion} from '../../policy/types.ts';
 import {type Logger} from '../../reporting/logger.ts';
--- a/src/daemon/control/seed-rows.ts
+++ b/src/daemon/control/seed-rows.ts
@@ -4,8 +4,8 @@
 import {type ResultAsync} from 'neverthrow';
 import {type Endpoint} from '../../membership/messages.ts';
 import {type Member} from '../../membership/types.ts';
-import {type PlatformError} from '../../platform/errors.ts';
-import {type Table, type TableRow} from '../../platform/types.ts';
+import {type PlatformError} from '../../store/errors.ts';
+import {type Table, type TableRow} from '../../store/types.ts';
 
 const seedPartition = 'seeds';
 const seedLifeSeconds = 600;
--- a/src/daemon/control/spread-task.ts
+++ b/src/daemon/control/spread-task.ts
@@ -2,7 +2,7 @@
  * Runs the spread of the policy for this daemon: reads the table, fetches from peers and puts versions
  * in force.
  */
-import {type Table} from '../../platform/types.ts';
+import {type Table} from '../../store/types.ts';
 import {builtInVersion} from '../../policy/built-in.ts';
 import {PolicyStore} from '../../policy/policy-store.ts';
 import {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -4,7 +4,7 @@
 import {performance} from 'node:perf_hooks';
 import {setTimeout as wait} from 'node:timers/promises';
 import {createAdmission} from '../admission/create-admission.ts';
-import {createResilientPlatform, type ResilientPlatform} from '../platform/create-platform.ts';
+import {createResilientPlatform, type ResilientPlatform} from '../store/create-platform.ts';
 import {builtInVersion} from '../policy/built-in.ts';
 import {type Logger} from '../reporting/logger.ts';
 import {Metrics} from '../reporting/metrics.ts';
--- a/src/daemon/once/entry-once.ts
+++ b/src/daemon/once/entry-once.ts
@@ -9,7 +9,7 @@
 import {defaultMaxNonces, NonceRegistry} from '../../once/nonce-registry.ts';
 import {OnceLedger} from '../../once/once-ledger.ts';
 import {type Holder, type KillVerdict, type OnceLimits} from '../../once/types.ts';
-import {type ObjectStore, type Table} from '../../platform/types.ts';
+import {type ObjectStore, type Table} from '../../store/types.ts';
 import {readMonotonicMs} from '../clock.ts';
 import {type PeerPools} from '../entry/peer-pools.ts';
 import {AnswerCollector, CollectorBudget} from './answer-collector.ts';
--- a/src/daemon/once/once-calls.test.ts
+++ b/src/daemon/once/once-calls.test.ts
@@ -9,7 +9,7 @@
 	defaultStandInOptions,
 	PlatformStandIn,
 } from '../../../stand-ins/platform/platform-stand-in.ts';
-import {createPlatform} from '../../platform/create-platform.ts';
+import {createPlatform} from '../../store/create-platform.ts';
 import {PolicyStore} from '../../policy/policy-store.ts';
 import {policySchema} from '../../policy/schema.ts';
 import {Logger} from '../../reporting/logger.ts';
--- a/src/daemon/record-task.ts
+++ b/src/daemon/record-task.ts
@@ -1,7 +1,7 @@
 /**
  * Stores the record of this daemon in batches.
  */
-import {type ObjectStore} from '../platform/types.ts';
+import {type ObjectStore} from '../store/types.ts';
 import {type PolicyVersion} from '../policy/types.ts';
 import {type Logger} from '../reporting/logger.ts';
 import {RecordWriter} from '../reporting/record/record-writer.ts';
--- a/src/once/answer-store.ts
+++ b/src/once/answer-store.ts
@@ -2,7 +2,7 @@
  * Keeps the answers of finished once calls: small ones in the claim's row, large ones as objects.
  */
 import {createHash} from 'node:crypto';
-import {type ObjectStore} from '../platform/types.ts';
+import {type ObjectStore} from '../store/types.ts';
 import {type AnswerPlace} from './claim-row.ts';
 import {type AnswerRecord, type OnceLimits, type OnceResult, type StoredAnswer} from './types.ts';
 
--- a/src/once/claim-row.ts
+++ b/src/once/claim-row.ts
@@ -2,7 +2,7 @@
  * Codec of the table row that holds the claim of one key, and the answer of a finished call.
  */
 import {Buffer} from 'node:buffer';
-import {type RowKey, type TableRow} from '../platform/types.ts';
+import {type RowKey, type TableRow} from '../store/types.ts';
 import {type Holder, type OnceRequest, type StoredAnswer} from './types.ts';
 
 const claimSort = 'claim';
--- a/src/once/claimer.ts
+++ b/src/once/claimer.ts
@@ -1,8 +1,8 @@
 /**
  * Claims the key of a once call by a conditional insert, or tells what stands in the way.
  */
-import {type PlatformErrorKind} from '../platform/errors.ts';
-import {type RowKey, type TableRow} from '../platform/types.ts';
+import {type PlatformErrorKind} from '../store/errors.ts';
+import {type RowKey, type TableRow} from '../store/types.ts';
 import {AnswerStore} from './answer-store.ts';
 import {computeRowKey, decodeClaim, encodeClaim, type Claim} from './claim-row.ts';
 import {type NonceRegistry} from './nonce-registry.ts';
--- a/src/once/ports.ts
+++ b/src/once/ports.ts
@@ -1,7 +1,7 @@
 /**
  * What the ledger of once calls needs from its daemon.
  */
-import {type ObjectStore, type Table} from '../platform/types.ts';
+import {type ObjectStore, type Table} from '../store/types.ts';
 import {type HolderPort} from './types.ts';
 
 export type OncePorts = {
--- a/src/once/settlement.test.ts
+++ b/src/once/settlement.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import {okAsync, ResultAsync} from 'neverthrow';
-import {type PlatformError} from '../platform/errors.ts';
-import {type ObjectStore, type Table, type TableRow, type TableWrite} from '../platform/types.ts';
+import {type PlatformError} from '../store/errors.ts';
+import {type ObjectStore, type Table, type TableRow, type TableWrite} from '../store/types.ts';
 import {decodeClaim} from './claim-row.ts';
 import {type ClaimerContext} from './claimer.ts';
 import {NonceRegistry} from './nonce-registry.ts';
--- a/src/once/settlement.ts
+++ b/src/once/settlement.ts
@@ -1,8 +1,8 @@
 /**
  * Settles the claim of a call after it was sent: releases it, or writes how the call ended.
  */
-import {computeBackoffMs, type Backoff} from '../platform/backoff.ts';
-import {type RowKey, type TableWrite} from '../platform/types.ts';
+import {computeBackoffMs, type Backoff} from '../store/backoff.ts';
+import {type RowKey, type TableWrite} from '../store/types.ts';
 import {AnswerStore} from './answer-store.ts';
 import {
 	computeRevision,
--- a/src/operator/commands/record-actions.ts
+++ b/src/operator/commands/record-actions.ts
@@ -2,7 +2,7 @@
  * Work of the record commands.
  */
 import {err, ok, type Result} from 'neverthrow';
-import {type ObjectStore} from '../../platform/types.ts';
+import {type ObjectStore} from '../../store/types.ts';
 import {recordPrefix} from '../../reporting/record/batch-codec.ts';
 import {
 	verifyRecord,
--- a/src/operator/workspace.ts
+++ b/src/operator/workspace.ts
@@ -2,7 +2,7 @@
  * What an operators' tool works with: the platform, the policy store and the daemons.
  */
 import {err, ok, type Result} from 'neverthrow';
-import {createPlatform, type Platform} from '../platform/create-platform.ts';
+import {createPlatform, type Platform} from '../store/create-platform.ts';
 import {PolicyStore} from '../policy/policy-store.ts';
 import {BurnStore} from '../reporting/burn/burn-store.ts';
 import {loadSettings} from '../settings/load.ts';
--- a/src/policy/policy-store.ts
+++ b/src/policy/policy-store.ts
@@ -2,8 +2,8 @@
  * The policy document's versions in the platform's table.
  */
 import {err, ok, ResultAsync, type Result} from 'neverthrow';
-import {type PlatformError} from '../platform/errors.ts';
-import {type Table} from '../platform/types.ts';
+import {type PlatformError} from '../store/errors.ts';
+import {type Table} from '../store/types.ts';
 import {builtInVersion} from './built-in.ts';
 import {computeConflictFields} from './diff.ts';
 import {PolicyError} from './errors.ts';
--- a/src/policy/version-rows.ts
+++ b/src/policy/version-rows.ts
@@ -2,7 +2,7 @@
  * Rows of the platform's table that hold the policy versions.
  */
 import {err, ok, type Result} from 'neverthrow';
-import {type RowKey, type TableRow, type TableWrite} from '../platform/types.ts';
+import {type RowKey, type TableRow, type TableWrite} from '../store/types.ts';
 import {computeDigest, verifyDigest} from './digest.ts';
 import {PolicyError} from './errors.ts';
 import {type ApplyRequest, type PolicyHead, type PolicyVersion} from './types.ts';
--- a/src/reporting/burn/burn-store.ts
+++ b/src/reporting/burn/burn-store.ts
@@ -6,7 +6,7 @@
  * merged for long ones. Writing them again has no further effect.
  */
 import {err, ok, type Result} from 'neverthrow';
-import {type ObjectStore} from '../../platform/types.ts';
+import {type ObjectStore} from '../../store/types.ts';
 import {BurnError} from './errors.ts';
 import {computeStep, emptyState, type CollectionState} from './intervals.ts';
 import {mergeRows} from './merge-rows.ts';
--- a/src/reporting/platform-metrics.ts
+++ b/src/reporting/platform-metrics.ts
@@ -2,8 +2,8 @@
  * Metrics of the requests that a daemon sends to the platform.
  */
 import {Counter, Gauge, type Registry} from 'prom-client';
-import {type CircuitState} from '../platform/circuit.ts';
-import {type PlatformUsage} from '../platform/resilience.ts';
+import {type CircuitState} from '../store/circuit.ts';
+import {type PlatformUsage} from '../store/resilience.ts';
 
 /** One service of the platform, as the metrics read it. */
 export type PlatformSource = {
--- a/src/settings/platform-settings.ts
+++ b/src/settings/platform-settings.ts
@@ -2,7 +2,7 @@
  * Settings of the platform's table and object store, the same for every binary.
  */
 import * as z from 'zod/mini';
-import {type PlatformSettings} from '../platform/settings.ts';
+import {type PlatformSettings} from '../store/settings.ts';
 import {httpUrl, text, wholeNumber} from './fields.ts';
 
 export const platformSection = z.strictObject({
--- a/stand-ins/daemon/operator-fixture.ts
+++ b/stand-ins/daemon/operator-fixture.ts
@@ -7,7 +7,7 @@
 import {PassThrough} from 'node:stream';
 import {stringify} from 'ini';
 import {runCli, type CliProgram} from '../../src/operator/commands/run-cli.ts';
-import {type ObjectStore} from '../../src/platform/types.ts';
+import {type ObjectStore} from '../../src/store/types.ts';
 import {PolicyStore} from '../../src/policy/policy-store.ts';
 import {defaultStandInOptions, type PlatformStandIn} from '../platform/platform-stand-in.ts';
 import {startPlatform} from '../platform/start-platform.ts';
--- a/stand-ins/platform/start-platform.ts
+++ b/stand-ins/platform/start-platform.ts
@@ -1,7 +1,7 @@
 /**
  * Starts a platform stand-in with the adapters that speak to it, for tests and the demo.
  */
-import {createPlatform, type Platform} from '../../src/platform/create-platform.ts';
+import {createPlatform, type Platform} from '../../src/store/create-platform.ts';
 import {defaultStandInOptions, PlatformStandIn} from './platform-stand-in.ts';
 
 export type StartedPlatform = {
