--- /dev/null
+++ b/src/sidecar/entry/caller-answer.ts
@@ -0,0 +1,69 @@
+/** Writes answers to callers. */
+import {type Buffer} from 'node:buffer';
+import type http from 'node:http';
+import {type RawHeaders} from '../types.ts';
+
+/** Answers of the entry itself, which no server gave. */
+export const ownStatuses = {
+	badRequest: 400,
+	noRoute: 404,
+	tooLarge: 413,
+	/** May have run; nothing is promised. */
+	failed: 502,
+	/** Has not run and never will. */
+	notRun: 503,
+	/** No answer in time; nothing is promised. */
+	timeout: 504,
+} as const;
+export type OwnStatus = (typeof ownStatuses)[keyof typeof ownStatuses];
+
+const bodilessStatuses = new Set([204, 304]);
+
+/** Writes an answer that the entry gives itself. */
+export function answerCaller(
+	response: http.ServerResponse,
+	status: OwnStatus,
+	options: {readonly reason: string; readonly retryAfterMs?: number; readonly closes: boolean},
+): void {
+	const body = `${options.reason}\n`;
+	const headers: string[] = ['Content-Type', 'text/plain', 'Content-Length', String(body.length)];
+	if (options.retryAfterMs !== undefined) {
+		headers.push('Retry-After', (options.retryAfterMs / 1000).toFixed(3));
+	}
+
+	if (options.closes) {
+		headers.push('Connection', 'close');
+	}
+
+	response.writeHead(status, headers);
+	response.end(body);
+}
+
+/** Writes a server's whole answer. */
+export function relayAnswer(
+	response: http.ServerResponse,
+	answer: {readonly status: number; readonly headers: RawHeaders},
+	body: Buffer,
+	closes: boolean,
+): void {
+	const headers = [...answer.headers];
+	const hasBody = response.req.method !== 'HEAD' && !bodilessStatuses.has(answer.status);
+	if (hasBody) {
+		headers.push('Content-Length', String(body.length));
+	}
+
+	if (closes) {
+		headers.push('Connection', 'close');
+	}
+
+	response.writeHead(answer.status, headers);
+	response.end(hasBody ? body : undefined);
+}
+
+/** Writes the head of a long answer; the body follows in chunks. */
+export function relayHead(
+	response: http.ServerResponse,
+	answer: {readonly status: number; readonly headers: RawHeaders},
+): void {
+	response.writeHead(answer.status, [...answer.headers, 'Transfer-Encoding', 'chunked']);
+}
--- /dev/null
+++ b/src/sidecar/entry/entry-call.ts
@@ -0,0 +1,342 @@
+/** One caller's request, from its head to its answer: classify, decide, send, relay. */
+import {Buffer} from 'node:buffer';
+import type http from 'node:http';
+import {type AnswerHead, type FailureHead, type RefusalHead, type ReplyNews} from '../link/messages.ts';
+import {type MemberView} from '../knowledge/member-view.ts';
+import {pickMember} from '../routing/picker.ts';
+import {type RequestHead, type Route} from '../types.ts';
+import {answerCaller, type OwnStatus, ownStatuses, relayAnswer, relayHead} from './caller-answer.ts';
+import {type EntryContext} from './entry-context.ts';
+import {Send} from './send.ts';
+
+/** Time that a caller has who does not say how long it waits. */
+const defaultDeadlineMs = 30_000;
+/** Guards that are asked in turn before a request is given up as refused. */
+const maxRefusals = 3;
+/** A request with less time left is not worth sending: the way there and back takes some of it. */
+const minUsefulMs = 5;
+/** Return of callers who were refused for want of room: spread over this span after a first pause. */
+const firstReturnMs = 250;
+const returnSpanMs = 1000;
+/** Return of callers while no configuration or no server is known: both come within moments. */
+const unknownReturnMs = 500;
+
+export type CallerRequest = {
+	readonly request: http.IncomingMessage;
+	readonly response: http.ServerResponse;
+	readonly head: RequestHead;
+	/** The whole body, or the part of it that has come. */
+	readonly body: Buffer;
+	readonly isWhole: boolean;
+};
+
+export class EntryCall {
+	/**
+	 * @example
+	 * const call = EntryCall.create(ctx, callerRequest);
+	 * call.start();
+	 */
+	static create(ctx: EntryContext, caller: CallerRequest): EntryCall {
+		return new EntryCall(ctx, caller);
+	}
+
+	readonly #arrivedAtMs = performance.now();
+	#route: Route | undefined;
+	#service = '';
+	#answerByMs = 0;
+	#timer: NodeJS.Timeout | undefined;
+	#send: Send | undefined;
+	readonly #tried = new Set<string>();
+	/** Sends that reached a server. */
+	#arrivals = 0;
+	#refusals = 0;
+	#mayHaveRun = false;
+	#isDone = false;
+	#lastReason = '';
+
+	private constructor(
+		private readonly ctx: EntryContext,
+		private readonly caller: CallerRequest,
+	) {}
+
+	start(): void {
+		const {request, response, head} = this.caller;
+		const routes = this.ctx.readRoutes();
+		if (routes === undefined) {
+			this.#answer(ownStatuses.notRun, 'no configuration is known yet', unknownReturnMs);
+			return;
+		}
+
+		const route = routes.find(request.headers.host ?? '', request.url ?? '/');
+		if (route === undefined) {
+			this.#answer(ownStatuses.noRoute, `version ${routes.config.version} has no such route`);
+			return;
+		}
+
+		this.#route = route;
+		this.#service = routes.pickService(route);
+		const patienceMs = Math.min(head.deadlineMs ?? defaultDeadlineMs, route.timeoutMs);
+		this.#answerByMs = this.#arrivedAtMs + patienceMs;
+		this.#timer = setTimeout(() => {
+			this.#handleTimeout();
+		}, patienceMs);
+		response.on('close', () => {
+			this.#handleCallerGone();
+		});
+		this.#admit(route);
+	}
+
+	#admit(route: Route): void {
+		const nowMs = performance.now();
+		this.ctx.budget.recordRequest(this.#service, nowMs);
+		const verdict = this.ctx.admission.decide(route, this.#service, nowMs);
+		switch (verdict.kind) {
+			case 'admitted': {
+				this.#sendOn();
+				break;
+			}
+
+			case 'shed': {
+				this.#answer(ownStatuses.notRun, verdict.reason, verdict.retryAfterMs);
+				break;
+			}
+		}
+	}
+
+	/** Sends the request to the next server, or gives it up. */
+	#sendOn(): void {
+		const nowMs = performance.now();
+		if (this.#isDone) {
+			return;
+		}
+
+		const views = this.ctx.directory.listService(this.#service);
+		const view = pickMember(views, this.#tried, nowMs, this.ctx.random);
+		if (view === undefined || this.#answerByMs - nowMs < minUsefulMs) {
+			this.#giveUp(view === undefined ? 'no server has room' : 'no time is left');
+			return;
+		}
+
+		this.#tried.add(view.member.instance);
+		this.#sendTo(view, nowMs);
+	}
+
+	#sendTo(view: MemberView, nowMs: number): void {
+		const {request, head, body, isWhole} = this.caller;
+		const route = this.#route!;
+		const callHead = {
+			nonce: this.ctx.createNonce(),
+			requestId: head.requestId,
+			method: request.method ?? 'GET',
+			path: request.url ?? '/',
+			headers: head.headers,
+			remainingMs: this.#answerByMs - nowMs,
+			service: this.#service,
+			serverId: view.member.serverId,
+			callerService: this.ctx.readCallerService(),
+			route: route.name,
+			isOnce: route.callKind === 'once',
+			priority: route.priority,
+			isWhole,
+			isRepeat: this.#arrivals > 0,
+		};
+		this.#send = Send.create(view, callHead, this.#createListener(view));
+		this.#send.start(this.ctx.guard, body);
+		if (!isWhole && !this.#isDone) {
+			this.#streamBody();
+		}
+	}
+
+	#createListener(view: MemberView) {
+		return {
+			handleNews: (news: ReplyNews) => {
+				view.recordLoad(news.load, performance.now());
+				this.ctx.handleNews(view.member.instance, news);
+			},
+			handleAnswer: (head: AnswerHead, body: Buffer) => {
+				this.#handleAnswer(view, head, body);
+			},
+			handleData: (chunk: Buffer) => {
+				if (!this.caller.response.write(chunk)) {
+					this.#send?.setPaused(true);
+				}
+			},
+			handleEnd: () => {
+				this.caller.response.end();
+				this.#finish(200, 'relayed');
+			},
+			handleRefusal: (head: RefusalHead, wasReached: boolean) => {
+				this.#handleRefusal(view, head, wasReached);
+			},
+			handleFailure: (head: FailureHead, wasReached: boolean) => {
+				this.#handleFailure(view, head, wasReached);
+			},
+			handleDrain: () => {
+				this.caller.request.resume();
+			},
+		};
+	}
+
+	#handleAnswer(view: MemberView, head: AnswerHead, body: Buffer): void {
+		this.#arrivals++;
+		if (head.isNotRun && head.isWhole && this.#canRepeat()) {
+			this.#lastReason = `the server refused with ${head.status}`;
+			this.#sendOn();
+			return;
+		}
+
+		view.recordAnswer(performance.now() - this.#arrivedAtMs);
+		if (!head.isWhole) {
+			relayHead(this.caller.response, head);
+			this.caller.response.on('drain', () => {
+				this.#send?.setPaused(false);
+			});
+			this.caller.response.write(body);
+			return;
+		}
+
+		this.#relay(head, body);
+	}
+
+	/** Hands a server's answer to the caller. */
+	#relay(head: AnswerHead, body: Buffer): void {
+		const isPromiseBroken = head.isNotRun && this.#mayHaveRun;
+		if (isPromiseBroken) {
+			this.#giveUp('an earlier send may have run');
+			return;
+		}
+
+		const {response} = this.caller;
+		relayAnswer(response, head, body, this.ctx.isStopping());
+		this.#finish(head.status, 'relayed');
+	}
+
+	#handleRefusal(view: MemberView, head: RefusalHead, wasReached: boolean): void {
+		this.#lastReason = head.reason;
+		this.#refusals++;
+		if (head.member !== undefined) {
+			this.ctx.handleMember(head.member);
+		}
+
+		if (!wasReached || head.reason === 'stopping' || head.reason === 'unreachable') {
+			view.recordFailure(performance.now());
+		}
+
+		if (this.#refusals < maxRefusals) {
+			this.#sendOn();
+		} else {
+			this.#giveUp(head.reason);
+		}
+	}
+
+	#handleFailure(view: MemberView, head: FailureHead, wasReached: boolean): void {
+		this.#arrivals++;
+		this.#mayHaveRun = true;
+		this.#lastReason = head.reason;
+		if (!wasReached) {
+			view.recordFailure(performance.now());
+		}
+
+		if (this.caller.response.headersSent) {
+			this.caller.response.destroy();
+			this.#finish(0, 'cut short');
+		} else if (this.#route!.callKind === 'repeatable' && this.#canRepeat()) {
+			this.#sendOn();
+		} else {
+			this.#giveUp(head.reason);
+		}
+	}
+
+	/** Whether the request may go to a further server after one had it. */
+	#canRepeat(): boolean {
+		const nowMs = performance.now();
+		return (
+			!this.#isDone &&
+			this.caller.isWhole &&
+			this.#arrivals < this.#route!.maxAttempts &&
+			this.#answerByMs - nowMs > minUsefulMs &&
+			this.ctx.budget.spend(this.#service, nowMs)
+		);
+	}
+
+	/** Answers that the request was not run, if that is certain, and that it failed otherwise. */
+	#giveUp(reason: string): void {
+		if (this.#mayHaveRun) {
+			this.#answer(ownStatuses.failed, reason);
+		} else {
+			const retryAfterMs = firstReturnMs + this.ctx.random() * returnSpanMs;
+			this.#answer(ownStatuses.notRun, reason, retryAfterMs);
+		}
+	}
+
+	#handleTimeout(): void {
+		this.#send?.cancel();
+		this.#answer(ownStatuses.timeout, 'no answer in time');
+	}
+
+	#handleCallerGone(): void {
+		if (!this.#isDone) {
+			this.#send?.cancel();
+			this.#finish(0, 'the caller left');
+		}
+	}
+
+	#answer(status: OwnStatus, reason: string, retryAfterMs?: number): void {
+		const {response} = this.caller;
+		if (this.#isDone) {
+			return;
+		}
+
+		if (response.headersSent) {
+			response.destroy();
+		} else {
+			const closes = this.ctx.isStopping() || !this.caller.isWhole;
+			answerCaller(response, status, {
+				reason,
+				closes,
+				...(retryAfterMs !== undefined && {retryAfterMs}),
+			});
+		}
+
+		this.#finish(status, reason);
+	}
+
+	#finish(status: number, outcome: string): void {
+		if (this.#isDone) {
+			return;
+		}
+
+		this.#isDone = true;
+		clearTimeout(this.#timer);
+		const {head, request} = this.caller;
+		this.ctx.log.recordRequest({
+			requestId: head.requestId,
+			route: this.#route?.name ?? request.url ?? '',
+			service: this.#service,
+			status,
+			outcome,
+			tookMs: performance.now() - this.#arrivedAtMs,
+			sends: this.#tried.size,
+			arrivals: this.#arrivals,
+			lastReason: this.#lastReason,
+			lastInstance: this.#send?.view.member.instance ?? '',
+			serverId: this.#send?.view.member.serverId ?? '',
+			configVersion: this.ctx.readRoutes()?.config.version ?? 0,
+			deadlineMs: head.deadlineMs ?? 0,
+		});
+	}
+
+	/** Passes on the rest of a body that is too long to be kept. */
+	#streamBody(): void {
+		const {request} = this.caller;
+		request.on('data', (chunk: Buffer) => {
+			if (this.#send?.sendBody(chunk) === false) {
+				request.pause();
+			}
+		});
+		request.on('end', () => {
+			this.#send?.endBody();
+		});
+		request.resume();
+	}
+}
--- /dev/null
+++ b/src/sidecar/entry/entry-context.ts
@@ -0,0 +1,29 @@
+/** What all calls of one entry share. */
+import {type Admission} from '../overload/admission.ts';
+import {type RetryBudget} from '../overload/retry-budget.ts';
+import {type Directory} from '../knowledge/directory.ts';
+import {type RouteTable} from '../knowledge/route-table.ts';
+import {type Guard} from '../guard/guard.ts';
+import {type ReplyNews} from '../link/messages.ts';
+import {type RequestLog} from '../reporting/request-log.ts';
+import {type HeadCodec, type Member} from '../types.ts';
+
+export type EntryContext = {
+	readonly codec: HeadCodec;
+	readonly directory: Directory;
+	readonly guard: Guard;
+	readonly budget: RetryBudget;
+	readonly admission: Admission;
+	readonly log: RequestLog;
+	/** Undefined until a configuration is known. */
+	readRoutes(): RouteTable | undefined;
+	/** Service of the server beside the sidecar, which callers on this instance speak for. */
+	readCallerService(): string;
+	isStopping(): boolean;
+	/** Takes what a guard's reply tells besides. */
+	handleNews(instance: string, news: ReplyNews): void;
+	/** Takes an announcement that came with a refusal. */
+	handleMember(member: Member): void;
+	createNonce(): string;
+	random(): number;
+};
--- /dev/null
+++ b/src/sidecar/entry/entry-server.ts
@@ -0,0 +1,118 @@
+/** Listens for callers on this instance, and for the calls of the server beside it. */
+import {Buffer} from 'node:buffer';
+import http from 'node:http';
+import {type Socket} from 'node:net';
+import {type ClientLimits, type SocketAddress} from '../types.ts';
+import {EntryCall} from './entry-call.ts';
+import {type EntryContext} from './entry-context.ts';
+
+/** Connections that may wait to be accepted; a full queue costs seconds. */
+const backlog = 1024;
+/** Bodies up to this size are kept until they are whole, so that they can be sent again. */
+const maxKeptBodyBytes = 256 * 1024;
+/** Longest head that is read; the configuration may set less. */
+const maxHeaderBytes = 64 * 1024;
+const noBody = Buffer.alloc(0);
+
+export class EntryServer {
+	/**
+	 * @example
+	 * const server = EntryServer.create(ctx);
+	 * await server.listen({host: '10.1.0.8', port: 8304});
+	 */
+	static create(ctx: EntryContext): EntryServer {
+		return new EntryServer(ctx);
+	}
+
+	readonly #server: http.Server;
+	#active = 0;
+
+	private constructor(private readonly ctx: EntryContext) {
+		const options = {maxHeaderSize: maxHeaderBytes, requestTimeout: 0, keepAliveTimeout: 15_000, noDelay: true};
+		this.#server = http.createServer(options, (request, response) => {
+			this.#handle(request, response);
+		});
+		this.#server.on('clientError', (_error: Error, socket: Socket) => {
+			if (socket.writable) {
+				socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
+			}
+		});
+	}
+
+	/** Requests that have not been answered yet. */
+	get active(): number {
+		return this.#active;
+	}
+
+	async listen(address: SocketAddress): Promise<void> {
+		return new Promise((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen({...address, backlog}, resolve);
+		});
+	}
+
+	/** Takes over how long callers may stay idle or take for a head. */
+	setLimits(limits: ClientLimits): void {
+		this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+		this.#server.headersTimeout = limits.headerTimeoutMs;
+	}
+
+	/** Closes connections on which no request is under way. */
+	closeIdle(): void {
+		this.#server.closeIdleConnections();
+	}
+
+	close(): void {
+		this.#server.close();
+	}
+
+	#handle(request: http.IncomingMessage, response: http.ServerResponse): void {
+		this.#active++;
+		response.on('close', () => {
+			this.#active--;
+		});
+		response.sendDate = false;
+		const head = this.ctx.codec.decodeRequest(request.rawHeaders);
+		const {headers} = request;
+		const hasBody =
+			headers['transfer-encoding'] !== undefined || (headers['content-length'] ?? '0') !== '0';
+		const start = (body: Buffer, isWhole: boolean) => {
+			EntryCall.create(this.ctx, {request, response, head, body, isWhole}).start();
+		};
+
+		if (hasBody) {
+			receiveBody(request, start);
+		} else {
+			start(noBody, true);
+		}
+	}
+}
+
+/** Collects a body until it is whole or too long to be kept. */
+function receiveBody(
+	request: http.IncomingMessage,
+	onBody: (body: Buffer, isWhole: boolean) => void,
+): void {
+	const chunks: Buffer[] = [];
+	let bytes = 0;
+	const handleData = (chunk: Buffer) => {
+		chunks.push(chunk);
+		bytes += chunk.length;
+		if (bytes > maxKeptBodyBytes) {
+			request.off('data', handleData);
+			request.off('end', handleEnd);
+			request.pause();
+			onBody(Buffer.concat(chunks), false);
+		}
+	};
+
+	const handleEnd = () => {
+		onBody(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks), true);
+	};
+
+	request.on('data', handleData);
+	request.on('end', handleEnd);
+	request.on('error', () => {
+		// The caller broke off; its connection's close event ends the call.
+	});
+}
--- /dev/null
+++ b/src/sidecar/entry/send.ts
@@ -0,0 +1,226 @@
+/**
+ * One send of a request to one guard, whether over a link or within this process.
+ *
+ * A link that is lost or silent is replaced: the guard is asked over a new connection, and tells the
+ * answer there, or that the request was never run.
+ */
+import {type Buffer} from 'node:buffer';
+import {type MemberView} from '../knowledge/member-view.ts';
+import {type Guard} from '../guard/guard.ts';
+import {type Exchange} from '../link/exchange.ts';
+import {type LinkListener} from '../link/link-client.ts';
+import {
+	type AnswerHead,
+	type CallHead,
+	type FailureHead,
+	type RefusalHead,
+	type ReplyNews,
+} from '../link/messages.ts';
+
+/** Pause before a guard is asked again after its link could not be replaced. */
+const resumePauseMs = 150;
+/** Then it is taken as gone: with pauses and time-outs of the connections some two seconds. */
+const maxResumes = 4;
+/** A guard that is silent for this long may be waiting, or its link may be dead: ask. */
+const minSilenceMs = 900;
+/** Times the usual latency of the member after which silence is unusual. */
+const silenceFactor = 4;
+
+/** What a send tells the call that it belongs to; one of the last four ends it. */
+export type SendListener = {
+	handleNews(news: ReplyNews): void;
+	handleAnswer(head: AnswerHead, body: Buffer): void;
+	handleData(chunk: Buffer): void;
+	handleEnd(): void;
+	/** `wasReached` is false when no connection to the peer came about. */
+	handleRefusal(head: RefusalHead, wasReached: boolean): void;
+	/** The request may have run. */
+	handleFailure(head: FailureHead, wasReached: boolean): void;
+	handleDrain(): void;
+};
+
+export class Send {
+	/**
+	 * @example
+	 * const send = Send.create(view, head, listener);
+	 * send.start(guard, body);
+	 */
+	static create(view: MemberView, head: CallHead, listener: SendListener): Send {
+		return new Send(view, head, listener);
+	}
+
+	readonly startedAtMs = performance.now();
+	#exchange: Exchange | undefined;
+	#isEnded = false;
+	#hasAnswerBegun = false;
+	#resumes = 0;
+	/** Grows when a listener is replaced; what older ones hear is ignored. */
+	#generation = 0;
+	#timer: NodeJS.Timeout | undefined;
+	#incarnation: string | undefined;
+
+	private constructor(
+		readonly view: MemberView,
+		private readonly head: CallHead,
+		private readonly listener: SendListener,
+	) {}
+
+	/** Sends the request; the listener may hear the end before this returns. */
+	start(guard: Guard, body: Buffer): void {
+		this.view.recordSend();
+		const {way} = this.view;
+		switch (way.kind) {
+			case 'local': {
+				this.#exchange = guard.accept(this.head, body, this.#createListener());
+				break;
+			}
+
+			case 'link': {
+				this.#exchange = way.pool.open(this.head, body, this.#createListener());
+				this.#watchSilence();
+				break;
+			}
+		}
+	}
+
+	/** Nobody waits for the answer any more. */
+	cancel(): void {
+		if (this.#end()) {
+			this.#exchange?.cancel();
+		}
+	}
+
+	sendBody(chunk: Buffer): boolean {
+		return this.#exchange?.sendBody(chunk) ?? true;
+	}
+
+	endBody(): void {
+		this.#exchange?.endBody();
+	}
+
+	setPaused(isPaused: boolean): void {
+		this.#exchange?.setPaused(isPaused);
+	}
+
+	/** Ends the send once; false when it has ended before. */
+	#end(): boolean {
+		if (this.#isEnded) {
+			return false;
+		}
+
+		this.#isEnded = true;
+		clearTimeout(this.#timer);
+		this.view.recordEnd();
+		return true;
+	}
+
+	#createListener(): LinkListener {
+		const generation = this.#generation;
+		const isCurrent = () => !this.#isEnded && generation === this.#generation;
+		return {
+			handleNews: news => {
+				this.listener.handleNews(news);
+			},
+			handleAnswer: (head, body) => {
+				if (isCurrent()) {
+					this.#handleAnswer(head, body);
+				}
+			},
+			handleData: chunk => {
+				if (isCurrent()) {
+					this.listener.handleData(chunk);
+				}
+			},
+			handleEnd: () => {
+				if (isCurrent() && this.#end()) {
+					this.listener.handleEnd();
+				}
+			},
+			handleRefusal: head => {
+				if (isCurrent() && this.#end()) {
+					this.listener.handleRefusal(head, true);
+				}
+			},
+			handleFailure: head => {
+				if (isCurrent() && this.#end()) {
+					this.listener.handleFailure(head, true);
+				}
+			},
+			handleUnreachable: () => {
+				if (isCurrent()) {
+					this.#handleUnreachable();
+				}
+			},
+			handleLost: incarnation => {
+				if (isCurrent()) {
+					this.#incarnation ??= incarnation;
+					this.#resume();
+				}
+			},
+			handleDrain: () => {
+				this.listener.handleDrain();
+			},
+		};
+	}
+
+	#handleAnswer(head: AnswerHead, body: Buffer): void {
+		this.#hasAnswerBegun = true;
+		clearTimeout(this.#timer);
+		if (head.isWhole && !this.#end()) {
+			return;
+		}
+
+		this.listener.handleAnswer(head, body);
+	}
+
+	/** No connection came about: on the first send nothing has left this process. */
+	#handleUnreachable(): void {
+		if (this.#resumes === 0) {
+			if (this.#end()) {
+				this.listener.handleRefusal(
+					{reason: 'unreachable', hasArrived: false, member: undefined},
+					false,
+				);
+			}
+
+			return;
+		}
+
+		this.#timer = setTimeout(() => {
+			this.#resume();
+		}, resumePauseMs);
+	}
+
+	/** Asks the guard over a new connection what became of the request. */
+	#resume(): void {
+		const {way} = this.view;
+		if (this.#isEnded || way.kind === 'local') {
+			return;
+		}
+
+		const canResume = !this.#hasAnswerBegun && this.head.isWhole;
+		if (!canResume || this.#resumes >= maxResumes) {
+			if (this.#end()) {
+				this.listener.handleFailure({reason: 'the link was lost'}, canResume === false);
+			}
+
+			return;
+		}
+
+		this.#resumes++;
+		this.#generation++;
+		const question = {nonce: this.head.nonce, incarnation: this.#incarnation ?? ''};
+		this.#exchange = way.pool.resume(question, this.#createListener());
+	}
+
+	/** Replaces a link on which nothing comes for unusually long. */
+	#watchSilence(): void {
+		const silenceMs = Math.max(minSilenceMs, this.view.latencyMs * silenceFactor);
+		clearTimeout(this.#timer);
+		this.#timer = setTimeout(() => {
+			if (!this.#hasAnswerBegun) {
+				this.#resume();
+			}
+		}, silenceMs);
+	}
+}
--- /dev/null
+++ b/src/sidecar/guard/guard.ts
@@ -0,0 +1,312 @@
+/**
+ * The only way to the backend server: admits requests, bounds what runs there, and can prove of a
+ * request that it was not run.
+ */
+import {type Buffer} from 'node:buffer';
+import {type Exchange, type ExchangeListener} from '../link/exchange.ts';
+import {type CallHead, type GuardLoad, type RefusalReason} from '../link/messages.ts';
+import {type HeadCodec, type Member} from '../types.ts';
+import {type CallOutcome, GuardedCall} from './guarded-call.ts';
+import {type LocalServer} from './local-server.ts';
+import {type ServerPool} from './server-pool.ts';
+import {WaitingLine} from './waiting-line.ts';
+
+/** Part of the time left that a request may spend waiting; the rest is for the server's work. */
+const maxWaitShare = 0.35;
+/** Smoothing of the mean time at the server, per finished request. */
+const serviceTimeWeight = 0.03;
+/** First guess of the time at the server, before anything was measured. */
+const initialServiceMs = 50;
+/** For this long the end of a request is kept, so that an entry that lost its link can ask for it. */
+const keptEndMs = 2000;
+/** An entry that lost its link asks within this time; then a repeatable request is cancelled. */
+const orphanMs = 350;
+const sweepMs = 250;
+
+export type GuardEvents = {
+	/** The server does not accept connections. */
+	handleUnreachable(): void;
+	handleOutcome(call: GuardedCall, outcome: CallOutcome): void;
+};
+
+export type GuardOptions = {
+	readonly server: LocalServer;
+	readonly pool: ServerPool;
+	readonly codec: HeadCodec;
+	readonly incarnation: string;
+	readonly events: GuardEvents;
+	/** The member that this guard announces at present. */
+	readMember(): Member | undefined;
+};
+
+const noOperation = () => {
+	// A refused request has nothing to cancel or to pause.
+};
+
+const endedExchange: Exchange = {
+	cancel: noOperation,
+	sendBody: () => true,
+	endBody: noOperation,
+	setPaused: noOperation,
+};
+
+export class Guard {
+	/**
+	 * @example
+	 * const guard = Guard.create({server, pool, codec, incarnation, events, readMember});
+	 */
+	static create(options: GuardOptions): Guard {
+		return new Guard(options);
+	}
+
+	/** Time at the server of all kinds of requests, smoothed. */
+	serviceMs = initialServiceMs;
+	isStopping = false;
+
+	readonly #line = WaitingLine.create<GuardedCall>();
+	/** Calls by nonce: waiting, running, and ended a short time ago. */
+	readonly #calls = new Map<string, GuardedCall>();
+	/** Nonces that must not run any more, with the time of the verdict. */
+	readonly #killed = new Map<string, number>();
+	readonly #orphans = new Map<GuardedCall, number>();
+	#running = 0;
+	readonly #timer: NodeJS.Timeout;
+
+	private constructor(private readonly options: GuardOptions) {
+		this.#timer = setInterval(() => {
+			this.#sweep();
+		}, sweepMs);
+		this.#timer.unref();
+	}
+
+	readLoad(): GuardLoad {
+		return {
+			running: this.#running,
+			waiting: this.#line.length,
+			limit: this.options.server.limit,
+		};
+	}
+
+	/** Requests that have not been answered yet. */
+	countActive(): number {
+		return this.#running + this.#line.length;
+	}
+
+	/** Takes a request: runs it, lets it wait, or refuses it at once. */
+	accept(head: CallHead, body: Buffer, listener: ExchangeListener): Exchange {
+		const reason = this.#findRefusal(head);
+		if (reason !== undefined) {
+			const isOutdated = reason === 'wrongServer' || reason === 'leaving' || reason === 'unreachable';
+			const member = isOutdated ? this.options.readMember() : undefined;
+			listener.handleRefusal({reason, hasArrived: false, member});
+			return endedExchange;
+		}
+
+		const call = GuardedCall.create(head, body, listener, this.#createOwner());
+		this.#calls.set(head.nonce, call);
+		const {limit} = this.options.server;
+		if (this.#running < limit && this.#line.length === 0) {
+			this.#start(call);
+			return call;
+		}
+
+		if (this.#estimateWaitMs(call, limit) > head.remainingMs * maxWaitShare) {
+			call.refuse('full');
+			return call;
+		}
+
+		this.#line.add(call);
+		return call;
+	}
+
+	/** Tells a listener on a new connection what became of a request. */
+	resume(nonce: string, incarnation: string, listener: ExchangeListener): Exchange {
+		const call = this.#calls.get(nonce);
+		if (call !== undefined) {
+			this.#orphans.delete(call);
+			return this.#resumeCall(call, listener);
+		}
+
+		if (incarnation === this.options.incarnation) {
+			this.#killed.set(nonce, performance.now());
+			listener.handleRefusal({reason: 'forgotten', hasArrived: false, member: undefined});
+		} else {
+			listener.handleFailure({reason: 'the guard has restarted'});
+		}
+
+		return endedExchange;
+	}
+
+	/** Records that the connection over which a listener heard of a request was lost without a word. */
+	orphan(nonce: string, listener: ExchangeListener): void {
+		const call = this.#calls.get(nonce);
+		if (call?.listener !== listener) {
+			return;
+		}
+
+		switch (call.phase) {
+			case 'waiting': {
+				this.#line.remove(call);
+				call.cancel();
+				break;
+			}
+
+			case 'running': {
+				this.#orphans.set(call, performance.now());
+				break;
+			}
+
+			case 'ended': {
+				break;
+			}
+		}
+	}
+
+	/** Refuses all that wait, as when the server is gone. */
+	refuseWaiting(reason: RefusalReason): void {
+		for (const call of this.#line.takeWhere(() => true)) {
+			call.refuse(reason);
+		}
+	}
+
+	#resumeCall(call: GuardedCall, listener: ExchangeListener): Exchange {
+		if (call.isStreaming) {
+			call.cancel();
+			listener.handleFailure({reason: 'the answer was partly sent'});
+			return endedExchange;
+		}
+
+		call.attach(listener);
+		return call;
+	}
+
+	#findRefusal(head: CallHead): RefusalReason | undefined {
+		const {server} = this.options;
+		const {state} = server;
+		if (this.#killed.has(head.nonce)) {
+			return 'forgotten';
+		}
+
+		if (this.isStopping) {
+			return 'stopping';
+		}
+
+		if (state?.id !== head.serverId || state.service !== head.service) {
+			return 'wrongServer';
+		}
+
+		const nowMs = performance.now();
+		if (server.canTakeWork(nowMs)) {
+			return undefined;
+		}
+
+		return server.readState(nowMs) === 'leaving' ? 'leaving' : 'unreachable';
+	}
+
+	#estimateWaitMs(call: GuardedCall, limit: number): number {
+		return ((this.#line.countBefore(call) + 1) * this.serviceMs) / limit;
+	}
+
+	#start(call: GuardedCall): void {
+		this.#running++;
+		call.start(call.head.serverId, performance.now());
+	}
+
+	#startWaiting(): void {
+		while (this.#running < this.options.server.limit) {
+			const call = this.#line.take();
+			if (call === undefined) {
+				return;
+			}
+
+			const nowMs = performance.now();
+			if (!this.options.server.canTakeWork(nowMs) || this.isStopping) {
+				call.refuse(this.isStopping ? 'stopping' : 'leaving');
+			} else if (call.answerByMs - nowMs < this.serviceMs / 2) {
+				call.refuse('late');
+			} else {
+				this.#start(call);
+			}
+		}
+	}
+
+	#createOwner() {
+		return {
+			codec: this.options.codec,
+			acquireConnection: (requestId: string, isOnce: boolean) =>
+				this.options.pool.acquire(requestId, isOnce),
+			handleEnded: (call: GuardedCall, outcome: CallOutcome) => {
+				this.#handleEnded(call, outcome);
+			},
+		};
+	}
+
+	#handleEnded(call: GuardedCall, outcome: CallOutcome): void {
+		switch (outcome.kind) {
+			case 'answered': {
+				this.#running--;
+				if (!outcome.head.isNotRun) {
+					this.serviceMs += (outcome.ranMs - this.serviceMs) * serviceTimeWeight;
+				}
+
+				break;
+			}
+
+			case 'failed': {
+				this.#running--;
+				if (!outcome.hasSent) {
+					this.options.events.handleUnreachable();
+				}
+
+				break;
+			}
+
+			case 'cancelled': {
+				if (outcome.hasRun) {
+					this.#running--;
+				} else {
+					this.#line.remove(call);
+				}
+
+				break;
+			}
+
+			case 'refused': {
+				break;
+			}
+		}
+
+		this.#orphans.delete(call);
+		this.options.events.handleOutcome(call, outcome);
+		queueMicrotask(() => {
+			this.#startWaiting();
+		});
+	}
+
+	/** Forgets old ends and verdicts, and gives up on requests whose entry does not come back. */
+	#sweep(): void {
+		const nowMs = performance.now();
+		for (const [call, sinceMs] of this.#orphans) {
+			if (nowMs - sinceMs > orphanMs && !call.head.isOnce) {
+				call.cancel();
+			}
+		}
+
+		for (const [nonce, call] of this.#calls) {
+			if (call.endedAtMs !== undefined && nowMs - call.endedAtMs > keptEndMs) {
+				this.#calls.delete(nonce);
+			}
+		}
+
+		for (const [nonce, atMs] of this.#killed) {
+			// A frame that is older than the longest request can't arrive any more.
+			if (nowMs - atMs > 60_000) {
+				this.#killed.delete(nonce);
+			}
+		}
+
+		for (const call of this.#line.takeWhere(each => each.answerByMs < nowMs)) {
+			call.refuse('late');
+		}
+	}
+}
--- /dev/null
+++ b/src/sidecar/knowledge/announcer.ts
@@ -0,0 +1,95 @@
+/** Keeps the own row in the shared table equal to what the sidecar wants to announce. */
+import {type Logger} from '../../reporting/logger.ts';
+import {type Row, type SharedTable} from '../ports.ts';
+import {type Member} from '../types.ts';
+import {decodeMember, encodeMember} from './member-codec.ts';
+
+/** Pause after a write that failed, doubled up to the longest; jittered so that instances spread. */
+const firstRetryMs = 150;
+const maxRetryMs = 1500;
+
+export class Announcer {
+	/**
+	 * @example
+	 * const announcer = Announcer.create('sidecar-est-a-1', table, logger);
+	 * announcer.announce(member);
+	 */
+	static create(instance: string, table: SharedTable, logger: Logger): Announcer {
+		return new Announcer(instance, table, logger);
+	}
+
+	#wanted: Member | undefined;
+	/** Version of the own row as last seen; 0 when there is none. */
+	#rowVersion = 0;
+	#rowText: string | undefined;
+	#epoch = 0;
+	#isWriting = false;
+	#retryMs = firstRetryMs;
+	#isKnown = false;
+
+	private constructor(
+		private readonly instance: string,
+		private readonly table: SharedTable,
+		private readonly logger: Logger,
+	) {}
+
+	get current(): Member | undefined {
+		return this.#wanted;
+	}
+
+	/** Announces a change of the member; the epoch is set here. */
+	announce(member: Omit<Member, 'epoch'>): Member {
+		this.#epoch = Math.max(this.#epoch + 1, Date.now());
+		this.#wanted = {...member, epoch: this.#epoch};
+		void this.#write();
+		return this.#wanted;
+	}
+
+	/** Takes the own row as the table has it; undefined when there is none. */
+	recordRow(row: Row | undefined): void {
+		if (row !== undefined && row.version < this.#rowVersion) {
+			return;
+		}
+
+		this.#isKnown = true;
+		this.#rowVersion = row?.value === undefined ? 0 : row.version;
+		this.#rowText = row?.value;
+		const stored = row?.value === undefined ? undefined : decodeMember(row.value);
+		this.#epoch = Math.max(this.#epoch, stored?.epoch ?? 0);
+		void this.#write();
+	}
+
+	async #write(): Promise<void> {
+		const wanted = this.#wanted;
+		if (this.#isWriting || wanted === undefined || !this.#isKnown) {
+			return;
+		}
+
+		const text = encodeMember(wanted);
+		if (text === this.#rowText) {
+			return;
+		}
+
+		this.#isWriting = true;
+		const result = await this.table.writeRow('members', this.instance, text, this.#rowVersion);
+		this.#isWriting = false;
+		if (result.isOk()) {
+			this.#rowVersion = result.value;
+			this.#rowText = text;
+			this.#retryMs = firstRetryMs;
+			void this.#write();
+			return;
+		}
+
+		const failure = result.error;
+		if (failure.kind === 'conflict') {
+			this.#rowVersion = failure.version;
+			this.#rowText = undefined;
+		}
+
+		const reason = failure.kind === 'unavailable' ? failure.reason : failure.kind;
+		this.logger.warn({reason, state: wanted.state, service: wanted.service}, 'announcement not written');
+		setTimeout(() => void this.#write(), this.#retryMs * (0.5 + Math.random()));
+		this.#retryMs = Math.min(maxRetryMs, this.#retryMs * 2);
+	}
+}
--- /dev/null
+++ b/src/sidecar/knowledge/member-codec.ts
@@ -0,0 +1,45 @@
+/** Encodes announcements for the shared table and for peers. */
+import {type Member, type MemberState} from '../types.ts';
+
+const states = new Set<MemberState>(['ready', 'leaving', 'down']);
+
+export function encodeMember(member: Member): string {
+	return JSON.stringify(member);
+}
+
+/**
+ * Decodes an announcement.
+ *
+ * @returns undefined when the text is no announcement; another writer may have left it
+ */
+export function decodeMember(text: string): Member | undefined {
+	let value: unknown;
+	try {
+		value = JSON.parse(text);
+	} catch {
+		return undefined;
+	}
+
+	return isMember(value) ? value : undefined;
+}
+
+function isMember(value: unknown): value is Member {
+	if (typeof value !== 'object' || value === null) {
+		return false;
+	}
+
+	const member = value as Partial<Record<keyof Member, unknown>>;
+	const link = member.link as Partial<Member['link']> | undefined;
+	return (
+		typeof member.instance === 'string' &&
+		typeof link?.host === 'string' &&
+		typeof link.port === 'number' &&
+		typeof member.dataCentre === 'string' &&
+		typeof member.region === 'string' &&
+		typeof member.service === 'string' &&
+		typeof member.serverId === 'string' &&
+		typeof member.slots === 'number' &&
+		typeof member.epoch === 'number' &&
+		states.has(member.state as MemberState)
+	);
+}
--- /dev/null
+++ b/src/sidecar/knowledge/peer-sync.ts
@@ -0,0 +1,112 @@
+/**
+ * Hands configuration and members from peer to peer where the store does not reach a sidecar.
+ *
+ * Replies name the configuration of the peer, so a newer one is fetched where it was heard of. While
+ * the store is lost, a peer is asked each second for what changed.
+ */
+import {type Logger} from '../../reporting/logger.ts';
+import {type Member, type MeshConfig} from '../types.ts';
+import {type Directory} from './directory.ts';
+import {type MemberView} from './member-view.ts';
+
+/** How often a peer is asked while the store is lost. */
+const askEveryMs = 700;
+/** A peer in the other region answers within 100 ms; a lost packet costs some 200 ms more. */
+const answerTimeoutMs = 700;
+
+type Question = {readonly configVersion: number; readonly wantsMembers: boolean};
+type PeerState = {readonly config?: string; readonly members?: readonly Member[]};
+
+export type PeerSyncOptions = {
+	readonly directory: Directory;
+	readonly logger: Logger;
+	readConfig(): MeshConfig | undefined;
+	isStoreLost(): boolean;
+	/** Takes the source of a configuration that a peer has. */
+	handleConfig(source: string, from: string): void;
+	handleMember(member: Member): void;
+};
+
+export class PeerSync {
+	/**
+	 * @example
+	 * const sync = PeerSync.create(options);
+	 * sync.start();
+	 */
+	static create(options: PeerSyncOptions): PeerSync {
+		return new PeerSync(options);
+	}
+
+	#isAsking = false;
+
+	private constructor(private readonly options: PeerSyncOptions) {}
+
+	start(): void {
+		const timer = setInterval(() => {
+			if (this.options.isStoreLost()) {
+				void this.#askAnyone();
+			}
+		}, askEveryMs);
+		timer.unref();
+	}
+
+	/** Answers a peer's question. */
+	answer(text: string): string {
+		const question = JSON.parse(text) as Question;
+		const config = this.options.readConfig();
+		const isNewer = config !== undefined && config.version > question.configVersion;
+		const state: PeerState = {
+			...(isNewer && {config: config.source}),
+			...(question.wantsMembers && {members: this.#listMembers()}),
+		};
+		return JSON.stringify(state);
+	}
+
+	/** Fetches the configuration of a peer that has a newer one. */
+	handleVersion(instance: string, version: number): void {
+		const view = this.options.directory.find(instance);
+		if (view !== undefined && version > this.#readVersion()) {
+			void this.#ask(view, false);
+		}
+	}
+
+	#listMembers(): Member[] {
+		return this.options.directory.list().map(view => view.member);
+	}
+
+	#readVersion(): number {
+		return this.options.readConfig()?.version ?? -1;
+	}
+
+	async #askAnyone(): Promise<void> {
+		const views = this.options.directory.list().filter(view => view.way.kind === 'link');
+		const view = views[Math.floor(Math.random() * views.length)];
+		if (view !== undefined) {
+			await this.#ask(view, true);
+		}
+	}
+
+	async #ask(view: MemberView, wantsMembers: boolean): Promise<void> {
+		if (this.#isAsking || view.way.kind !== 'link') {
+			return;
+		}
+
+		this.#isAsking = true;
+		const question: Question = {configVersion: this.#readVersion(), wantsMembers};
+		const text = await view.way.pool.sync(JSON.stringify(question), answerTimeoutMs);
+		this.#isAsking = false;
+		if (text === undefined) {
+			this.options.logger.warn({peer: view.member.instance}, 'peer did not answer a sync');
+			return;
+		}
+
+		const state = JSON.parse(text) as PeerState;
+		if (state.config !== undefined) {
+			this.options.handleConfig(state.config, view.member.instance);
+		}
+
+		for (const member of state.members ?? []) {
+			this.options.handleMember(member);
+		}
+	}
+}
--- /dev/null
+++ b/src/sidecar/link/link-client.ts
@@ -0,0 +1,324 @@
+/** The entry's side of links: one pool of connections for each peer. */
+import {type Buffer} from 'node:buffer';
+import net from 'node:net';
+import {type SocketAddress} from '../types.ts';
+import {type Exchange, type ExchangeListener} from './exchange.ts';
+import {type Frame, frameTypes} from './frames.ts';
+import {FrameSocket} from './frame-socket.ts';
+import {
+	type CallHead,
+	decodeAnswer,
+	decodeFailure,
+	decodeRefusal,
+	encodeCall,
+	type ResumeHead,
+} from './messages.ts';
+
+/** The slowest way between regions takes 60 ms there and back; a lost packet costs some 200 ms more. */
+const connectTimeoutMs = 500;
+/** Idle connections kept for each peer, beyond which they are closed after use. */
+const maxIdle = 48;
+/** A connection that was idle for longer may have been dropped on the way without a word. */
+const maxIdleMs = 20_000;
+
+/** What becomes of an exchange on a link, besides what the guard tells. */
+export type LinkListener = ExchangeListener & {
+	/** Nothing was sent; the peer can't be reached. */
+	handleUnreachable(reason: string): void;
+	/** The connection was lost after the request was sent. */
+	handleLost(incarnation: string | undefined): void;
+	/** The peer takes more of the body. */
+	handleDrain(): void;
+};
+
+type LinkOwner = {handleIdle(link: Link): void; handleClosed(link: Link): void};
+
+/** Connections to one peer. */
+export class LinkPool {
+	/**
+	 * @example
+	 * const pool = LinkPool.create({host: '10.1.0.9', port: 8300});
+	 * const exchange = pool.open(head, body, listener);
+	 */
+	static create(address: SocketAddress): LinkPool {
+		return new LinkPool(address);
+	}
+
+	#idle: Link[] = [];
+	readonly #links = new Set<Link>();
+	readonly #owner: LinkOwner = {
+		handleIdle: link => {
+			if (this.#idle.length < maxIdle) {
+				link.idleSinceMs = performance.now();
+				this.#idle.push(link);
+			} else {
+				link.close();
+			}
+		},
+		handleClosed: link => {
+			this.#links.delete(link);
+			this.#idle = this.#idle.filter(each => each !== link);
+		},
+	};
+
+	private constructor(private readonly address: SocketAddress) {}
+
+	/** Sends a request to the guard of the peer. */
+	open(head: CallHead, body: Buffer, listener: LinkListener): Exchange {
+		return this.#acquire().open(head, body, listener);
+	}
+
+	/** Asks over a new connection what became of a request whose connection was lost. */
+	resume(question: ResumeHead, listener: LinkListener): Exchange {
+		return this.#connect().resume(question, listener);
+	}
+
+	/** Asks the peer for newer configuration and members. */
+	async sync(question: string, timeoutMs: number): Promise<string | undefined> {
+		return this.#acquire().sync(question, timeoutMs);
+	}
+
+	close(): void {
+		for (const link of this.#links) {
+			link.close();
+		}
+	}
+
+	/** Closes idle connections, for a peer that doesn't answer on one of them. */
+	closeIdle(): void {
+		for (const link of this.#idle.splice(0)) {
+			link.close();
+		}
+	}
+
+	#acquire(): Link {
+		const nowMs = performance.now();
+		for (;;) {
+			const link = this.#idle.pop();
+			if (link === undefined) {
+				return this.#connect();
+			}
+
+			if (nowMs - link.idleSinceMs <= maxIdleMs) {
+				return link;
+			}
+
+			link.close();
+		}
+	}
+
+	#connect(): Link {
+		const link = Link.connect(this.address, this.#owner);
+		this.#links.add(link);
+		return link;
+	}
+}
+
+type LinkState =
+	| {readonly kind: 'idle'}
+	| {readonly kind: 'exchange'; readonly listener: LinkListener}
+	| {readonly kind: 'sync'; readonly onDone: (state: string | undefined) => void};
+
+/** One connection to a peer. */
+class Link implements Exchange {
+	static connect(address: SocketAddress, owner: LinkOwner): Link {
+		return new Link(address, owner);
+	}
+
+	idleSinceMs = 0;
+	readonly #socket: net.Socket;
+	readonly #frames: FrameSocket;
+	#state: LinkState = {kind: 'idle'};
+	#incarnation: string | undefined;
+	#isConnected = false;
+	#isCancelled = false;
+
+	private constructor(
+		address: SocketAddress,
+		private readonly owner: LinkOwner,
+	) {
+		this.#socket = net.connect(address);
+		this.#socket.setTimeout(connectTimeoutMs, () => {
+			this.#socket.destroy();
+		});
+		this.#socket.on('connect', () => {
+			this.#isConnected = true;
+			this.#socket.setTimeout(0);
+		});
+		this.#frames = FrameSocket.create(this.#socket, {
+			handleFrame: frame => {
+				this.#handleFrame(frame);
+			},
+			handleDrain: () => {
+				if (this.#state.kind === 'exchange') {
+					this.#state.listener.handleDrain();
+				}
+			},
+			handleClosed: () => {
+				this.#handleClosed();
+			},
+		});
+	}
+
+	open(head: CallHead, body: Buffer, listener: LinkListener): Exchange {
+		this.#state = {kind: 'exchange', listener};
+		this.#isCancelled = false;
+		this.#frames.send(frameTypes.open, encodeCall(head), body);
+		return this;
+	}
+
+	resume(question: ResumeHead, listener: LinkListener): Exchange {
+		this.#state = {kind: 'exchange', listener};
+		this.#frames.send(frameTypes.resume, JSON.stringify(question));
+		return this;
+	}
+
+	async sync(question: string, timeoutMs: number): Promise<string | undefined> {
+		return new Promise(resolve => {
+			const timer = setTimeout(() => {
+				this.close();
+			}, timeoutMs);
+			const onDone = (state: string | undefined) => {
+				clearTimeout(timer);
+				resolve(state);
+			};
+
+			this.#state = {kind: 'sync', onDone};
+			this.#frames.send(frameTypes.sync, question);
+		});
+	}
+
+	/** Tells the guard, and keeps the connection until it has answered. */
+	cancel(): void {
+		if (this.#state.kind === 'exchange' && !this.#isCancelled) {
+			this.#isCancelled = true;
+			this.#frames.setPaused(false);
+			this.#frames.send(frameTypes.cancel, '');
+		}
+	}
+
+	sendBody(chunk: Buffer): boolean {
+		return this.#frames.send(frameTypes.data, '', chunk);
+	}
+
+	endBody(): void {
+		this.#frames.send(frameTypes.end, '');
+	}
+
+	setPaused(isPaused: boolean): void {
+		this.#frames.setPaused(isPaused && !this.#isCancelled);
+	}
+
+	close(): void {
+		this.#frames.close();
+	}
+
+	#handleFrame(frame: Frame): void {
+		if (frame.type === frameTypes.hello) {
+			this.#incarnation = frame.head;
+			return;
+		}
+
+		const state = this.#state;
+		switch (state.kind) {
+			case 'idle': {
+				this.close();
+				break;
+			}
+
+			case 'sync': {
+				this.#free();
+				state.onDone(frame.type === frameTypes.state ? frame.head : undefined);
+				break;
+			}
+
+			case 'exchange': {
+				this.#handleReply(frame, state.listener);
+				break;
+			}
+		}
+	}
+
+	#handleReply(frame: Frame, listener: LinkListener): void {
+		switch (frame.type) {
+			case frameTypes.answer: {
+				const {head, news} = decodeAnswer(frame.head);
+				if (head.isWhole) {
+					this.#free();
+				}
+
+				listener.handleNews(news);
+				listener.handleAnswer(head, frame.body);
+				break;
+			}
+
+			case frameTypes.data: {
+				listener.handleData(frame.body);
+				break;
+			}
+
+			case frameTypes.end: {
+				this.#free();
+				listener.handleEnd();
+				break;
+			}
+
+			case frameTypes.refused: {
+				const {head, news} = decodeRefusal(frame.head);
+				this.#free();
+				listener.handleNews(news);
+				listener.handleRefusal(head);
+				break;
+			}
+
+			case frameTypes.failed: {
+				const {head, news} = decodeFailure(frame.head);
+				this.#free();
+				listener.handleNews(news);
+				listener.handleFailure(head);
+				break;
+			}
+
+			case frameTypes.open:
+			case frameTypes.cancel:
+			case frameTypes.resume:
+			case frameTypes.sync:
+			case frameTypes.state:
+			case frameTypes.hello: {
+				this.close();
+				break;
+			}
+		}
+	}
+
+	#free(): void {
+		this.#state = {kind: 'idle'};
+		this.owner.handleIdle(this);
+	}
+
+	#handleClosed(): void {
+		const state = this.#state;
+		this.#state = {kind: 'idle'};
+		this.owner.handleClosed(this);
+		switch (state.kind) {
+			case 'idle': {
+				break;
+			}
+
+			case 'sync': {
+				state.onDone(undefined);
+				break;
+			}
+
+			case 'exchange': {
+				if (this.#isConnected) {
+					state.listener.handleLost(this.#incarnation);
+				} else {
+					state.listener.handleUnreachable('no connection');
+				}
+
+				break;
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/sidecar/link/link-server.ts
@@ -0,0 +1,182 @@
+/** The guard's side of links: takes requests of entries and questions of peers. */
+import {Buffer} from 'node:buffer';
+import net from 'node:net';
+import {type Guard} from '../guard/guard.ts';
+import {type SocketAddress} from '../types.ts';
+import {type Exchange, type ExchangeListener} from './exchange.ts';
+import {type Frame, frameTypes} from './frames.ts';
+import {FrameSocket} from './frame-socket.ts';
+import {
+	type AnswerHead,
+	decodeCall,
+	encodeAnswer,
+	encodeFailure,
+	encodeRefusal,
+	type FailureHead,
+	type RefusalHead,
+	type ReplyNews,
+	type ResumeHead,
+} from './messages.ts';
+
+/** Connections that may wait to be accepted; a full queue costs seconds. */
+const backlog = 1024;
+
+export type LinkServerOptions = {
+	readonly guard: Guard;
+	readonly incarnation: string;
+	readNews(): ReplyNews;
+	/** Answers a peer's question for newer configuration and members. */
+	answerSync(question: string): string;
+	handleBadFrame(reason: string): void;
+};
+
+export class LinkServer {
+	/**
+	 * @example
+	 * const links = LinkServer.create(options);
+	 * await links.listen({host: '10.1.0.8', port: 8300});
+	 */
+	static create(options: LinkServerOptions): LinkServer {
+		return new LinkServer(options);
+	}
+
+	readonly #server: net.Server;
+
+	private constructor(options: LinkServerOptions) {
+		this.#server = net.createServer(socket => {
+			GuardLink.create(socket, options);
+		});
+	}
+
+	async listen(address: SocketAddress): Promise<void> {
+		return new Promise((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen({...address, backlog}, resolve);
+		});
+	}
+
+	close(): void {
+		this.#server.close();
+	}
+}
+
+/** One accepted connection; it carries one exchange at a time. */
+class GuardLink implements ExchangeListener {
+	static create(socket: net.Socket, options: LinkServerOptions): GuardLink {
+		return new GuardLink(socket, options);
+	}
+
+	readonly #frames: FrameSocket;
+	#exchange: Exchange | undefined;
+	#nonce: string | undefined;
+
+	private constructor(
+		socket: net.Socket,
+		private readonly options: LinkServerOptions,
+	) {
+		this.#frames = FrameSocket.create(socket, {
+			handleFrame: frame => {
+				this.#handleFrame(frame);
+			},
+			handleDrain: () => {
+				this.#exchange?.setPaused(false);
+			},
+			handleClosed: () => {
+				if (this.#nonce !== undefined) {
+					options.guard.orphan(this.#nonce, this);
+				}
+			},
+		});
+		this.#frames.send(frameTypes.hello, options.incarnation);
+	}
+
+	handleNews(): void {
+		// News travel from guards to entries.
+	}
+
+	handleAnswer(head: AnswerHead, body: Buffer): void {
+		const text = encodeAnswer(head, this.options.readNews());
+		const isWritable = this.#frames.send(frameTypes.answer, text, body);
+		if (head.isWhole) {
+			this.#nonce = undefined;
+		} else if (!isWritable) {
+			this.#exchange?.setPaused(true);
+		}
+	}
+
+	handleData(chunk: Buffer): void {
+		if (!this.#frames.send(frameTypes.data, '', chunk)) {
+			this.#exchange?.setPaused(true);
+		}
+	}
+
+	handleEnd(): void {
+		this.#nonce = undefined;
+		this.#frames.send(frameTypes.end, '');
+	}
+
+	handleRefusal(head: RefusalHead): void {
+		this.#nonce = undefined;
+		this.#frames.send(frameTypes.refused, encodeRefusal(head, this.options.readNews()));
+	}
+
+	handleFailure(head: FailureHead): void {
+		this.#nonce = undefined;
+		this.#frames.send(frameTypes.failed, encodeFailure(head, this.options.readNews()));
+	}
+
+	#handleFrame(frame: Frame): void {
+		try {
+			this.#dispatch(frame);
+		} catch (error) {
+			this.options.handleBadFrame((error as Error).message);
+			this.#frames.close();
+		}
+	}
+
+	#dispatch(frame: Frame): void {
+		switch (frame.type) {
+			case frameTypes.open: {
+				const head = decodeCall(frame.head);
+				this.#nonce = head.nonce;
+				this.#exchange = this.options.guard.accept(head, Buffer.from(frame.body), this);
+				break;
+			}
+
+			case frameTypes.data: {
+				this.#exchange?.sendBody(Buffer.from(frame.body));
+				break;
+			}
+
+			case frameTypes.end: {
+				this.#exchange?.endBody();
+				break;
+			}
+
+			case frameTypes.cancel: {
+				this.#exchange?.cancel();
+				break;
+			}
+
+			case frameTypes.resume: {
+				const {nonce, incarnation} = JSON.parse(frame.head) as ResumeHead;
+				this.#nonce = nonce;
+				this.#exchange = this.options.guard.resume(nonce, incarnation, this);
+				break;
+			}
+
+			case frameTypes.sync: {
+				this.#frames.send(frameTypes.state, this.options.answerSync(frame.head));
+				break;
+			}
+
+			case frameTypes.answer:
+			case frameTypes.refused:
+			case frameTypes.failed:
+			case frameTypes.state:
+			case frameTypes.hello: {
+				throw new Error(`an entry sent a frame of type ${frame.type}`);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/sidecar/link/messages.ts
@@ -0,0 +1,233 @@
+/**
+ * Heads of the frames between sidecars.
+ *
+ * Fields have one-letter names, since each request carries two heads over links that are billed by volume.
+ */
+import {type Member, type RawHeaders} from '../types.ts';
+
+/** How busy a guard is, as it says on each reply. */
+export type GuardLoad = {
+	/** Requests at the server. */
+	readonly running: number;
+	/** Requests that wait in the guard. */
+	readonly waiting: number;
+	/** Requests that the guard lets run at a time. */
+	readonly limit: number;
+};
+
+/** A request on its way from an entry to a guard. */
+export type CallHead = {
+	/** Names one send of ours; a request that is sent twice has two. */
+	readonly nonce: string;
+	readonly requestId: string;
+	readonly method: string;
+	readonly path: string;
+	readonly headers: RawHeaders;
+	readonly remainingMs: number;
+	readonly service: string;
+	readonly serverId: string;
+	readonly callerService: string;
+	readonly route: string;
+	readonly isOnce: boolean;
+	readonly priority: number;
+	/** Whether the frame holds the whole body; otherwise data frames follow. */
+	readonly isWhole: boolean;
+	/** Whether a server has had this request before. */
+	readonly isRepeat: boolean;
+};
+
+/** Why a guard refuses a request that it has not run. */
+export const refusalReasons = {
+	full: 'full',
+	late: 'late',
+	leaving: 'leaving',
+	wrongServer: 'wrongServer',
+	unreachable: 'unreachable',
+	serverRefused: 'serverRefused',
+	forgotten: 'forgotten',
+	stopping: 'stopping',
+} as const;
+export type RefusalReason = (typeof refusalReasons)[keyof typeof refusalReasons];
+
+/** What every reply of a guard tells besides. */
+export type ReplyNews = {
+	readonly load: GuardLoad;
+	readonly configVersion: number;
+	/** Overload of services as the guard knows it. */
+	readonly pressure: readonly PressureNews[];
+};
+
+/** Overload of one service, as heard some time ago. */
+export type PressureNews = {
+	readonly service: string;
+	/** Share of the demand that the service can take; 1 when it takes all. */
+	readonly openShare: number;
+	readonly ageMs: number;
+};
+
+export type AnswerHead = {
+	readonly status: number;
+	readonly headers: RawHeaders;
+	/** Whether the frame holds the whole body; otherwise data frames follow. */
+	readonly isWhole: boolean;
+	/** Whether the server says that the request was not run. */
+	readonly isNotRun: boolean;
+	/** Time at the server. */
+	readonly serviceMs: number;
+};
+
+export type RefusalHead = {
+	readonly reason: RefusalReason;
+	/** Whether the server itself turned the request away; such an arrival counts as a send. */
+	readonly hasArrived: boolean;
+	/** The guard's present announcement, where the refusal comes from an outdated view. */
+	readonly member: Member | undefined;
+};
+
+export type FailureHead = {
+	readonly reason: string;
+};
+
+export type ResumeHead = {readonly nonce: string; readonly incarnation: string};
+
+/** Encodes an answer's head; news ride along. */
+export function encodeAnswer(head: AnswerHead, news: ReplyNews): string {
+	return JSON.stringify([
+		head.status,
+		head.headers,
+		head.isWhole ? 1 : 0,
+		head.isNotRun ? 1 : 0,
+		Math.round(head.serviceMs),
+		encodeNews(news),
+	]);
+}
+
+export function decodeAnswer(text: string): {head: AnswerHead; news: ReplyNews} {
+	const [status, headers, isWhole, isNotRun, serviceMs, news] = JSON.parse(text) as [
+		number,
+		string[],
+		number,
+		number,
+		number,
+		EncodedNews,
+	];
+	return {
+		head: {status, headers, isWhole: isWhole === 1, isNotRun: isNotRun === 1, serviceMs},
+		news: decodeNews(news),
+	};
+}
+
+export function encodeRefusal(head: RefusalHead, news: ReplyNews): string {
+	return JSON.stringify([
+		head.reason,
+		head.hasArrived ? 1 : 0,
+		head.member ?? null,
+		encodeNews(news),
+	]);
+}
+
+export function decodeRefusal(text: string): {head: RefusalHead; news: ReplyNews} {
+	const [reason, hasArrived, member, news] = JSON.parse(text) as [
+		RefusalReason,
+		number,
+		Member | null,
+		EncodedNews,
+	];
+	return {
+		head: {reason, hasArrived: hasArrived === 1, member: member ?? undefined},
+		news: decodeNews(news),
+	};
+}
+
+export function encodeFailure(head: FailureHead, news: ReplyNews): string {
+	return JSON.stringify([head.reason, encodeNews(news)]);
+}
+
+export function decodeFailure(text: string): {head: FailureHead; news: ReplyNews} {
+	const [reason, news] = JSON.parse(text) as [string, EncodedNews];
+	return {head: {reason}, news: decodeNews(news)};
+}
+
+export function encodeCall(head: CallHead): string {
+	return JSON.stringify([
+		head.nonce,
+		head.requestId,
+		head.method,
+		head.path,
+		head.headers,
+		Math.floor(head.remainingMs),
+		head.service,
+		head.serverId,
+		head.callerService,
+		head.route,
+		(head.isOnce ? 1 : 0) + (head.isWhole ? 2 : 0) + (head.isRepeat ? 4 : 0),
+		head.priority,
+	]);
+}
+
+export function decodeCall(text: string): CallHead {
+	const [
+		nonce,
+		requestId,
+		method,
+		path,
+		headers,
+		remainingMs,
+		service,
+		serverId,
+		callerService,
+		route,
+		flags,
+		priority,
+	] = JSON.parse(text) as [
+		string,
+		string,
+		string,
+		string,
+		string[],
+		number,
+		string,
+		string,
+		string,
+		string,
+		number,
+		number,
+	];
+	return {
+		nonce,
+		requestId,
+		method,
+		path,
+		headers,
+		remainingMs,
+		service,
+		serverId,
+		callerService,
+		route,
+		isOnce: flags % 2 === 1,
+		isWhole: Math.floor(flags / 2) % 2 === 1,
+		isRepeat: flags >= 4,
+		priority,
+	};
+}
+
+type EncodedNews = [number, number, number, number, Array<[string, number, number]>];
+
+function encodeNews(news: ReplyNews): EncodedNews {
+	const {running, waiting, limit} = news.load;
+	const pressure: Array<[string, number, number]> = [];
+	for (const {service, openShare, ageMs} of news.pressure) {
+		pressure.push([service, Math.round(openShare * 1000) / 1000, Math.round(ageMs)]);
+	}
+
+	return [running, waiting, limit, news.configVersion, pressure];
+}
+
+function decodeNews([running, waiting, limit, configVersion, pressure]: EncodedNews): ReplyNews {
+	const decoded: PressureNews[] = [];
+	for (const [service, openShare, ageMs] of pressure) {
+		decoded.push({service, openShare, ageMs});
+	}
+
+	return {load: {running, waiting, limit}, configVersion, pressure: decoded};
+}
--- /dev/null
+++ b/src/sidecar/reporting/metrics-page.ts
@@ -0,0 +1,96 @@
+/** Renders counters and latency histograms; the metrics library is loaded with the first question. */
+import type http from 'node:http';
+import {type GuardLoad} from '../link/messages.ts';
+import {latencyBucketsMs, type RequestLog} from './request-log.ts';
+
+export type MetricsSource = {
+	readonly log: RequestLog;
+	readLoad(): GuardLoad;
+	readConfigVersion(): number;
+	countMembers(): number;
+	countServerConnections(): number;
+};
+
+/** Creates the handler of the metrics address. */
+export function createMetricsHandler(source: MetricsSource): http.RequestListener {
+	let page: Promise<() => Promise<string>> | undefined;
+	return (request, response) => {
+		request.resume();
+		page ??= createPage(source);
+		void answerPage(page, response);
+	};
+}
+
+async function answerPage(
+	page: Promise<() => Promise<string>>,
+	response: http.ServerResponse,
+): Promise<void> {
+	const render = await page;
+	const text = await render();
+	response.writeHead(200, {'Content-Type': 'text/plain; version=0.0.4'});
+	response.end(text);
+}
+
+async function createPage(source: MetricsSource): Promise<() => Promise<string>> {
+	const {Gauge, Registry} = await import('prom-client');
+	const registry = new Registry();
+	const registers = [registry];
+	const gauges: Array<[string, string, () => number]> = [
+		['primrosevalve_guard_running', 'Requests at the backend server', () => source.readLoad().running],
+		['primrosevalve_guard_waiting', 'Requests that wait in the guard', () => source.readLoad().waiting],
+		['primrosevalve_guard_limit', 'Requests that may run at a time', () => source.readLoad().limit],
+		['primrosevalve_config_version', 'Configuration in force', () => source.readConfigVersion()],
+		['primrosevalve_members', 'Backend servers known', () => source.countMembers()],
+		['primrosevalve_server_connections_total', 'Connections opened to the server', () => source.countServerConnections()],
+		['primrosevalve_log_lines_dropped_total', 'Request lines that the budget dropped', () => source.log.dropped],
+	];
+	for (const [name, help, read] of gauges) {
+		const gauge: InstanceType<typeof Gauge> = new Gauge({
+			name,
+			help,
+			registers,
+			collect() {
+				gauge.set(read());
+			},
+		});
+	}
+
+	addRequestMetrics(new Gauge({
+		name: 'primrosevalve_requests_total',
+		help: 'Requests by route and status',
+		labelNames: ['route', 'status'],
+		registers,
+	}), new Gauge({
+		name: 'primrosevalve_request_duration_milliseconds_bucket',
+		help: 'Requests answered within the bound',
+		labelNames: ['route', 'status', 'le'],
+		registers,
+	}), source.log);
+	return async () => registry.metrics();
+}
+
+type LabelledGauge = {
+	collect?: () => void;
+	set(labels: Record<string, string | number>, value: number): void;
+};
+
+/** Fills the request metrics from the counts of the request log whenever the page is rendered. */
+function addRequestMetrics(totals: object, buckets: object, log: RequestLog): void {
+	const totalGauge = totals as LabelledGauge;
+	const bucketGauge = buckets as LabelledGauge;
+	totalGauge.collect = () => {
+		for (const {route, status, count} of log.counts.values()) {
+			totalGauge.set({route, status}, count);
+		}
+	};
+
+	bucketGauge.collect = () => {
+		for (const {route, status, count, buckets: counts} of log.counts.values()) {
+			for (const [index, bound] of latencyBucketsMs.entries()) {
+				bucketGauge.set({route, status, le: bound}, counts[index]!);
+			}
+
+			bucketGauge.set({route, status, le: '+Inf'}, count);
+		}
+	};
+}
--- /dev/null
+++ b/src/sidecar/reporting/request-log.ts
@@ -0,0 +1,117 @@
+/** One log line for each decision about a request, within a budget that keeps what went wrong. */
+import {type Logger} from '../../reporting/logger.ts';
+
+/** What became of one request at the entry. */
+export type RequestRecord = {
+	readonly requestId: string;
+	readonly route: string;
+	readonly service: string;
+	/** 0 when the caller left or the answer was cut short. */
+	readonly status: number;
+	readonly outcome: string;
+	readonly tookMs: number;
+	readonly sends: number;
+	readonly arrivals: number;
+	readonly lastReason: string;
+	readonly lastInstance: string;
+	readonly serverId: string;
+	readonly configVersion: number;
+	readonly deadlineMs: number;
+};
+
+/** Lines a second for requests that were served; they are the first to be dropped. */
+const maxServedPerSecond = 2;
+/** Lines a second for requests that were refused or failed. */
+const maxFailedPerSecond = 20;
+/** Upper bounds of the latency buckets, in milliseconds. */
+export const latencyBucketsMs = [
+	5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10_000,
+] as const;
+
+/** Requests of one route with one status. */
+export type RequestCount = {
+	readonly route: string;
+	readonly status: number;
+	count: number;
+	sumMs: number;
+	readonly buckets: number[];
+};
+
+export class RequestLog {
+	/**
+	 * @example
+	 * const log = RequestLog.create(logger);
+	 */
+	static create(logger: Logger): RequestLog {
+		return new RequestLog(logger);
+	}
+
+	readonly counts = new Map<string, RequestCount>();
+	/** Lines that the budget has dropped so far. */
+	dropped = 0;
+	#second = 0;
+	#served = 0;
+	#failed = 0;
+	#droppedBefore = 0;
+
+	private constructor(private readonly logger: Logger) {}
+
+	recordRequest(record: RequestRecord): void {
+		this.#count(record);
+		this.#startSecond();
+		const isServed = record.status >= 200 && record.status < 400;
+		if (!this.#takeLine(isServed)) {
+			this.dropped++;
+			return;
+		}
+
+		const fields = {...record, tookMs: Math.round(record.tookMs)};
+		if (isServed) {
+			this.logger.info(fields, 'request served');
+		} else {
+			this.logger.warn(fields, 'request not served');
+		}
+	}
+
+	#takeLine(isServed: boolean): boolean {
+		if (isServed) {
+			return this.#served++ < maxServedPerSecond;
+		}
+
+		return this.#failed++ < maxFailedPerSecond;
+	}
+
+	#startSecond(): void {
+		const second = Math.floor(performance.now() / 1000);
+		if (second === this.#second) {
+			return;
+		}
+
+		if (this.dropped > this.#droppedBefore) {
+			this.logger.info({dropped: this.dropped - this.#droppedBefore}, 'request lines dropped');
+			this.#droppedBefore = this.dropped;
+		}
+
+		this.#second = second;
+		this.#served = 0;
+		this.#failed = 0;
+	}
+
+	#count(record: RequestRecord): void {
+		const key = `${record.status} ${record.route}`;
+		let counted = this.counts.get(key);
+		if (counted === undefined) {
+			const buckets = latencyBucketsMs.map(() => 0);
+			counted = {route: record.route, status: record.status, count: 0, sumMs: 0, buckets};
+			this.counts.set(key, counted);
+		}
+
+		counted.count++;
+		counted.sumMs += record.tookMs;
+		for (const [index, bound] of latencyBucketsMs.entries()) {
+			if (record.tookMs <= bound) {
+				counted.buckets[index]!++;
+			}
+		}
+	}
+}
