--- a/src/sidecar/control-server.ts
+++ b/src/sidecar/control-server.ts
@@ -36,7 +36,10 @@
 			const body = Buffer.concat(chunks).toString('utf8');
 			const message = options.decodeMessage(request.url ?? '', body);
 			if (message.isErr()) {
-				options.logger.warn({reason: message.error.message}, 'message of the server not understood');
+				options.logger.warn(
+					{reason: message.error.message},
+					'message of the server not understood',
+				);
 				answerJson(response, 400);
 				return;
 			}
--- a/src/sidecar/entry/entry-call.ts
+++ b/src/sidecar/entry/entry-call.ts
@@ -1,11 +1,22 @@
 /** One caller's request, from its head to its answer: classify, decide, send, relay. */
 import {Buffer} from 'node:buffer';
 import type http from 'node:http';
-import {type AnswerHead, type FailureHead, type RefusalHead, type ReplyNews} from '../link/messages.ts';
+import {
+	type AnswerHead,
+	type FailureHead,
+	type RefusalHead,
+	type ReplyNews,
+} from '../link/messages.ts';
 import {type MemberView} from '../knowledge/member-view.ts';
 import {pickMember} from '../routing/picker.ts';
 import {type RequestHead, type Route} from '../types.ts';
-import {answerCaller, type OwnStatus, ownStatuses, relayAnswer, relayHead} from './caller-answer.ts';
+import {
+	answerCaller,
+	type OwnStatus,
+	ownStatuses,
+	relayAnswer,
+	relayHead,
+} from './caller-answer.ts';
 import {type EntryContext} from './entry-context.ts';
 import {Send} from './send.ts';
 
@@ -51,6 +62,7 @@
 	#arrivals = 0;
 	#refusals = 0;
 	#mayHaveRun = false;
+	#isInner = false;
 	#isDone = false;
 	#lastReason = '';
 
@@ -89,6 +101,13 @@
 	#admit(route: Route): void {
 		const nowMs = performance.now();
 		this.ctx.budget.recordRequest(this.#service, nowMs);
+		this.ctx.model.recordMade(route.name, nowMs);
+		this.#isInner = this.ctx.model.isInner(route.name);
+		if (this.#isInner) {
+			this.#sendOn();
+			return;
+		}
+
 		const verdict = this.ctx.admission.decide(route, this.#service, nowMs);
 		switch (verdict.kind) {
 			case 'admitted': {
@@ -139,6 +158,7 @@
 			priority: route.priority,
 			isWhole,
 			isRepeat: this.#arrivals > 0,
+			isInner: this.#isInner,
 		};
 		this.#send = Send.create(view, callHead, this.#createListener(view));
 		this.#send.start(this.ctx.guard, body);
@@ -151,7 +171,7 @@
 		return {
 			handleNews: (news: ReplyNews) => {
 				view.recordLoad(news.load, performance.now());
-				this.ctx.handleNews(view.member.instance, news);
+				this.ctx.handleNews(view.member, this.#route!.name, news);
 			},
 			handleAnswer: (head: AnswerHead, body: Buffer) => {
 				this.#handleAnswer(view, head, body);
--- a/src/sidecar/entry/entry-context.ts
+++ b/src/sidecar/entry/entry-context.ts
@@ -1,5 +1,6 @@
 /** What all calls of one entry share. */
 import {type Admission} from '../overload/admission.ts';
+import {type CallModel} from '../overload/call-model.ts';
 import {type RetryBudget} from '../overload/retry-budget.ts';
 import {type Directory} from '../knowledge/directory.ts';
 import {type RouteTable} from '../knowledge/route-table.ts';
@@ -14,6 +15,7 @@
 	readonly guard: Guard;
 	readonly budget: RetryBudget;
 	readonly admission: Admission;
+	readonly model: CallModel;
 	readonly log: RequestLog;
 	/** Undefined until a configuration is known. */
 	readRoutes(): RouteTable | undefined;
@@ -21,7 +23,7 @@
 	readCallerService(): string;
 	isStopping(): boolean;
 	/** Takes what a guard's reply tells besides. */
-	handleNews(instance: string, news: ReplyNews): void;
+	handleNews(from: Member, route: string, news: ReplyNews): void;
 	/** Takes an announcement that came with a refusal. */
 	handleMember(member: Member): void;
 	createNonce(): string;
--- a/src/sidecar/entry/entry-server.ts
+++ b/src/sidecar/entry/entry-server.ts
@@ -28,7 +28,12 @@
 	#active = 0;
 
 	private constructor(private readonly ctx: EntryContext) {
-		const options = {maxHeaderSize: maxHeaderBytes, requestTimeout: 0, keepAliveTimeout: 15_000, noDelay: true};
+		const options = {
+			maxHeaderSize: maxHeaderBytes,
+			requestTimeout: 0,
+			keepAliveTimeout: 15_000,
+			noDelay: true,
+		};
 		this.#server = http.createServer(options, (request, response) => {
 			this.#handle(request, response);
 		});
--- a/src/sidecar/guard/guard.ts
+++ b/src/sidecar/guard/guard.ts
@@ -13,6 +13,8 @@
 
 /** Part of the time left that a request may spend waiting; the rest is for the server's work. */
 const maxWaitShare = 0.35;
+/** Calls of work that was admitted wait longer: refusing one wastes all that was done for its parent. */
+const maxInnerWaitShare = 0.75;
 /** Smoothing of the mean time at the server, per finished request. */
 const serviceTimeWeight = 0.03;
 /** First guess of the time at the server, before anything was measured. */
@@ -24,6 +26,10 @@
 const sweepMs = 250;
 
 export type GuardEvents = {
+	/** A request arrives and finds this share of the slots in use; above 1 others wait. */
+	handleArrival(head: CallHead, use: number): void;
+	/** A request goes to the server. */
+	handleStart(head: CallHead): void;
 	/** The server does not accept connections. */
 	handleUnreachable(): void;
 	handleOutcome(call: GuardedCall, outcome: CallOutcome): void;
@@ -96,7 +102,8 @@
 	accept(head: CallHead, body: Buffer, listener: ExchangeListener): Exchange {
 		const reason = this.#findRefusal(head);
 		if (reason !== undefined) {
-			const isOutdated = reason === 'wrongServer' || reason === 'leaving' || reason === 'unreachable';
+			const isOutdated =
+				reason === 'wrongServer' || reason === 'leaving' || reason === 'unreachable';
 			const member = isOutdated ? this.options.readMember() : undefined;
 			listener.handleRefusal({reason, hasArrived: false, member});
 			return endedExchange;
@@ -105,12 +112,14 @@
 		const call = GuardedCall.create(head, body, listener, this.#createOwner());
 		this.#calls.set(head.nonce, call);
 		const {limit} = this.options.server;
+		this.options.events.handleArrival(head, (this.#running + this.#line.length) / limit);
 		if (this.#running < limit && this.#line.length === 0) {
 			this.#start(call);
 			return call;
 		}
 
-		if (this.#estimateWaitMs(call, limit) > head.remainingMs * maxWaitShare) {
+		const waitShare = head.isInner ? maxInnerWaitShare : maxWaitShare;
+		if (this.#estimateWaitMs(call, limit) > head.remainingMs * waitShare) {
 			call.refuse('full');
 			return call;
 		}
@@ -209,6 +218,7 @@
 
 	#start(call: GuardedCall): void {
 		this.#running++;
+		this.options.events.handleStart(call.head);
 		call.start(call.head.serverId, performance.now());
 	}
 
--- a/src/sidecar/guard/guarded-call.ts
+++ b/src/sidecar/guard/guarded-call.ts
@@ -8,6 +8,9 @@
 /** Answers up to this size are collected and sent as one frame; longer ones stream. */
 const maxCollectedBytes = 64 * 1024;
 
+/** Calls of work that was admitted go before callers' requests of any rank. */
+const innerPriority = -1;
+
 /** What a call asks of its guard. */
 export type CallOwner = {
 	readonly codec: HeadCodec;
@@ -67,7 +70,7 @@
 		this.#listener = listener;
 		this.#isBodyWhole = head.isWhole;
 		this.answerByMs = this.arrivedAtMs + head.remainingMs;
-		this.priority = head.priority;
+		this.priority = head.isInner ? innerPriority : head.priority;
 	}
 
 	get phase(): Phase {
--- a/src/sidecar/guard/local-server.ts
+++ b/src/sidecar/guard/local-server.ts
@@ -133,7 +133,10 @@
 
 	#applyLeave(message: ServerMessage & {kind: 'leave'}, nowMs: number): boolean {
 		const state = this.#state;
-		if (state?.id !== message.id || (message.bornMs !== undefined && message.bornMs < state.bornMs)) {
+		if (
+			state?.id !== message.id ||
+			(message.bornMs !== undefined && message.bornMs < state.bornMs)
+		) {
 			return false;
 		}
 
--- a/src/sidecar/guard/server-connection.ts
+++ b/src/sidecar/guard/server-connection.ts
@@ -37,11 +37,7 @@
 	 * @example
 	 * const connection = ServerConnection.open(address, codec, owner);
 	 */
-	static open(
-		address: SocketAddress,
-		codec: HeadCodec,
-		owner: ConnectionOwner,
-	): ServerConnection {
+	static open(address: SocketAddress, codec: HeadCodec, owner: ConnectionOwner): ServerConnection {
 		return new ServerConnection(address, codec, owner);
 	}
 
@@ -154,7 +150,8 @@
 
 	#listenToParser(): void {
 		const parser = this.#parser;
-		parser[HTTPParser.kOnHeadersComplete] = info => this.#handleHead(info.statusCode, info.headers, info.shouldKeepAlive);
+		parser[HTTPParser.kOnHeadersComplete] = info =>
+			this.#handleHead(info.statusCode, info.headers, info.shouldKeepAlive);
 		parser[HTTPParser.kOnBody] = (chunk, offset, length) => {
 			if (this.#isOurs) {
 				this.#exchange?.listener.handleData(chunk.subarray(offset, offset + length));
--- a/src/sidecar/knowledge/announcer.ts
+++ b/src/sidecar/knowledge/announcer.ts
@@ -88,7 +88,10 @@
 		}
 
 		const reason = failure.kind === 'unavailable' ? failure.reason : failure.kind;
-		this.logger.warn({reason, state: wanted.state, service: wanted.service}, 'announcement not written');
+		this.logger.warn(
+			{reason, state: wanted.state, service: wanted.service},
+			'announcement not written',
+		);
 		setTimeout(() => void this.#write(), this.#retryMs * (0.5 + Math.random()));
 		this.#retryMs = Math.min(maxRetryMs, this.#retryMs * 2);
 	}
--- a/src/sidecar/knowledge/member-view.ts
+++ b/src/sidecar/knowledge/member-view.ts
@@ -9,7 +9,8 @@
 
 /** Where a request for a member goes. */
 export type MemberWay =
-	{readonly kind: 'local'} | {readonly kind: 'link'; readonly pool: LinkPool};
+	| {readonly kind: 'local'; readonly readLoad: () => GuardLoad}
+	| {readonly kind: 'link'; readonly pool: LinkPool};
 
 /** First pause after a failure; doubled with each further one. */
 const firstPauseMs = 400;
@@ -52,6 +53,11 @@
 
 	/** Estimates the share of the member's slots in use; above 1 requests wait there. */
 	estimateUse(nowMs: number): number {
+		if (this.way.kind === 'local') {
+			const {running, waiting, limit} = this.way.readLoad();
+			return (running + waiting + 1) / Math.max(1, limit);
+		}
+
 		const load = this.#load;
 		if (load === undefined || nowMs - this.#loadAtMs > loadTrustMs) {
 			return (this.inFlight + 1) / Math.max(1, this.member.slots);
@@ -79,7 +85,9 @@
 	recordAnswer(latencyMs: number): void {
 		this.#failures = 0;
 		this.latencyMs =
-			this.latencyMs === 0 ? latencyMs : this.latencyMs + (latencyMs - this.latencyMs) * latencyWeight;
+			this.latencyMs === 0
+				? latencyMs
+				: this.latencyMs + (latencyMs - this.latencyMs) * latencyWeight;
 	}
 
 	/** Keeps requests away for a while that grows with each failure in a row. */
--- a/src/sidecar/knowledge/table-follower.ts
+++ b/src/sidecar/knowledge/table-follower.ts
@@ -53,13 +53,17 @@
 
 	async #run(): Promise<void> {
 		while (!this.#isStopped) {
-			const failure = this.#version === undefined ? await this.#readAll() : await this.#readChanges();
+			const failure =
+				this.#version === undefined ? await this.#readAll() : await this.#readChanges();
 			if (failure === undefined) {
 				this.#handleContact();
 				await waitMs(this.options.pauseMs);
 			} else if (failure.kind === 'compacted') {
 				this.#version = undefined;
-				this.options.logger.warn({table: this.options.name}, 'history of the store is gone, reading anew');
+				this.options.logger.warn(
+					{table: this.options.name},
+					'history of the store is gone, reading anew',
+				);
 			} else {
 				this.#handleLoss(failure);
 				await waitMs(this.#retryMs * (0.5 + Math.random()));
--- a/src/sidecar/link/link-server.ts
+++ b/src/sidecar/link/link-server.ts
@@ -24,7 +24,8 @@
 export type LinkServerOptions = {
 	readonly guard: Guard;
 	readonly incarnation: string;
-	readNews(): ReplyNews;
+	/** News for a reply to a request of a route. */
+	readNews(route: string): ReplyNews;
 	/** Answers a peer's question for newer configuration and members. */
 	answerSync(question: string): string;
 	handleBadFrame(reason: string): void;
@@ -69,6 +70,7 @@
 	readonly #frames: FrameSocket;
 	#exchange: Exchange | undefined;
 	#nonce: string | undefined;
+	#route = '';
 
 	private constructor(
 		socket: net.Socket,
@@ -95,7 +97,7 @@
 	}
 
 	handleAnswer(head: AnswerHead, body: Buffer): void {
-		const text = encodeAnswer(head, this.options.readNews());
+		const text = encodeAnswer(head, this.options.readNews(this.#route));
 		const isWritable = this.#frames.send(frameTypes.answer, text, body);
 		if (head.isWhole) {
 			this.#nonce = undefined;
@@ -117,12 +119,12 @@
 
 	handleRefusal(head: RefusalHead): void {
 		this.#nonce = undefined;
-		this.#frames.send(frameTypes.refused, encodeRefusal(head, this.options.readNews()));
+		this.#frames.send(frameTypes.refused, encodeRefusal(head, this.options.readNews(this.#route)));
 	}
 
 	handleFailure(head: FailureHead): void {
 		this.#nonce = undefined;
-		this.#frames.send(frameTypes.failed, encodeFailure(head, this.options.readNews()));
+		this.#frames.send(frameTypes.failed, encodeFailure(head, this.options.readNews(this.#route)));
 	}
 
 	#handleFrame(frame: Frame): void {
@@ -139,6 +141,7 @@
 			case frameTypes.open: {
 				const head = decodeCall(frame.head);
 				this.#nonce = head.nonce;
+				this.#route = head.route;
 				this.#exchange = this.options.guard.accept(head, Buffer.from(frame.body), this);
 				break;
 			}
--- a/src/sidecar/link/messages.ts
+++ b/src/sidecar/link/messages.ts
@@ -32,6 +32,8 @@
 	readonly priority: number;
 	/** Whether the frame holds the whole body; otherwise data frames follow. */
 	readonly isWhole: boolean;
+	/** Whether a server made the request, for work that was admitted before. */
+	readonly isInner: boolean;
 	/** Whether a server has had this request before. */
 	readonly isRepeat: boolean;
 };
@@ -55,11 +57,15 @@
 	readonly configVersion: number;
 	/** Overload of services as the guard knows it. */
 	readonly pressure: readonly PressureNews[];
+	/** Slot time that one request of the route costs, by service; on some replies only. */
+	readonly costs: ReadonlyMap<string, number> | undefined;
 };
 
 /** Overload of one service, as heard some time ago. */
 export type PressureNews = {
+	readonly instance: string;
 	readonly service: string;
+	readonly region: string;
 	/** Share of the demand that the service can take; 1 when it takes all. */
 	readonly openShare: number;
 	readonly ageMs: number;
@@ -160,7 +166,10 @@
 		head.serverId,
 		head.callerService,
 		head.route,
-		(head.isOnce ? 1 : 0) + (head.isWhole ? 2 : 0) + (head.isRepeat ? 4 : 0),
+		(head.isOnce ? 1 : 0) +
+			(head.isWhole ? 2 : 0) +
+			(head.isRepeat ? 4 : 0) +
+			(head.isInner ? 8 : 0),
 		head.priority,
 	]);
 }
@@ -206,28 +215,53 @@
 		route,
 		isOnce: flags % 2 === 1,
 		isWhole: Math.floor(flags / 2) % 2 === 1,
-		isRepeat: flags >= 4,
+		isRepeat: Math.floor(flags / 4) % 2 === 1,
+		isInner: flags >= 8,
 		priority,
 	};
 }
 
-type EncodedNews = [number, number, number, number, Array<[string, number, number]>];
+type EncodedPressure = [string, string, string, number, number];
+type EncodedNews = [number, number, number, number, EncodedPressure[], Array<[string, number]> | 0];
 
 function encodeNews(news: ReplyNews): EncodedNews {
 	const {running, waiting, limit} = news.load;
-	const pressure: Array<[string, number, number]> = [];
-	for (const {service, openShare, ageMs} of news.pressure) {
-		pressure.push([service, Math.round(openShare * 1000) / 1000, Math.round(ageMs)]);
+	const pressure: EncodedPressure[] = [];
+	for (const {instance, service, region, openShare, ageMs} of news.pressure) {
+		pressure.push([instance, service, region, roundShare(openShare), Math.round(ageMs)]);
 	}
 
-	return [running, waiting, limit, news.configVersion, pressure];
+	return [running, waiting, limit, news.configVersion, pressure, encodeCosts(news.costs)];
 }
 
-function decodeNews([running, waiting, limit, configVersion, pressure]: EncodedNews): ReplyNews {
-	const decoded: PressureNews[] = [];
-	for (const [service, openShare, ageMs] of pressure) {
-		decoded.push({service, openShare, ageMs});
+function encodeCosts(costs: ReadonlyMap<string, number> | undefined): Array<[string, number]> | 0 {
+	if (costs === undefined) {
+		return 0;
 	}
 
-	return {load: {running, waiting, limit}, configVersion, pressure: decoded};
+	const encoded: Array<[string, number]> = [];
+	for (const [service, cost] of costs) {
+		encoded.push([service, Math.round(cost * 10) / 10]);
+	}
+
+	return encoded;
+}
+
+function roundShare(share: number): number {
+	return Math.round(share * 1000) / 1000;
+}
+
+function decodeNews(encoded: EncodedNews): ReplyNews {
+	const [running, waiting, limit, configVersion, reports, costs] = encoded;
+	const pressure: PressureNews[] = [];
+	for (const [instance, service, region, openShare, ageMs] of reports) {
+		pressure.push({instance, service, region, openShare, ageMs});
+	}
+
+	return {
+		load: {running, waiting, limit},
+		configVersion,
+		pressure,
+		costs: costs === 0 ? undefined : new Map(costs),
+	};
 }
--- a/src/sidecar/overload/admission.ts
+++ b/src/sidecar/overload/admission.ts
@@ -1,15 +1,153 @@
-/** Decides at the entry whether a request is worth starting. */
+/**
+ * Decides at the entry whether a request is worth starting.
+ *
+ * Pattern: a deep service has room for a part of the demand only. What is started beyond that fails
+ * late and wastes the work of all services above. So the entry starts what fits: the most important
+ * routes first, then those that cost the scarce service least, and a floor for every route.
+ */
 import {type Route} from '../types.ts';
+import {type CallModel} from './call-model.ts';
+import {type CostBook, type CostVector} from './cost-book.ts';
+import {type PressureBoard} from './pressure-board.ts';
 
 export type AdmissionVerdict =
 	| {readonly kind: 'admitted'}
 	| {readonly kind: 'shed'; readonly reason: string; readonly retryAfterMs: number};
 
-export type Admission = {
-	decide(route: Route, service: string, nowMs: number): AdmissionVerdict;
-};
+/** How often the shares are worked out anew. */
+const planEveryMs = 100;
+/** Part of the open share that every route gets, whatever it costs. */
+const floorShare = 0.3;
+/** Smoothing of the rates of requests, per plan. */
+const rateWeight = 0.15;
+/** Routes that were not asked for any more are forgotten below this rate per plan. */
+const minRate = 0.001;
+/** Returns of callers: after a first pause, over a span that grows with the pressure. */
+const firstReturnMs = 300;
+const returnSpanMs = 1500;
 
-/** Admits everything. */
-export const openAdmission: Admission = {
-	decide: () => ({kind: 'admitted'}),
-};
+type Demand = {readonly route: Route; readonly service: string; rate: number; arrived: number};
+
+export class Admission {
+	/**
+	 * @example
+	 * const admission = Admission.create({model, costs, board, random: Math.random});
+	 */
+	static create(options: {
+		readonly model: CallModel;
+		readonly costs: CostBook;
+		readonly board: PressureBoard;
+		readonly random: () => number;
+	}): Admission {
+		return new Admission(options);
+	}
+
+	readonly #demands = new Map<string, Demand>();
+	/** Share of each route's requests that is started; routes that are missing are open. */
+	#shares = new Map<string, {share: number; service: string}>();
+	#plannedAtMs = 0;
+
+	private constructor(
+		private readonly options: {
+			readonly model: CallModel;
+			readonly costs: CostBook;
+			readonly board: PressureBoard;
+			readonly random: () => number;
+		},
+	) {}
+
+	/** Decides on one request of a caller; calls of servers belong to work that was admitted before. */
+	decide(route: Route, service: string, nowMs: number): AdmissionVerdict {
+		this.#recordDemand(route, service);
+		if (nowMs - this.#plannedAtMs >= planEveryMs) {
+			this.#plan(nowMs);
+		}
+
+		const planned = this.#shares.get(`${route.name} ${service}`);
+		if (planned === undefined || this.options.random() < planned.share) {
+			return {kind: 'admitted'};
+		}
+
+		const spanMs = returnSpanMs * (1 - planned.share);
+		return {
+			kind: 'shed',
+			reason: `${planned.service} has room for ${Math.round(planned.share * 100)} in 100`,
+			retryAfterMs: firstReturnMs + this.options.random() * spanMs,
+		};
+	}
+
+	#recordDemand(route: Route, service: string): void {
+		const key = `${route.name} ${service}`;
+		const demand = this.#demands.get(key);
+		if (demand === undefined) {
+			this.#demands.set(key, {route, service, rate: 0, arrived: 1});
+		} else {
+			demand.arrived++;
+		}
+	}
+
+	#plan(nowMs: number): void {
+		this.#plannedAtMs = nowMs;
+		for (const [key, demand] of this.#demands) {
+			demand.rate += (demand.arrived - demand.rate) * rateWeight;
+			demand.arrived = 0;
+			if (demand.rate < minRate) {
+				this.#demands.delete(key);
+			}
+		}
+
+		const shares = new Map<string, {share: number; service: string}>();
+		for (const [service, openShare] of this.options.board.listPressed(nowMs)) {
+			this.#planService(service, openShare, shares);
+		}
+
+		this.#shares = shares;
+	}
+
+	/** Shares the room of one service among the routes that need it. */
+	#planService(
+		service: string,
+		openShare: number,
+		shares: Map<string, {share: number; service: string}>,
+	): void {
+		const needs = this.#listNeeds(service);
+		let room = 0;
+		for (const need of needs) {
+			room += need.rate * need.cost * openShare;
+		}
+
+		const floor = openShare * floorShare;
+		for (const need of needs) {
+			room -= need.rate * need.cost * floor;
+		}
+
+		for (const need of needs) {
+			const wanted = need.rate * need.cost * (1 - floor);
+			const share = wanted <= 0 ? 1 : floor + (1 - floor) * Math.max(0, Math.min(1, room / wanted));
+			room -= wanted;
+			const planned = shares.get(need.key);
+			if (share < (planned?.share ?? 1)) {
+				shares.set(need.key, {share, service});
+			}
+		}
+	}
+
+	/** Lists the routes that need a service, those to be served first at the beginning. */
+	#listNeeds(service: string): Array<{key: string; rate: number; cost: number; priority: number}> {
+		const needs: Array<{key: string; rate: number; cost: number; priority: number}> = [];
+		for (const [key, demand] of this.#demands) {
+			const costs: CostVector | undefined = this.options.costs.read(
+				demand.route.name,
+				demand.service,
+			);
+			const cost = costs?.get(service) ?? (demand.service === service ? 1 : 0);
+			if (cost > 0) {
+				needs.push({key, rate: demand.rate, cost, priority: demand.route.priority});
+			}
+		}
+
+		return needs.toSorted(
+			(first, second) => first.priority - second.priority || first.cost - second.cost,
+		);
+	}
+}
--- /dev/null
+++ b/src/sidecar/overload/call-model.ts
@@ -0,0 +1,240 @@
+/**
+ * Learns how many calls of each route one request of each route makes.
+ *
+ * Calls of a server carry nothing that names their parent. But the sidecar beside it sees which
+ * requests the server begins and which requests come from its instance, so the ratios follow from
+ * counts in short spans by least squares. Differences between neighbouring spans are compared and not
+ * the counts, since callers on the same instance follow the same swing of the day.
+ *
+ * Pattern: a service at the end of the call trees fills up, and the entries have to know which of
+ * their callers' requests end there.
+ */
+
+/** Long enough that most calls fall into the span in which their parent began. */
+export const spanMs = 500;
+/** Weight of the past per span; half of it is forgotten in about ten seconds. */
+const keptPerSpan = 0.965;
+/** Spans needed before the ratios mean anything. */
+const minSpans = 10;
+/** A ratio below this is taken for chance. */
+const minRatio = 0.4;
+/** Requests of a route that are explained by calls, from which on the route counts as inner here. */
+const innerShare = 0.6;
+/** Routes compared at a time; the busiest are kept. */
+const maxRoutes = 12;
+
+type Counts = Map<string, number>;
+
+/** Sums of products of differences, decayed. */
+type Moments = {
+	readonly products: Map<string, number>;
+	readonly begunMeans: Counts;
+	readonly madeMeans: Counts;
+	spans: number;
+};
+
+export class CallModel {
+	/**
+	 * @example
+	 * const model = CallModel.create();
+	 * model.recordBegun('r-orders', nowMs);
+	 * model.recordMade('r-prices', nowMs);
+	 * const ratio = model.readRatio('r-orders', 'r-prices');
+	 */
+	static create(): CallModel {
+		return new CallModel();
+	}
+
+	#begun: Counts = new Map();
+	#made: Counts = new Map();
+	#lastBegun: Counts = new Map();
+	#lastMade: Counts = new Map();
+	#span = -1;
+	readonly #moments: Moments = {
+		products: new Map(),
+		begunMeans: new Map(),
+		madeMeans: new Map(),
+		spans: 0,
+	};
+
+	/** Ratios by route of the parent, then by route of the calls. */
+	#ratios = new Map<string, Map<string, number>>();
+	#inner = new Set<string>();
+
+	private constructor() {}
+
+	/** Counts a request that the server begins to run. */
+	recordBegun(route: string, nowMs: number): void {
+		this.#closeSpans(nowMs);
+		this.#begun.set(route, (this.#begun.get(route) ?? 0) + 1);
+	}
+
+	/** Counts a request that comes from this instance, of a caller or of the server. */
+	recordMade(route: string, nowMs: number): void {
+		this.#closeSpans(nowMs);
+		this.#made.set(route, (this.#made.get(route) ?? 0) + 1);
+	}
+
+	/** Calls that one request of a route makes, by route; empty while they are not known. */
+	listCalls(route: string): ReadonlyMap<string, number> {
+		return this.#ratios.get(route) ?? noCalls;
+	}
+
+	readRatio(parent: string, route: string): number {
+		return this.listCalls(parent).get(route) ?? 0;
+	}
+
+	/** Whether requests of a route from this instance are calls of the server, and not of callers. */
+	isInner(route: string): boolean {
+		return this.#inner.has(route);
+	}
+
+	#closeSpans(nowMs: number): void {
+		const span = Math.floor(nowMs / spanMs);
+		if (span === this.#span) {
+			return;
+		}
+
+		// After a pause the neighbouring spans are empty and tell nothing.
+		if (span === this.#span + 1) {
+			this.#addSpan();
+		}
+
+		this.#lastBegun = this.#begun;
+		this.#lastMade = this.#made;
+		this.#begun = new Map();
+		this.#made = new Map();
+		this.#span = span;
+	}
+
+	#addSpan(): void {
+		const {products, begunMeans, madeMeans} = this.#moments;
+		this.#moments.spans++;
+		decay(products);
+		addMeans(begunMeans, this.#begun);
+		addMeans(madeMeans, this.#made);
+		const begun = computeChanges(this.#begun, this.#lastBegun);
+		const made = computeChanges(this.#made, this.#lastMade);
+		for (const [first, change] of begun) {
+			for (const [second, otherChange] of begun) {
+				addProduct(products, `x ${first} ${second}`, change * otherChange);
+			}
+
+			for (const [route, madeChange] of made) {
+				addProduct(products, `y ${first} ${route}`, change * madeChange);
+			}
+		}
+
+		if (this.#moments.spans >= minSpans) {
+			this.#solve();
+		}
+	}
+
+	#solve(): void {
+		const {begunMeans, madeMeans} = this.#moments;
+		const parents = listBusiest(begunMeans);
+		const ratios = new Map<string, Map<string, number>>();
+		const inner = new Set<string>();
+		for (const route of listBusiest(madeMeans)) {
+			const coefficients = this.#fit(parents, route);
+			let explained = 0;
+			for (const [parent, ratio] of coefficients) {
+				explained += ratio * begunMeans.get(parent)!;
+				const calls = ratios.get(parent) ?? new Map<string, number>();
+				calls.set(route, ratio);
+				ratios.set(parent, calls);
+			}
+
+			if (explained >= innerShare * madeMeans.get(route)!) {
+				inner.add(route);
+			}
+		}
+
+		this.#ratios = ratios;
+		this.#inner = inner;
+	}
+
+	/** Fits the calls of one route, leaving out parents whose ratio is not above chance. */
+	#fit(parents: readonly string[], route: string): Map<string, number> {
+		const {products} = this.#moments;
+		let used = parents.filter(parent => (products.get(`x ${parent} ${parent}`) ?? 0) > 0);
+		while (used.length > 0) {
+			const matrix = used.map(row => used.map(column => products.get(`x ${row} ${column}`) ?? 0));
+			const vector = used.map(row => products.get(`y ${row} ${route}`) ?? 0);
+			const solution = solveLinear(matrix, vector);
+			const kept = used.filter((_parent, index) => solution[index]! >= minRatio);
+			if (kept.length === used.length) {
+				return new Map(used.map((parent, index) => [parent, solution[index]!]));
+			}
+
+			used = kept;
+		}
+
+		return new Map();
+	}
+}
+
+const noCalls: ReadonlyMap<string, number> = new Map();
+
+function decay(products: Counts): void {
+	for (const [key, value] of products) {
+		products.set(key, value * keptPerSpan);
+	}
+}
+
+function addProduct(products: Counts, key: string, value: number): void {
+	products.set(key, (products.get(key) ?? 0) + value);
+}
+
+function addMeans(means: Counts, counts: Counts): void {
+	for (const [route, mean] of means) {
+		means.set(route, mean * keptPerSpan);
+	}
+
+	for (const [route, count] of counts) {
+		means.set(route, (means.get(route) ?? 0) + count * (1 - keptPerSpan));
+	}
+}
+
+function computeChanges(now: Counts, before: Counts): Array<[string, number]> {
+	const changes: Array<[string, number]> = [];
+	for (const [route, count] of now) {
+		changes.push([route, count - (before.get(route) ?? 0)]);
+	}
+
+	for (const [route, count] of before) {
+		if (!now.has(route)) {
+			changes.push([route, -count]);
+		}
+	}
+
+	return changes;
+}
+
+function listBusiest(means: Counts): string[] {
+	const routes = [...means].toSorted((first, second) => second[1] - first[1]);
+	return routes.slice(0, maxRoutes).map(([route]) => route);
+}
+
+/** Solves a symmetric system by elimination; directions without data get 0. */
+function solveLinear(matrix: number[][], vector: number[]): number[] {
+	const size = vector.length;
+	const rows = matrix.map((row, index) => [...row, vector[index]!]);
+	for (let pivot = 0; pivot < size; pivot++) {
+		const pivotRow = rows[pivot]!;
+		// Ridge against routes that always change together.
+		const diagonal = pivotRow[pivot]! + 1e-6;
+		for (let row = 0; row < size; row++) {
+			if (row === pivot) {
+				continue;
+			}
+
+			const factor = rows[row]![pivot]! / diagonal;
+			for (let column = pivot; column <= size; column++) {
+				rows[row]![column]! -= factor * pivotRow[column]!;
+			}
+		}
+	}
+
+	return rows.map((row, index) => (Math.abs(row[index]!) < 1e-9 ? 0 : row[size]! / row[index]!));
+}
--- a/src/sidecar/reporting/metrics-page.ts
+++ b/src/sidecar/reporting/metrics-page.ts
@@ -36,13 +36,29 @@
 	const registry = new Registry();
 	const registers = [registry];
 	const gauges: Array<[string, string, () => number]> = [
-		['primrosevalve_guard_running', 'Requests at the backend server', () => source.readLoad().running],
-		['primrosevalve_guard_waiting', 'Requests that wait in the guard', () => source.readLoad().waiting],
+		[
+			'primrosevalve_guard_running',
+			'Requests at the backend server',
+			() => source.readLoad().running,
+		],
+		[
+			'primrosevalve_guard_waiting',
+			'Requests that wait in the guard',
+			() => source.readLoad().waiting,
+		],
 		['primrosevalve_guard_limit', 'Requests that may run at a time', () => source.readLoad().limit],
 		['primrosevalve_config_version', 'Configuration in force', () => source.readConfigVersion()],
 		['primrosevalve_members', 'Backend servers known', () => source.countMembers()],
-		['primrosevalve_server_connections_total', 'Connections opened to the server', () => source.countServerConnections()],
-		['primrosevalve_log_lines_dropped_total', 'Request lines that the budget dropped', () => source.log.dropped],
+		[
+			'primrosevalve_server_connections_total',
+			'Connections opened to the server',
+			() => source.countServerConnections(),
+		],
+		[
+			'primrosevalve_log_lines_dropped_total',
+			'Request lines that the budget dropped',
+			() => source.log.dropped,
+		],
 	];
 	for (const [name, help, read] of gauges) {
 		const gauge: InstanceType<typeof Gauge> = new Gauge({
@@ -55,17 +71,21 @@
 		});
 	}
 
-	addRequestMetrics(new Gauge({
-		name: 'primrosevalve_requests_total',
-		help: 'Requests by route and status',
-		labelNames: ['route', 'status'],
-		registers,
-	}), new Gauge({
-		name: 'primrosevalve_request_duration_milliseconds_bucket',
-		help: 'Requests answered within the bound',
-		labelNames: ['route', 'status', 'le'],
-		registers,
-	}), source.log);
+	addRequestMetrics(
+		new Gauge({
+			name: 'primrosevalve_requests_total',
+			help: 'Requests by route and status',
+			labelNames: ['route', 'status'],
+			registers,
+		}),
+		new Gauge({
+			name: 'primrosevalve_request_duration_milliseconds_bucket',
+			help: 'Requests answered within the bound',
+			labelNames: ['route', 'status', 'le'],
+			registers,
+		}),
+		source.log,
+	);
 	return async () => registry.metrics();
 }
 
--- a/src/sidecar/reporting/request-log.ts
+++ b/src/sidecar/reporting/request-log.ts
@@ -24,9 +24,7 @@
 /** Lines a second for requests that were refused or failed. */
 const maxFailedPerSecond = 20;
 /** Upper bounds of the latency buckets, in milliseconds. */
-export const latencyBucketsMs = [
-	5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10_000,
-] as const;
+export const latencyBucketsMs = [5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10_000] as const;
 
 /** Requests of one route with one status. */
 export type RequestCount = {
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -6,6 +6,7 @@
 import {type EntryContext} from './entry/entry-context.ts';
 import {EntryServer} from './entry/entry-server.ts';
 import {Guard} from './guard/guard.ts';
+import {type CallOutcome} from './guard/guarded-call.ts';
 import {LocalServer} from './guard/local-server.ts';
 import {ServerPool} from './guard/server-pool.ts';
 import {Announcer} from './knowledge/announcer.ts';
@@ -18,7 +19,11 @@
 import {LinkPool} from './link/link-client.ts';
 import {LinkServer} from './link/link-server.ts';
 import {type ReplyNews} from './link/messages.ts';
-import {openAdmission} from './overload/admission.ts';
+import {Admission} from './overload/admission.ts';
+import {CallModel} from './overload/call-model.ts';
+import {CostBook} from './overload/cost-book.ts';
+import {OpenShare} from './overload/open-share.ts';
+import {PressureBoard} from './overload/pressure-board.ts';
 import {RetryBudget} from './overload/retry-budget.ts';
 import {type Row, type SharedTable} from './ports.ts';
 import {createMetricsHandler} from './reporting/metrics-page.ts';
@@ -47,8 +52,10 @@
 /** Members change more often, and refusals correct an outdated view at once. */
 const memberWaitMs = 15_000;
 /** Changes of members come in bursts; one call fetches those of this span. */
-const memberPauseMs = 300;
+const memberPauseMs = 700;
 const configPauseMs = 20;
+/** Costs of a route ride on each so many-th reply; they change slowly. */
+const costsEvery = 8;
 /** How often the own server's state is compared with what is announced. */
 const reviewMs = 250;
 /** Part of the grace for which callers that still come are served after a stop signal. */
@@ -80,6 +87,12 @@
 	readonly #log: RequestLog;
 	readonly #configFollower: TableFollower;
 	readonly #memberFollower: TableFollower;
+	readonly #model = CallModel.create();
+	readonly #costs = CostBook.create();
+	readonly #openShare = OpenShare.create();
+	readonly #board: PressureBoard;
+	#replies = 0;
+	#outcomes = 0;
 	#routes: RouteTable | undefined;
 	#isStopping = false;
 	#announced = '';
@@ -92,6 +105,7 @@
 		private readonly logger: Logger,
 	) {
 		const {codec, table} = surroundings;
+		this.#board = PressureBoard.create(settings.region);
 		this.#server = LocalServer.create(settings.drainMs);
 		this.#pool = ServerPool.create(settings.serverAddress, codec);
 		this.#log = RequestLog.create(logger);
@@ -107,21 +121,28 @@
 
 	/** Listens and follows the store; callers are served as soon as a configuration is known. */
 	async start(): Promise<void> {
-		const {callerAddress, linkAddress, readyAddress, controlAddress, metricsAddress} = this.settings;
+		const {callerAddress, linkAddress, readyAddress, controlAddress, metricsAddress} =
+			this.settings;
 		this.#configFollower.start();
 		this.#memberFollower.start();
 		await Promise.all([
 			this.#linkServer.listen(linkAddress),
 			this.#entry.listen(callerAddress),
 			listenForRequests(controlAddress, this.#createControlHandler()),
-			listenForRequests(readyAddress, createReadyHandler(() => this.#isReady())),
+			listenForRequests(
+				readyAddress,
+				createReadyHandler(() => this.#isReady()),
+			),
 			listenForRequests(metricsAddress, this.#createMetricsHandler()),
 		]);
 		this.#sync.start();
 		setInterval(() => {
 			this.#review();
 		}, reviewMs).unref();
-		this.logger.info({instance: this.settings.instance, incarnation: this.#incarnation}, 'sidecar listens');
+		this.logger.info(
+			{instance: this.settings.instance, incarnation: this.#incarnation},
+			'sidecar listens',
+		);
 	}
 
 	/** Takes over settings that have changed. */
@@ -169,7 +190,11 @@
 
 	#createView(member: Member): MemberView {
 		if (member.instance === this.settings.instance) {
-			return MemberView.create(member, {kind: 'local'}, distances.dataCentre);
+			return MemberView.create(
+				member,
+				{kind: 'local', readLoad: () => this.#guard.readLoad()},
+				distances.dataCentre,
+			);
 		}
 
 		const pool = this.#findLinkPool(member);
@@ -207,13 +232,30 @@
 					this.#server.setUnreachable();
 					this.#review();
 				},
-				handleOutcome() {
-					// Outcomes are counted at the entry.
+				handleArrival: (_head, use) => {
+					this.#openShare.recordUse(use, performance.now());
+				},
+				handleStart: head => {
+					this.#model.recordBegun(head.route, performance.now());
+				},
+				handleOutcome: (call, outcome) => {
+					this.#handleOutcome(call.head.route, outcome);
 				},
 			},
 		});
 	}
 
+	#handleOutcome(route: string, outcome: CallOutcome): void {
+		if (outcome.kind === 'answered' && !outcome.head.isNotRun) {
+			this.#costs.recordOwn(route, outcome.ranMs);
+			const service = this.#server.state?.service;
+			// Requests that stay on this instance bring no replies of other guards.
+			if (service !== undefined && this.#outcomes++ % costsEvery === 0) {
+				this.#costs.learn(route, service, this.#computeCosts(route)!);
+			}
+		}
+	}
+
 	#createSync(): PeerSync {
 		return PeerSync.create({
 			directory: this.#directory,
@@ -241,13 +283,19 @@
 			directory: this.#directory,
 			guard: this.#guard,
 			budget: RetryBudget.create(bound, () => this.#directory.size),
-			admission: openAdmission,
+			admission: Admission.create({
+				model: this.#model,
+				costs: this.#costs,
+				board: this.#board,
+				random: () => Math.random(),
+			}),
+			model: this.#model,
 			log: this.#log,
 			readRoutes: () => this.#routes,
 			readCallerService: () => this.#server.state?.service ?? this.settings.service,
 			isStopping: () => this.#isStopping,
-			handleNews: (instance, news) => {
-				this.#handleNews(instance, news);
+			handleNews: (from, route, news) => {
+				this.#handleNews(from, route, news);
 			},
 			handleMember: member => {
 				this.#handleMember(member);
@@ -261,7 +309,7 @@
 		return LinkServer.create({
 			guard: this.#guard,
 			incarnation: this.#incarnation,
-			readNews: () => this.#readNews(),
+			readNews: route => this.#readNews(route),
 			answerSync: question => this.#sync.answer(question),
 			handleBadFrame: reason => {
 				this.logger.warn({reason}, 'frame of a peer not understood');
@@ -352,23 +400,55 @@
 		this.#routes = RouteTable.create(config);
 		this.#entry.setLimits(config.limits);
 		const routes = config.routes.length;
-		this.logger.info({from, version: config.version, before: version, routes}, 'configuration is in force');
+		this.logger.info(
+			{from, version: config.version, before: version, routes},
+			'configuration is in force',
+		);
 	}
 
-	#handleNews(instance: string, news: ReplyNews): void {
+	#handleNews(from: Member, route: string, news: ReplyNews): void {
+		const nowMs = performance.now();
+		for (const report of news.pressure) {
+			if (report.instance !== this.settings.instance) {
+				this.#board.record(report, nowMs);
+			}
+		}
+
+		if (news.costs !== undefined) {
+			this.#costs.learn(route, from.service, news.costs);
+		}
+
 		if (news.configVersion > (this.#routes?.config.version ?? -1)) {
-			this.#sync.handleVersion(instance, news.configVersion);
+			this.#sync.handleVersion(from.instance, news.configVersion);
 		}
 	}
 
-	#readNews(): ReplyNews {
+	/** Collects what a reply to a request of a route tells besides. */
+	#readNews(route: string): ReplyNews {
+		const nowMs = performance.now();
+		this.#recordOwnShare(nowMs);
 		return {
 			load: this.#guard.readLoad(),
 			configVersion: this.#routes?.config.version ?? -1,
-			pressure: [],
+			pressure: this.#board.listNews(nowMs),
+			costs: this.#replies++ % costsEvery === 0 ? this.#computeCosts(route) : undefined,
 		};
 	}
 
+	#recordOwnShare(nowMs: number): void {
+		const state = this.#server.state;
+		if (state !== undefined) {
+			const {instance, region} = this.settings;
+			const openShare = this.#openShare.read(nowMs);
+			this.#board.record({instance, service: state.service, region, openShare, ageMs: 0}, nowMs);
+		}
+	}
+
+	#computeCosts(route: string): ReadonlyMap<string, number> | undefined {
+		const state = this.#server.state;
+		return state && this.#costs.compute(route, state.service, this.#model.listCalls(route));
+	}
+
 	#createControlHandler() {
 		return createControlHandler({
 			logger: this.logger,
@@ -435,7 +515,12 @@
 		});
 		this.#directory.apply(member);
 		this.logger.info(
-			{service: member.service, serverId: member.serverId, state: member.state, slots: member.slots},
+			{
+				service: member.service,
+				serverId: member.serverId,
+				state: member.state,
+				slots: member.slots,
+			},
 			'server is announced',
 		);
 	}
