--- /dev/null
+++ b/src/sidecar/overload/call-model.test.ts
@@ -0,0 +1,70 @@
+import test from 'ava';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {CallModel, spanMs} from './call-model.ts';
+
+/** Uniform numbers in [0, 1) from a seed. */
+function createRandom(seed: number): () => number {
+	const generator = xoroshiro128plus(seed);
+	return () => (generator.next() >>> 0) / 2 ** 32;
+}
+
+/** Draws a Poisson count by the product of uniforms. */
+function drawCount(mean: number, random: () => number): number {
+	const limit = Math.exp(-mean);
+	let count = 0;
+	for (let product = random(); product > limit; product *= random()) {
+		count++;
+	}
+
+	return count;
+}
+
+/** Rate at a moment of a demand that swings by half within 17 s. */
+function computeSwing(second: number): number {
+	return 1 + 0.5 * Math.sin((second / 17) * 2 * Math.PI);
+}
+
+test('calls of a server are told from requests of callers that follow the same swing', t => {
+	const random = createRandom(7);
+	const model = CallModel.create();
+	for (let span = 0; span < 60; span++) {
+		const nowMs = span * spanMs + 1;
+		const swing = computeSwing(nowMs / 1000);
+		const lookups = drawCount(12 * swing, random);
+		const downloads = drawCount(4 * swing, random);
+		record(lookups, () => {
+			model.recordBegun('lookup', nowMs);
+		});
+		record(downloads, () => {
+			model.recordBegun('download', nowMs);
+		});
+		record(lookups * 4, () => {
+			model.recordMade('price', nowMs);
+		});
+		record(drawCount(8 * swing, random), () => {
+			model.recordMade('order', nowMs);
+		});
+	}
+
+	t.true(Math.abs(model.readRatio('lookup', 'price') - 4) < 0.4);
+	t.is(model.readRatio('download', 'price'), 0);
+	t.true(model.isInner('price'));
+	t.false(model.isInner('order'));
+});
+
+test('nothing is claimed before there is enough to compare', t => {
+	const model = CallModel.create();
+	for (let span = 0; span < 5; span++) {
+		model.recordBegun('lookup', span * spanMs);
+		model.recordMade('price', span * spanMs);
+	}
+
+	t.is(model.listCalls('lookup').size, 0);
+	t.false(model.isInner('price'));
+});
+
+function record(times: number, add: () => void): void {
+	for (let index = 0; index < times; index++) {
+		add();
+	}
+}
