--- a/src/sidecar/guard/guard.ts
+++ b/src/sidecar/guard/guard.ts
@@ -6,9 +6,8 @@
 import {type Exchange, type ExchangeListener} from '../link/exchange.ts';
 import {type CallHead, type GuardLoad, type RefusalReason} from '../link/messages.ts';
 import {type HeadCodec, type Member} from '../types.ts';
-import {type CallOutcome, GuardedCall} from './guarded-call.ts';
+import {type CallConnection, type CallOutcome, GuardedCall} from './guarded-call.ts';
 import {type LocalServer} from './local-server.ts';
-import {type ServerPool} from './server-pool.ts';
 import {WaitingLine} from './waiting-line.ts';
 
 /** Part of the time left that a request may spend waiting; the rest is for the server's work. */
@@ -37,7 +36,7 @@
 
 export type GuardOptions = {
 	readonly server: LocalServer;
-	readonly pool: ServerPool;
+	readonly pool: {acquire(requestId: string, isOnce: boolean): CallConnection};
 	readonly codec: HeadCodec;
 	readonly incarnation: string;
 	readonly events: GuardEvents;
--- a/src/sidecar/guard/guarded-call.ts
+++ b/src/sidecar/guard/guarded-call.ts
@@ -11,11 +11,17 @@
 /** Calls of work that was admitted go before callers' requests of any rank. */
 const innerPriority = -1;
 
+/** What a call uses of its connection to the server. */
+export type CallConnection = Pick<
+	ServerConnection,
+	'send' | 'sendChunk' | 'sendLastChunk' | 'setPaused' | 'close'
+>;
+
 /** What a call asks of its guard. */
 export type CallOwner = {
 	readonly codec: HeadCodec;
 	/** Opens or reuses a connection to the server. */
-	acquireConnection(requestId: string, isOnce: boolean): ServerConnection;
+	acquireConnection(requestId: string, isOnce: boolean): CallConnection;
 	handleEnded(call: GuardedCall, outcome: CallOutcome): void;
 };
 
@@ -51,7 +57,7 @@
 
 	#phase: Phase = 'waiting';
 	#listener: ExchangeListener;
-	#connection: ServerConnection | undefined;
+	#connection: CallConnection | undefined;
 	#startedAtMs = 0;
 	#answer: ServerAnswerHead | undefined;
 	#chunks: Buffer[] = [];
--- /dev/null
+++ b/src/sidecar/guard/run-proof-model.test.ts
@@ -0,0 +1,384 @@
+/**
+ * Pattern: links are lost, answers come late and callers leave, in any order.
+ *
+ * An entry's send and a guard talk over links that the test delivers, cuts and replaces. An oracle
+ * counts what reaches the server.
+ */
+import {Buffer} from 'node:buffer';
+import test from 'ava';
+import fc from 'fast-check';
+import {Send} from '../entry/send.ts';
+import {distances, MemberView} from '../knowledge/member-view.ts';
+import {type Exchange, type ExchangeListener} from '../link/exchange.ts';
+import {type LinkListener} from '../link/link-client.ts';
+import {type CallHead, type ReplyNews, type ResumeHead} from '../link/messages.ts';
+import {type HeadCodec, type Member} from '../types.ts';
+import {Guard} from './guard.ts';
+import {LocalServer} from './local-server.ts';
+import {type ConnectionListener} from './server-connection.ts';
+
+const incarnation = 'g1';
+const member: Member = {
+	instance: 'beside',
+	link: {host: '10.0.0.1', port: 1},
+	dataCentre: 'a',
+	region: 'r',
+	service: 'orders',
+	serverId: 'i-1',
+	slots: 1,
+	state: 'ready',
+	epoch: 1,
+};
+const codec: HeadCodec = {
+	decodeRequest: () => ({requestId: '', deadlineMs: undefined, headers: []}),
+	encodeServerRequest: () => '',
+	decodeAnswer: status => ({
+		requestId: undefined,
+		status,
+		isNotRun: false,
+		isMisdirected: false,
+		closes: false,
+		keepAliveMs: undefined,
+		headers: [],
+	}),
+};
+
+/** A server run that the test ends as it likes. */
+type ServerRun = {readonly requestId: string; readonly listener: ConnectionListener; isOpen: boolean};
+
+/** One link with messages under way in both directions. */
+class TestLink implements Exchange {
+	readonly toGuard: Array<() => void> = [];
+	readonly toEntry: Array<() => void> = [];
+	isCut = false;
+	#exchange: Exchange | undefined;
+	readonly #guardListener: ExchangeListener;
+
+	constructor(
+		private readonly guard: Guard,
+		private readonly nonce: string,
+		private readonly entryListener: LinkListener,
+	) {
+		const sendBack = (tell: () => void) => {
+			this.toEntry.push(tell);
+		};
+
+		this.#guardListener = {
+			handleNews(_news: ReplyNews) {
+				// News don't matter here.
+			},
+			handleAnswer: (head, body) => {
+				sendBack(() => {
+					entryListener.handleAnswer(head, body);
+				});
+			},
+			handleData() {
+				// Answers are whole here.
+			},
+			handleEnd() {
+				// Answers are whole here.
+			},
+			handleRefusal: head => {
+				sendBack(() => {
+					entryListener.handleRefusal(head);
+				});
+			},
+			handleFailure: head => {
+				sendBack(() => {
+					entryListener.handleFailure(head);
+				});
+			},
+		};
+	}
+
+	open(head: CallHead): this {
+		this.toGuard.push(() => {
+			this.#exchange = this.guard.accept(head, Buffer.alloc(0), this.#guardListener);
+		});
+		return this;
+	}
+
+	resume(question: ResumeHead): this {
+		this.toGuard.push(() => {
+			this.#exchange = this.guard.resume(
+				question.nonce,
+				question.incarnation,
+				this.#guardListener,
+			);
+		});
+		return this;
+	}
+
+	cancel(): void {
+		this.toGuard.push(() => {
+			this.#exchange?.cancel();
+		});
+	}
+
+	sendBody(): boolean {
+		return true;
+	}
+
+	endBody(): void {
+		// Bodies are whole here.
+	}
+
+	setPaused(): void {
+		// Answers are whole here.
+	}
+
+	/** The entry sees the loss at once; the guard when what was under way has come or is lost. */
+	cut(isRequestLost: boolean): void {
+		this.isCut = true;
+		this.toEntry.length = 0;
+		if (isRequestLost) {
+			this.toGuard.length = 0;
+		}
+
+		this.toGuard.push(() => {
+			this.guard.orphan(this.nonce, this.#guardListener);
+		});
+		this.entryListener.handleLost(incarnation);
+	}
+}
+
+/** One world: an entry, a guard with one slot, and a server that the test drives. */
+class World {
+	readonly links: TestLink[] = [];
+	readonly runs: ServerRun[] = [];
+	readonly refused = new Set<string>();
+	readonly answered = new Map<string, string>();
+	readonly sends: Send[] = [];
+	readonly guard: Guard;
+	readonly #view: MemberView;
+
+	constructor() {
+		const server = LocalServer.create(2500);
+		server.adopt({id: 'i-1', service: 'orders', slots: 1}, performance.now());
+		this.guard = Guard.create({
+			server,
+			pool: {acquire: requestId => this.#connect(requestId)},
+			codec,
+			incarnation,
+			readMember: () => member,
+			events: {
+				handleArrival() {
+					// Not counted here.
+				},
+				handleStart() {
+					// Not counted here.
+				},
+				handleUnreachable() {
+					// The server always accepts.
+				},
+				handleOutcome() {
+					// Not counted here.
+				},
+			},
+		});
+		const pool = {
+			open: (head: CallHead, _body: Buffer, listener: LinkListener) =>
+				this.#link(head.nonce, listener).open(head),
+			resume: (question: ResumeHead, listener: LinkListener) =>
+				this.#link(question.nonce, listener).resume(question),
+			sync: async () => undefined,
+		};
+		this.#view = MemberView.create(member, {kind: 'link', pool}, distances.dataCentre);
+	}
+
+	send(requestId: string): void {
+		const head: CallHead = {
+			nonce: `n.${requestId}`,
+			requestId,
+			method: 'POST',
+			path: '/',
+			headers: [],
+			remainingMs: 60_000,
+			service: 'orders',
+			serverId: 'i-1',
+			callerService: 'shop',
+			route: 'orders',
+			isOnce: true,
+			priority: 0,
+			isWhole: true,
+			isInner: false,
+			isRepeat: false,
+		};
+		const send = Send.create(this.#view, head, {
+			handleNews() {
+				// News don't matter here.
+			},
+			handleAnswer: (_head, body) => {
+				this.answered.set(requestId, body.toString());
+			},
+			handleData() {
+				// Answers are whole here.
+			},
+			handleEnd() {
+				// Answers are whole here.
+			},
+			handleRefusal: () => {
+				this.refused.add(requestId);
+			},
+			handleFailure() {
+				// Nothing is promised.
+			},
+			handleDrain() {
+				// Bodies are whole here.
+			},
+		});
+		this.sends.push(send);
+		send.start(this.guard, Buffer.alloc(0));
+	}
+
+	/** Delivers all that is under way, and ends all runs. */
+	async settle(): Promise<void> {
+		for (let round = 0; round < 50; round++) {
+			for (const link of this.links) {
+				link.toGuard.shift()?.();
+				link.toEntry.shift()?.();
+			}
+
+			this.runs.find(run => run.isOpen)?.listener.handleFailure('closed', true);
+			for (const run of this.runs) {
+				run.isOpen = false;
+			}
+
+			await Promise.resolve();
+		}
+
+		for (const send of this.sends) {
+			send.cancel();
+		}
+	}
+
+	#link(nonce: string, listener: LinkListener): TestLink {
+		const link = new TestLink(this.guard, nonce, listener);
+		this.links.push(link);
+		return link;
+	}
+
+	#connect(_requestId: string) {
+		return {
+			send: (request: {requestId: string}, listener: ConnectionListener) => {
+				this.runs.push({requestId: request.requestId, listener, isOpen: true});
+			},
+			sendChunk: () => true,
+			sendLastChunk() {
+				// Bodies are whole here.
+			},
+			setPaused() {
+				// Answers are whole here.
+			},
+			close: () => {
+				// The server may run on after its connection is closed.
+			},
+		};
+	}
+}
+
+const steps = fc.array(
+	fc.record({
+		kind: fc.constantFrom('send', 'toGuard', 'toEntry', 'cut', 'answer', 'fail', 'cancel'),
+		pick: fc.nat(30),
+		isLost: fc.boolean(),
+	}),
+	{minLength: 5, maxLength: 60},
+);
+
+type Step = {readonly kind: string; readonly pick: number; readonly isLost: boolean};
+
+function apply(world: World, step: Step, sent: number): void {
+	const link = world.links[step.pick % Math.max(1, world.links.length)];
+	const run = world.runs[step.pick % Math.max(1, world.runs.length)];
+	switch (step.kind) {
+		case 'send': {
+			world.send(`r${sent}`);
+			break;
+		}
+
+		case 'toGuard': {
+			link?.toGuard.shift()?.();
+			break;
+		}
+
+		case 'toEntry': {
+			link?.toEntry.shift()?.();
+			break;
+		}
+
+		case 'cut': {
+			if (link !== undefined && !link.isCut) {
+				link.cut(step.isLost);
+			}
+
+			break;
+		}
+
+		case 'answer': {
+			endRun(run, listener => {
+				listener.handleHead(codec.decodeAnswer(200, []));
+				listener.handleData(Buffer.from(run!.requestId));
+				listener.handleEnd();
+			});
+			break;
+		}
+
+		case 'fail': {
+			endRun(run, listener => {
+				listener.handleFailure('reset', true);
+			});
+			break;
+		}
+
+		default: {
+			world.sends[step.pick % Math.max(1, world.sends.length)]?.cancel();
+			break;
+		}
+	}
+}
+
+function endRun(run: ServerRun | undefined, end: (listener: ConnectionListener) => void): void {
+	if (run?.isOpen) {
+		run.isOpen = false;
+		end(run.listener);
+	}
+}
+
+test('a request runs at most once, a refusal is true, and an answer is the own one', async t => {
+	await fc.assert(
+		fc.asyncProperty(steps, async script => {
+			const world = new World();
+			let sent = 0;
+			for (const step of script) {
+				apply(world, step, sent);
+				sent += step.kind === 'send' ? 1 : 0;
+				await Promise.resolve();
+			}
+
+			await world.settle();
+			const runs = new Set<string>();
+			for (const {requestId} of world.runs) {
+				if (runs.has(requestId)) {
+					throw new Error(`${requestId} ran twice`);
+				}
+
+				runs.add(requestId);
+			}
+
+			for (const requestId of world.refused) {
+				if (runs.has(requestId)) {
+					throw new Error(`${requestId} was told as not run, and ran`);
+				}
+			}
+
+			for (const [requestId, body] of world.answered) {
+				if (body !== requestId) {
+					throw new Error(`${requestId} got the answer of ${body}`);
+				}
+			}
+		}),
+		{numRuns: 2000, seed: 20_261_204},
+	);
+	t.pass();
+});
--- a/src/sidecar/knowledge/member-view.ts
+++ b/src/sidecar/knowledge/member-view.ts
@@ -10,7 +10,7 @@
 /** Where a request for a member goes. */
 export type MemberWay =
 	| {readonly kind: 'local'; readonly readLoad: () => GuardLoad}
-	| {readonly kind: 'link'; readonly pool: LinkPool};
+	| {readonly kind: 'link'; readonly pool: Pick<LinkPool, 'open' | 'resume' | 'sync'>};
 
 /** First pause after a failure; doubled with each further one. */
 const firstPauseMs = 400;
