Tell calls of servers from requests of callers by the services that they come from

Regression alone knew them too late. Ruled out: refusals of full guards (none in the log of podravje).

--- a/src/sidecar/entry/entry-call.ts
+++ b/src/sidecar/entry/entry-call.ts
@@ -102,8 +102,10 @@
 		const nowMs = performance.now();
 		this.ctx.budget.recordRequest(this.#service, nowMs);
 		this.ctx.model.recordMade(route.name, nowMs);
-		this.#isInner = this.ctx.model.isInner(route.name);
-		if (this.#isInner) {
+		// Until a guard has told, a request may be a call of work that was admitted before.
+		const isInner = this.ctx.model.isInner(route.name);
+		this.#isInner = isInner === true;
+		if (isInner !== false) {
 			this.#sendOn();
 			return;
 		}
--- a/src/sidecar/guard/run-proof-model.test.ts
+++ b/src/sidecar/guard/run-proof-model.test.ts
@@ -44,7 +44,11 @@
 };
 
 /** A server run that the test ends as it likes. */
-type ServerRun = {readonly requestId: string; readonly listener: ConnectionListener; isOpen: boolean};
+type ServerRun = {
+	readonly requestId: string;
+	readonly listener: ConnectionListener;
+	isOpen: boolean;
+};
 
 /** One link with messages under way in both directions. */
 class TestLink implements Exchange {
@@ -100,11 +104,7 @@
 
 	resume(question: ResumeHead): this {
 		this.toGuard.push(() => {
-			this.#exchange = this.guard.resume(
-				question.nonce,
-				question.incarnation,
-				this.#guardListener,
-			);
+			this.#exchange = this.guard.resume(question.nonce, question.incarnation, this.#guardListener);
 		});
 		return this;
 	}
--- a/src/sidecar/knowledge/directory.ts
+++ b/src/sidecar/knowledge/directory.ts
@@ -14,6 +14,7 @@
 
 	readonly #views = new Map<string, MemberView>();
 	readonly #services = new Map<string, MemberView[]>();
+	#serviceNames: readonly string[] = [];
 
 	private constructor(private readonly createView: (member: Member) => MemberView) {}
 
@@ -30,6 +31,11 @@
 		return this.#services.get(service) ?? [];
 	}
 
+	/** Lists the services of all members. */
+	listServices(): readonly string[] {
+		return this.#serviceNames;
+	}
+
 	find(instance: string): MemberView | undefined {
 		return this.#views.get(instance);
 	}
@@ -72,6 +78,8 @@
 			views.push(view);
 			this.#services.set(view.member.service, views);
 		}
+
+		this.#serviceNames = [...this.#services.keys()];
 	}
 }
 
--- a/src/sidecar/link/link-server.ts
+++ b/src/sidecar/link/link-server.ts
@@ -24,8 +24,8 @@
 export type LinkServerOptions = {
 	readonly guard: Guard;
 	readonly incarnation: string;
-	/** News for a reply to a request of a route. */
-	readNews(route: string): ReplyNews;
+	/** News for a reply to a request of a route that came from an instance of a service. */
+	readNews(route: string, callerService: string): ReplyNews;
 	/** Answers a peer's question for newer configuration and members. */
 	answerSync(question: string): string;
 	handleBadFrame(reason: string): void;
@@ -71,6 +71,7 @@
 	#exchange: Exchange | undefined;
 	#nonce: string | undefined;
 	#route = '';
+	#callerService = '';
 
 	private constructor(
 		socket: net.Socket,
@@ -97,7 +98,7 @@
 	}
 
 	handleAnswer(head: AnswerHead, body: Buffer): void {
-		const text = encodeAnswer(head, this.options.readNews(this.#route));
+		const text = encodeAnswer(head, this.options.readNews(this.#route, this.#callerService));
 		const isWritable = this.#frames.send(frameTypes.answer, text, body);
 		if (head.isWhole) {
 			this.#nonce = undefined;
@@ -119,12 +120,18 @@
 
 	handleRefusal(head: RefusalHead): void {
 		this.#nonce = undefined;
-		this.#frames.send(frameTypes.refused, encodeRefusal(head, this.options.readNews(this.#route)));
+		this.#frames.send(
+			frameTypes.refused,
+			encodeRefusal(head, this.options.readNews(this.#route, this.#callerService)),
+		);
 	}
 
 	handleFailure(head: FailureHead): void {
 		this.#nonce = undefined;
-		this.#frames.send(frameTypes.failed, encodeFailure(head, this.options.readNews(this.#route)));
+		this.#frames.send(
+			frameTypes.failed,
+			encodeFailure(head, this.options.readNews(this.#route, this.#callerService)),
+		);
 	}
 
 	#handleFrame(frame: Frame): void {
@@ -142,6 +149,7 @@
 				const head = decodeCall(frame.head);
 				this.#nonce = head.nonce;
 				this.#route = head.route;
+				this.#callerService = head.callerService;
 				this.#exchange = this.options.guard.accept(head, Buffer.from(frame.body), this);
 				break;
 			}
--- a/src/sidecar/link/messages.ts
+++ b/src/sidecar/link/messages.ts
@@ -59,6 +59,8 @@
 	readonly pressure: readonly PressureNews[];
 	/** Slot time that one request of the route costs, by service; on some replies only. */
 	readonly costs: ReadonlyMap<string, number> | undefined;
+	/** Whether such requests from the entry's instance are calls of the server there, as far as known. */
+	readonly isInner: boolean | undefined;
 };
 
 /** Overload of one service, as heard some time ago. */
@@ -231,7 +233,8 @@
 		pressure.push([instance, service, region, roundShare(openShare), Math.round(ageMs)]);
 	}
 
-	return [running, waiting, limit, news.configVersion, pressure, encodeCosts(news.costs)];
+	const inner = news.isInner === undefined ? 2 : news.isInner ? 1 : 0;
+	return [running, waiting, limit, news.configVersion, pressure, encodeCosts(news.costs), inner];
 }
 
 function encodeCosts(costs: ReadonlyMap<string, number> | undefined): Array<[string, number]> | 0 {
@@ -252,7 +255,7 @@
 }
 
 function decodeNews(encoded: EncodedNews): ReplyNews {
-	const [running, waiting, limit, configVersion, reports, costs] = encoded;
+	const [running, waiting, limit, configVersion, reports, costs, inner] = encoded;
 	const pressure: PressureNews[] = [];
 	for (const [instance, service, region, openShare, ageMs] of reports) {
 		pressure.push({instance, service, region, openShare, ageMs});
@@ -263,5 +266,6 @@
 		configVersion,
 		pressure,
 		costs: costs === 0 ? undefined : new Map(costs),
+		isInner: inner === 2 ? undefined : inner === 1,
 	};
 }
--- a/src/sidecar/overload/admission.test.ts
+++ b/src/sidecar/overload/admission.test.ts
@@ -29,8 +29,22 @@
 
 function createCosts(): CostBook {
 	const costs = CostBook.create();
-	costs.learn('lookup', 'catalogue', new Map([['catalogue', 80], ['commandes', 88]]));
-	costs.learn('order', 'atelier', new Map([['atelier', 100], ['commandes', 88]]));
+	costs.learn(
+		'lookup',
+		'catalogue',
+		new Map([
+			['catalogue', 80],
+			['commandes', 88],
+		]),
+	);
+	costs.learn(
+		'order',
+		'atelier',
+		new Map([
+			['atelier', 100],
+			['commandes', 88],
+		]),
+	);
 	costs.learn('status', 'commandes', new Map([['commandes', 310]]));
 	costs.learn('download', 'patrons', new Map([['patrons', 60]]));
 	return costs;
@@ -99,7 +113,10 @@
 		board,
 		random: () => 0.99,
 	});
-	board.record({instance: 'one', service: 'commandes', region: 'east', openShare: 0.1, ageMs: 0}, 0);
+	board.record(
+		{instance: 'one', service: 'commandes', region: 'east', openShare: 0.1, ageMs: 0},
+		0,
+	);
 	admission.decide(status, 'commandes', 0);
 	t.is(admission.decide(status, 'commandes', 200).kind, 'shed');
 	t.is(admission.decide(lookup, 'catalogue', 200).kind, 'admitted');
@@ -114,7 +131,10 @@
 		board,
 		random,
 	});
-	board.record({instance: 'one', service: 'commandes', region: 'east', openShare: 0.1, ageMs: 0}, 0);
+	board.record(
+		{instance: 'one', service: 'commandes', region: 'east', openShare: 0.1, ageMs: 0},
+		0,
+	);
 	admission.decide(status, 'commandes', 0);
 	const verdict = admission.decide(status, 'commandes', 200);
 	t.true(verdict.kind === 'shed' && verdict.retryAfterMs > 300 && verdict.retryAfterMs < 1800);
--- a/src/sidecar/overload/call-model.test.ts
+++ b/src/sidecar/overload/call-model.test.ts
@@ -24,9 +24,11 @@
 	return 1 + 0.5 * Math.sin((second / 17) * 2 * Math.PI);
 }
 
-test('calls of a server are told from requests of callers that follow the same swing', t => {
+test('ratios of calls are learnt under a common swing of the demand', t => {
 	const random = createRandom(7);
 	const model = CallModel.create();
+	model.setInner('price', true);
+	model.setInner('order', false);
 	for (let span = 0; span < 60; span++) {
 		const nowMs = span * spanMs + 1;
 		const swing = computeSwing(nowMs / 1000);
@@ -48,8 +50,7 @@
 
 	t.true(Math.abs(model.readRatio('lookup', 'price') - 4) < 0.4);
 	t.is(model.readRatio('download', 'price'), 0);
-	t.true(model.isInner('price'));
-	t.false(model.isInner('order'));
+	t.is(model.readRatio('lookup', 'order'), 0);
 });
 
 test('nothing is claimed before there is enough to compare', t => {
@@ -60,7 +61,7 @@
 	}
 
 	t.is(model.listCalls('lookup').size, 0);
-	t.false(model.isInner('price'));
+	t.is(model.isInner('price'), undefined);
 });
 
 function record(times: number, add: () => void): void {
--- a/src/sidecar/overload/call-model.ts
+++ b/src/sidecar/overload/call-model.ts
@@ -18,8 +18,6 @@
 const minSpans = 10;
 /** A ratio below this is taken for chance. */
 const minRatio = 0.4;
-/** Requests of a route that are explained by calls, from which on the route counts as inner here. */
-const innerShare = 0.6;
 /** Routes compared at a time; the busiest are kept. */
 const maxRoutes = 12;
 
@@ -59,7 +57,7 @@
 
 	/** Ratios by route of the parent, then by route of the calls. */
 	#ratios = new Map<string, Map<string, number>>();
-	#inner = new Set<string>();
+	readonly #inner = new Map<string, boolean>();
 
 	private constructor() {}
 
@@ -84,9 +82,18 @@
 		return this.listCalls(parent).get(route) ?? 0;
 	}
 
-	/** Whether requests of a route from this instance are calls of the server, and not of callers. */
-	isInner(route: string): boolean {
-		return this.#inner.has(route);
+	/** Records what a guard says of the requests that come from this instance. */
+	setInner(route: string, isInner: boolean): void {
+		this.#inner.set(route, isInner);
+	}
+
+	/**
+	 * Whether requests of a route from this instance are calls of the server, and not of callers.
+	 *
+	 * @returns undefined while no guard has told
+	 */
+	isInner(route: string): boolean | undefined {
+		return this.#inner.get(route);
 	}
 
 	#closeSpans(nowMs: number): void {
@@ -134,24 +141,19 @@
 		const {begunMeans, madeMeans} = this.#moments;
 		const parents = listBusiest(begunMeans);
 		const ratios = new Map<string, Map<string, number>>();
-		const inner = new Set<string>();
 		for (const route of listBusiest(madeMeans)) {
-			const coefficients = this.#fit(parents, route);
-			let explained = 0;
-			for (const [parent, ratio] of coefficients) {
-				explained += ratio * begunMeans.get(parent)!;
+			if (this.#inner.get(route) !== true) {
+				continue;
+			}
+
+			for (const [parent, ratio] of this.#fit(parents, route)) {
 				const calls = ratios.get(parent) ?? new Map<string, number>();
 				calls.set(route, ratio);
 				ratios.set(parent, calls);
 			}
-
-			if (explained >= innerShare * madeMeans.get(route)!) {
-				inner.add(route);
-			}
 		}
 
 		this.#ratios = ratios;
-		this.#inner = inner;
 	}
 
 	/** Fits the calls of one route, leaving out parents whose ratio is not above chance. */
--- /dev/null
+++ b/src/sidecar/overload/caller-mix.test.ts
@@ -0,0 +1,42 @@
+import test from 'ava';
+import {CallerMix} from './caller-mix.ts';
+
+const services = ['catalogue', 'atelier', 'patrons', 'commandes'];
+
+test('a route asked from one service only is made of calls of its servers', t => {
+	const mix = CallerMix.create(() => 4);
+	for (let index = 0; index < 10; index++) {
+		mix.record('prices', 'patrons');
+	}
+
+	t.true(mix.isInner('prices', 'patrons', services));
+});
+
+test('a route asked beside all services is made of requests of callers', t => {
+	const mix = CallerMix.create(() => 4);
+	for (let index = 0; index < 40; index++) {
+		mix.record('lookup', services[index % 4]!);
+	}
+
+	for (const service of services) {
+		t.false(mix.isInner('lookup', service, services));
+	}
+});
+
+test('calls are seen among the requests of callers for the same route', t => {
+	const mix = CallerMix.create(() => 4);
+	for (let index = 0; index < 40; index++) {
+		mix.record('lookup', services[index % 4]!);
+		mix.record('lookup', 'patrons');
+		mix.record('lookup', 'patrons');
+	}
+
+	t.true(mix.isInner('lookup', 'patrons', services));
+	t.false(mix.isInner('lookup', 'atelier', services));
+});
+
+test('too few requests tell nothing', t => {
+	const mix = CallerMix.create(() => 4);
+	mix.record('prices', 'patrons');
+	t.is(mix.isInner('prices', 'patrons', services), undefined);
+});
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -21,6 +21,7 @@
 import {type ReplyNews} from './link/messages.ts';
 import {Admission} from './overload/admission.ts';
 import {CallModel} from './overload/call-model.ts';
+import {CallerMix} from './overload/caller-mix.ts';
 import {CostBook} from './overload/cost-book.ts';
 import {OpenShare} from './overload/open-share.ts';
 import {PressureBoard} from './overload/pressure-board.ts';
@@ -88,6 +89,7 @@
 	readonly #configFollower: TableFollower;
 	readonly #memberFollower: TableFollower;
 	readonly #model = CallModel.create();
+	readonly #mix = CallerMix.create(service => this.#directory.listService(service).length);
 	readonly #costs = CostBook.create();
 	readonly #openShare = OpenShare.create();
 	readonly #board: PressureBoard;
@@ -232,7 +234,8 @@
 					this.#server.setUnreachable();
 					this.#review();
 				},
-				handleArrival: (_head, use) => {
+				handleArrival: (head, use) => {
+					this.#mix.record(head.route, head.callerService);
 					this.#openShare.recordUse(use, performance.now());
 				},
 				handleStart: head => {
@@ -252,10 +255,18 @@
 			// Requests that stay on this instance bring no replies of other guards.
 			if (service !== undefined && this.#outcomes++ % costsEvery === 0) {
 				this.#costs.learn(route, service, this.#computeCosts(route)!);
+				this.#learnOwnMix(route, service);
 			}
 		}
 	}
 
+	#learnOwnMix(route: string, service: string): void {
+		const isInner = this.#mix.isInner(route, service, this.#directory.listServices());
+		if (isInner !== undefined) {
+			this.#model.setInner(route, isInner);
+		}
+	}
+
 	#createSync(): PeerSync {
 		return PeerSync.create({
 			directory: this.#directory,
@@ -309,7 +320,7 @@
 		return LinkServer.create({
 			guard: this.#guard,
 			incarnation: this.#incarnation,
-			readNews: route => this.#readNews(route),
+			readNews: (route, callerService) => this.#readNews(route, callerService),
 			answerSync: question => this.#sync.answer(question),
 			handleBadFrame: reason => {
 				this.logger.warn({reason}, 'frame of a peer not understood');
@@ -414,6 +425,10 @@
 			}
 		}
 
+		if (news.isInner !== undefined) {
+			this.#model.setInner(route, news.isInner);
+		}
+
 		if (news.costs !== undefined) {
 			this.#costs.learn(route, from.service, news.costs);
 		}
@@ -424,7 +439,7 @@
 	}
 
 	/** Collects what a reply to a request of a route tells besides. */
-	#readNews(route: string): ReplyNews {
+	#readNews(route: string, callerService: string): ReplyNews {
 		const nowMs = performance.now();
 		this.#recordOwnShare(nowMs);
 		return {
@@ -432,6 +447,7 @@
 			configVersion: this.#routes?.config.version ?? -1,
 			pressure: this.#board.listNews(nowMs),
 			costs: this.#replies++ % costsEvery === 0 ? this.#computeCosts(route) : undefined,
+			isInner: this.#mix.isInner(route, callerService, this.#directory.listServices()),
 		};
 	}
 
