--- a/src/sidecar/link/messages.ts
+++ b/src/sidecar/link/messages.ts
@@ -224,7 +224,18 @@
 }
 
 type EncodedPressure = [string, string, string, number, number];
-type EncodedNews = [number, number, number, number, EncodedPressure[], Array<[string, number]> | 0];
+type EncodedNews = [
+	running: number,
+	waiting: number,
+	limit: number,
+	configVersion: number,
+	pressure: EncodedPressure[],
+	costs: Array<[string, number]> | 0,
+	inner: EncodedFlag,
+];
+
+/** A flag that may be unknown. */
+type EncodedFlag = 0 | 1 | 2;
 
 function encodeNews(news: ReplyNews): EncodedNews {
 	const {running, waiting, limit} = news.load;
@@ -233,7 +244,7 @@
 		pressure.push([instance, service, region, roundShare(openShare), Math.round(ageMs)]);
 	}
 
-	const inner = news.isInner === undefined ? 2 : news.isInner ? 1 : 0;
+	const inner = encodeFlag(news.isInner);
 	return [running, waiting, limit, news.configVersion, pressure, encodeCosts(news.costs), inner];
 }
 
@@ -250,6 +261,14 @@
 	return encoded;
 }
 
+function encodeFlag(flag: boolean | undefined): EncodedFlag {
+	if (flag === undefined) {
+		return 2;
+	}
+
+	return flag ? 1 : 0;
+}
+
 function roundShare(share: number): number {
 	return Math.round(share * 1000) / 1000;
 }
