--- a/ava.config.js
+++ b/ava.config.js
@@ -2,6 +2,7 @@
 const avaConfig = {
 	files: [
 		'src/**/*.test.ts',
+		'platform/**/*.test.ts',
 		'stand-ins/**/*.test.ts',
 		'bench/**/*.test.ts',
 		'scripts/**/*.test.ts',
