Start fewer trees while a deep server refuses at random, and repeat their refused calls; react to queues only

Ruled out: slots (arrivals were refused with slots free), the budget (again 2739 of 97787 arrivals).

--- a/src/sidecar/control-server.ts
+++ b/src/sidecar/control-server.ts
@@ -28,8 +28,8 @@
 /** Creates the handler of the server's reports and leave messages. */
 export function createControlHandler(options: ControlOptions): http.RequestListener {
 	return (request, response) => {
-		const chunks: Buffer[] = [];
-		request.on('data', (chunk: Buffer) => {
+		const chunks: Uint8Array[] = [];
+		request.on('data', (chunk: Uint8Array) => {
 			chunks.push(chunk);
 		});
 		request.on('end', () => {
--- a/src/sidecar/entry/caller-answer.ts
+++ b/src/sidecar/entry/caller-answer.ts
@@ -1,5 +1,4 @@
 /** Writes answers to callers. */
-import {type Buffer} from 'node:buffer';
 import type http from 'node:http';
 import {type RawHeaders} from '../types.ts';
 
@@ -43,7 +42,7 @@
 export function relayAnswer(
 	response: http.ServerResponse,
 	answer: {readonly status: number; readonly headers: RawHeaders},
-	body: Buffer,
+	body: Uint8Array,
 	closes: boolean,
 ): void {
 	const headers = [...answer.headers];
--- a/src/sidecar/entry/entry-call.ts
+++ b/src/sidecar/entry/entry-call.ts
@@ -1,5 +1,4 @@
 /** One caller's request, from its head to its answer: classify, decide, send, relay. */
-import {Buffer} from 'node:buffer';
 import type http from 'node:http';
 import {
 	type AnswerHead,
@@ -8,6 +7,7 @@
 	type ReplyNews,
 } from '../link/messages.ts';
 import {type MemberView} from '../knowledge/member-view.ts';
+import {type CallLevel} from '../overload/retry-budget.ts';
 import {pickMember} from '../routing/picker.ts';
 import {type RequestHead, type Route} from '../types.ts';
 import {
@@ -24,6 +24,8 @@
 const defaultDeadlineMs = 30_000;
 /** Guards that are asked in turn before a request is given up as refused. */
 const maxRefusals = 3;
+/** Sends of one request to servers that refuse it without running it. */
+const maxSends = 10;
 /** A request with less time left is not worth sending: the way there and back takes some of it. */
 const minUsefulMs = 5;
 /** Return of callers who were refused for want of room: spread over this span after a first pause. */
@@ -37,7 +39,7 @@
 	readonly response: http.ServerResponse;
 	readonly head: RequestHead;
 	/** The whole body, or the part of it that has come. */
-	readonly body: Buffer;
+	readonly body: Uint8Array;
 	readonly isWhole: boolean;
 };
 
@@ -58,6 +60,8 @@
 	#timer: NodeJS.Timeout | undefined;
 	#send: Send | undefined;
 	readonly #tried = new Set<string>();
+	/** Members whose servers had the request. */
+	readonly #servers = new Set<MemberView>();
 	/** Sends that reached a server. */
 	#arrivals = 0;
 	#refusals = 0;
@@ -175,10 +179,10 @@
 				view.recordLoad(news.load, performance.now());
 				this.ctx.handleNews(view.member, this.#route!.name, news);
 			},
-			handleAnswer: (head: AnswerHead, body: Buffer) => {
+			handleAnswer: (head: AnswerHead, body: Uint8Array) => {
 				this.#handleAnswer(view, head, body);
 			},
-			handleData: (chunk: Buffer) => {
+			handleData: (chunk: Uint8Array) => {
 				if (!this.caller.response.write(chunk)) {
 					this.#send?.setPaused(true);
 				}
@@ -199,11 +203,11 @@
 		};
 	}
 
-	#handleAnswer(view: MemberView, head: AnswerHead, body: Buffer): void {
-		this.#arrivals++;
-		if (head.isNotRun && head.isWhole && this.#canRepeat()) {
+	#handleAnswer(view: MemberView, head: AnswerHead, body: Uint8Array): void {
+		this.#recordArrival(view);
+		if (head.isNotRun && head.isWhole && this.#arrivals < maxSends && this.#canRepeat()) {
 			this.#lastReason = `the server refused with ${head.status}`;
-			this.#sendOn();
+			this.#sendAgain();
 			return;
 		}
 
@@ -221,7 +225,7 @@
 	}
 
 	/** Hands a server's answer to the caller. */
-	#relay(head: AnswerHead, body: Buffer): void {
+	#relay(head: AnswerHead, body: Uint8Array): void {
 		const isPromiseBroken = head.isNotRun && this.#mayHaveRun;
 		if (isPromiseBroken) {
 			this.#giveUp('an earlier send may have run');
@@ -252,7 +256,7 @@
 	}
 
 	#handleFailure(view: MemberView, head: FailureHead, wasReached: boolean): void {
-		this.#arrivals++;
+		this.#recordArrival(view);
 		this.#mayHaveRun = true;
 		this.#lastReason = head.reason;
 		if (!wasReached) {
@@ -262,22 +266,52 @@
 		if (this.caller.response.headersSent) {
 			this.caller.response.destroy();
 			this.#finish(0, 'cut short');
-		} else if (this.#route!.callKind === 'repeatable' && this.#canRepeat()) {
+		} else if (this.#hasFurtherServers() && this.#canRepeat()) {
 			this.#sendOn();
 		} else {
 			this.#giveUp(head.reason);
 		}
 	}
 
-	/** Whether the request may go to a further server after one had it. */
+	#recordArrival(view: MemberView): void {
+		this.#arrivals++;
+		this.#servers.add(view);
+	}
+
+	/** Whether a request that may have run may go to a further server. */
+	#hasFurtherServers(): boolean {
+		const {callKind, maxAttempts} = this.#route!;
+		return callKind === 'repeatable' && this.#servers.size < maxAttempts;
+	}
+
+	#findLevel(): CallLevel {
+		return this.ctx.costs.isLeaf(this.#route!.name, this.#service) ? 'leaf' : 'inner';
+	}
+
+	/** Sends a request that a server refused to a further one, or again to one that had it. */
+	#sendAgain(): void {
+		if (this.#servers.size < this.#route!.maxAttempts) {
+			this.#sendOn();
+			return;
+		}
+
+		const nowMs = performance.now();
+		const view = pickMember([...this.#servers], new Set(), nowMs, this.ctx.random);
+		if (view === undefined) {
+			this.#giveUp('no server has room');
+		} else {
+			this.#sendTo(view, nowMs);
+		}
+	}
+
+	/** Whether time and budget allow a further send. */
 	#canRepeat(): boolean {
 		const nowMs = performance.now();
 		return (
 			!this.#isDone &&
 			this.caller.isWhole &&
-			this.#arrivals < this.#route!.maxAttempts &&
 			this.#answerByMs - nowMs > minUsefulMs &&
-			this.ctx.budget.spend(this.#service, nowMs)
+			this.ctx.budget.spend(this.#service, this.#findLevel(), nowMs)
 		);
 	}
 
@@ -351,7 +385,7 @@
 	/** Passes on the rest of a body that is too long to be kept. */
 	#streamBody(): void {
 		const {request} = this.caller;
-		request.on('data', (chunk: Buffer) => {
+		request.on('data', (chunk: Uint8Array) => {
 			if (this.#send?.sendBody(chunk) === false) {
 				request.pause();
 			}
--- a/src/sidecar/entry/entry-context.ts
+++ b/src/sidecar/entry/entry-context.ts
@@ -1,6 +1,7 @@
 /** What all calls of one entry share. */
 import {type Admission} from '../overload/admission.ts';
 import {type CallModel} from '../overload/call-model.ts';
+import {type CostBook} from '../overload/cost-book.ts';
 import {type RetryBudget} from '../overload/retry-budget.ts';
 import {type Directory} from '../knowledge/directory.ts';
 import {type RouteTable} from '../knowledge/route-table.ts';
@@ -16,6 +17,7 @@
 	readonly budget: RetryBudget;
 	readonly admission: Admission;
 	readonly model: CallModel;
+	readonly costs: CostBook;
 	readonly log: RequestLog;
 	/** Undefined until a configuration is known. */
 	readRoutes(): RouteTable | undefined;
--- a/src/sidecar/entry/entry-server.ts
+++ b/src/sidecar/entry/entry-server.ts
@@ -81,7 +81,7 @@
 		const {headers} = request;
 		const hasBody =
 			headers['transfer-encoding'] !== undefined || (headers['content-length'] ?? '0') !== '0';
-		const start = (body: Buffer, isWhole: boolean) => {
+		const start = (body: Uint8Array, isWhole: boolean) => {
 			EntryCall.create(this.ctx, {request, response, head, body, isWhole}).start();
 		};
 
@@ -96,11 +96,11 @@
 /** Collects a body until it is whole or too long to be kept. */
 function receiveBody(
 	request: http.IncomingMessage,
-	onBody: (body: Buffer, isWhole: boolean) => void,
+	onBody: (body: Uint8Array, isWhole: boolean) => void,
 ): void {
-	const chunks: Buffer[] = [];
+	const chunks: Uint8Array[] = [];
 	let bytes = 0;
-	const handleData = (chunk: Buffer) => {
+	const handleData = (chunk: Uint8Array) => {
 		chunks.push(chunk);
 		bytes += chunk.length;
 		if (bytes > maxKeptBodyBytes) {
--- a/src/sidecar/entry/send.ts
+++ b/src/sidecar/entry/send.ts
@@ -4,7 +4,6 @@
  * A link that is lost or silent is replaced: the guard is asked over a new connection, and tells the
  * answer there, or that the request was never run.
  */
-import {type Buffer} from 'node:buffer';
 import {type MemberView} from '../knowledge/member-view.ts';
 import {type Guard} from '../guard/guard.ts';
 import {type Exchange} from '../link/exchange.ts';
@@ -29,8 +28,8 @@
 /** What a send tells the call that it belongs to; one of the last four ends it. */
 export type SendListener = {
 	handleNews(news: ReplyNews): void;
-	handleAnswer(head: AnswerHead, body: Buffer): void;
-	handleData(chunk: Buffer): void;
+	handleAnswer(head: AnswerHead, body: Uint8Array): void;
+	handleData(chunk: Uint8Array): void;
 	handleEnd(): void;
 	/** `wasReached` is false when no connection to the peer came about. */
 	handleRefusal(head: RefusalHead, wasReached: boolean): void;
@@ -66,7 +65,7 @@
 	) {}
 
 	/** Sends the request; the listener may hear the end before this returns. */
-	start(guard: Guard, body: Buffer): void {
+	start(guard: Guard, body: Uint8Array): void {
 		this.view.recordSend();
 		const {way} = this.view;
 		switch (way.kind) {
@@ -90,7 +89,7 @@
 		}
 	}
 
-	sendBody(chunk: Buffer): boolean {
+	sendBody(chunk: Uint8Array): boolean {
 		return this.#exchange?.sendBody(chunk) ?? true;
 	}
 
@@ -163,7 +162,7 @@
 		};
 	}
 
-	#handleAnswer(head: AnswerHead, body: Buffer): void {
+	#handleAnswer(head: AnswerHead, body: Uint8Array): void {
 		this.#hasAnswerBegun = true;
 		clearTimeout(this.#timer);
 		if (head.isWhole && !this.#end()) {
@@ -201,7 +200,7 @@
 		const canResume = !this.#hasAnswerBegun && this.head.isWhole;
 		if (!canResume || this.#resumes >= maxResumes) {
 			if (this.#end()) {
-				this.listener.handleFailure({reason: 'the link was lost'}, canResume === false);
+				this.listener.handleFailure({reason: 'the link was lost'}, !canResume);
 			}
 
 			return;
--- a/src/sidecar/guard/guard.ts
+++ b/src/sidecar/guard/guard.ts
@@ -2,7 +2,6 @@
  * The only way to the backend server: admits requests, bounds what runs there, and can prove of a
  * request that it was not run.
  */
-import {type Buffer} from 'node:buffer';
 import {type Exchange, type ExchangeListener} from '../link/exchange.ts';
 import {type CallHead, type GuardLoad, type RefusalReason} from '../link/messages.ts';
 import {type HeadCodec, type Member} from '../types.ts';
@@ -98,7 +97,7 @@
 	}
 
 	/** Takes a request: runs it, lets it wait, or refuses it at once. */
-	accept(head: CallHead, body: Buffer, listener: ExchangeListener): Exchange {
+	accept(head: CallHead, body: Uint8Array, listener: ExchangeListener): Exchange {
 		const reason = this.#findRefusal(head);
 		if (reason !== undefined) {
 			const isOutdated =
--- a/src/sidecar/guard/guarded-call.ts
+++ b/src/sidecar/guard/guarded-call.ts
@@ -42,7 +42,7 @@
 	 */
 	static create(
 		head: CallHead,
-		body: Buffer,
+		body: Uint8Array,
 		listener: ExchangeListener,
 		owner: CallOwner,
 	): GuardedCall {
@@ -60,7 +60,7 @@
 	#connection: CallConnection | undefined;
 	#startedAtMs = 0;
 	#answer: ServerAnswerHead | undefined;
-	#chunks: Buffer[] = [];
+	#chunks: Uint8Array[] = [];
 	#collectedBytes = 0;
 	#isStreaming = false;
 	#isBodyWhole: boolean;
@@ -69,7 +69,7 @@
 
 	private constructor(
 		readonly head: CallHead,
-		private body: Buffer,
+		private body: Uint8Array,
 		listener: ExchangeListener,
 		private readonly owner: CallOwner,
 	) {
@@ -139,7 +139,7 @@
 		});
 	}
 
-	sendBody(chunk: Buffer): boolean {
+	sendBody(chunk: Uint8Array): boolean {
 		if (this.#phase === 'running') {
 			return this.#connection!.sendChunk(chunk);
 		}
@@ -173,7 +173,7 @@
 			handleHead: (head: ServerAnswerHead) => {
 				this.#answer = head;
 			},
-			handleData: (chunk: Buffer) => {
+			handleData: (chunk: Uint8Array) => {
 				this.#collect(chunk);
 			},
 			handleEnd: () => {
@@ -185,7 +185,7 @@
 		};
 	}
 
-	#collect(chunk: Buffer): void {
+	#collect(chunk: Uint8Array): void {
 		if (this.#isStreaming) {
 			this.#listener.handleData(chunk);
 			return;
@@ -199,7 +199,7 @@
 		}
 	}
 
-	#takeBody(): Buffer {
+	#takeBody(): Uint8Array {
 		const chunks = this.#chunks;
 		this.#chunks = [];
 		return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
--- a/src/sidecar/guard/server-connection.ts
+++ b/src/sidecar/guard/server-connection.ts
@@ -15,7 +15,7 @@
 /** What a connection tells the request that it carries. */
 export type ConnectionListener = {
 	handleHead(head: ServerAnswerHead): void;
-	handleData(chunk: Buffer): void;
+	handleData(chunk: Uint8Array): void;
 	/** The answer is whole. */
 	handleEnd(): void;
 	/** There will be no whole answer. */
@@ -80,7 +80,7 @@
 	 * @param isWhole - whether the body is complete
 	 */
 	send(
-		request: {requestId: string; method: string; head: string; body: Buffer; isWhole: boolean},
+		request: {requestId: string; method: string; head: string; body: Uint8Array; isWhole: boolean},
 		listener: ConnectionListener,
 	): void {
 		this.#exchange = {requestId: request.requestId, listener};
@@ -99,7 +99,7 @@
 	}
 
 	/** Sends a part of a body as one chunk; false asks for a pause. */
-	sendChunk(chunk: Buffer): boolean {
+	sendChunk(chunk: Uint8Array): boolean {
 		const size = Buffer.from(`${chunk.length.toString(16)}\r\n`, 'latin1');
 		return this.#socket.write(Buffer.concat([size, chunk, Buffer.from('\r\n', 'latin1')]));
 	}
--- a/src/sidecar/guard/server-pool.ts
+++ b/src/sidecar/guard/server-pool.ts
@@ -81,7 +81,7 @@
 
 	#closeStale(): void {
 		const nowMs = performance.now();
-		for (const connection of [...this.#idle]) {
+		for (const connection of this.#idle) {
 			const keepMs = (connection.keepAliveMs ?? defaultKeepMs) * keptShare;
 			if (nowMs - connection.idleSinceMs > keepMs) {
 				this.#idle = this.#idle.filter(each => each !== connection);
--- a/src/sidecar/guard/waiting-line.ts
+++ b/src/sidecar/guard/waiting-line.ts
@@ -13,7 +13,9 @@
 
 	readonly #waiting: T[] = [];
 
-	private constructor() {}
+	private constructor() {
+		// Made by `create`.
+	}
 
 	get length(): number {
 		return this.#waiting.length;
--- a/src/sidecar/link/exchange.ts
+++ b/src/sidecar/link/exchange.ts
@@ -1,13 +1,12 @@
 /** How an entry talks to a guard, whether over a link or within the same process. */
-import {type Buffer} from 'node:buffer';
 import {type AnswerHead, type FailureHead, type RefusalHead, type ReplyNews} from './messages.ts';
 
 /** What a guard tells of one request; exactly one of the last four ends it. */
 export type ExchangeListener = {
 	handleNews(news: ReplyNews): void;
 	/** The head of an answer; data and an end follow unless it is whole. */
-	handleAnswer(head: AnswerHead, body: Buffer): void;
-	handleData(chunk: Buffer): void;
+	handleAnswer(head: AnswerHead, body: Uint8Array): void;
+	handleData(chunk: Uint8Array): void;
 	handleEnd(): void;
 	/** The request was not run and never will be. */
 	handleRefusal(head: RefusalHead): void;
@@ -20,7 +19,7 @@
 	/** Tells the guard that nobody waits any more. */
 	cancel(): void;
 	/** Sends a part of a body; false asks for a pause until `onDrain`. */
-	sendBody(chunk: Buffer): boolean;
+	sendBody(chunk: Uint8Array): boolean;
 	endBody(): void;
 	/** Stops and starts the flow of a long answer. */
 	setPaused(isPaused: boolean): void;
--- a/src/sidecar/link/frame-socket.ts
+++ b/src/sidecar/link/frame-socket.ts
@@ -1,5 +1,4 @@
 /** A socket that carries frames. */
-import {type Buffer} from 'node:buffer';
 import type net from 'node:net';
 import {encodeFrame, type Frame, FrameReader, type FrameType} from './frames.ts';
 
@@ -51,7 +50,7 @@
 	}
 
 	/** Sends one frame; false asks for a pause until the drain. */
-	send(type: FrameType, head: string, body?: Buffer): boolean {
+	send(type: FrameType, head: string, body?: Uint8Array): boolean {
 		return this.socket.write(encodeFrame(type, head, body));
 	}
 
--- a/src/sidecar/link/frames.ts
+++ b/src/sidecar/link/frames.ts
@@ -40,7 +40,7 @@
 const noBody = Buffer.alloc(0);
 
 /** One decoded frame. */
-export type Frame = {readonly type: FrameType; readonly head: string; readonly body: Buffer};
+export type Frame = {readonly type: FrameType; readonly head: string; readonly body: Uint8Array};
 
 /**
  * Encodes one frame.
@@ -48,14 +48,14 @@
  * @example
  * socket.write(encodeFrame(frameTypes.open, JSON.stringify(head), body));
  */
-export function encodeFrame(type: FrameType, head: string, body: Buffer = noBody): Buffer {
+export function encodeFrame(type: FrameType, head: string, body: Uint8Array = noBody): Uint8Array {
 	const headBytes = Buffer.byteLength(head);
 	const frame = Buffer.allocUnsafe(fixedBytes + headBytes + body.length);
 	frame.writeUInt32BE(frame.length - lengthBytes, 0);
 	frame[4] = type;
 	frame.writeUInt32BE(headBytes, 5);
 	frame.write(head, fixedBytes, 'utf8');
-	body.copy(frame, fixedBytes + headBytes);
+	frame.set(body, fixedBytes + headBytes);
 	return frame;
 }
 
@@ -70,17 +70,22 @@
 		return new FrameReader();
 	}
 
-	#rest: Buffer = noBody;
+	#rest: Uint8Array = noBody;
 
-	private constructor() {}
+	private constructor() {
+		// Made by `create`.
+	}
 
 	/**
 	 * Reads all frames that a chunk completes.
 	 *
 	 * @returns false when the bytes are no frames; the connection has to be closed then
 	 */
-	read(chunk: Buffer, onFrame: (frame: Frame) => void): boolean {
-		let bytes = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk]);
+	read(chunk: Uint8Array, onFrame: (frame: Frame) => void): boolean {
+		let bytes =
+			this.#rest.length === 0
+				? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length)
+				: Buffer.concat([this.#rest, chunk]);
 		while (bytes.length >= fixedBytes) {
 			const length = bytes.readUInt32BE(0);
 			const headBytes = bytes.readUInt32BE(5);
@@ -94,8 +99,9 @@
 
 			const bodyStart = fixedBytes + headBytes;
 			const frameEnd = lengthBytes + length;
+			const type = bytes[4] as FrameType;
 			onFrame({
-				type: bytes[4] as FrameType,
+				type,
 				head: bytes.toString('utf8', fixedBytes, bodyStart),
 				body: bytes.subarray(bodyStart, frameEnd),
 			});
--- a/src/sidecar/link/link-client.ts
+++ b/src/sidecar/link/link-client.ts
@@ -1,5 +1,4 @@
 /** The entry's side of links: one pool of connections for each peer. */
-import {type Buffer} from 'node:buffer';
 import net from 'node:net';
 import {type SocketAddress} from '../types.ts';
 import {type Exchange, type ExchangeListener} from './exchange.ts';
@@ -64,7 +63,7 @@
 	private constructor(private readonly address: SocketAddress) {}
 
 	/** Sends a request to the guard of the peer. */
-	open(head: CallHead, body: Buffer, listener: LinkListener): Exchange {
+	open(head: CallHead, body: Uint8Array, listener: LinkListener): Exchange {
 		return this.#acquire().open(head, body, listener);
 	}
 
@@ -160,7 +159,7 @@
 		});
 	}
 
-	open(head: CallHead, body: Buffer, listener: LinkListener): Exchange {
+	open(head: CallHead, body: Uint8Array, listener: LinkListener): Exchange {
 		this.#state = {kind: 'exchange', listener};
 		this.#isCancelled = false;
 		this.#frames.send(frameTypes.open, encodeCall(head), body);
@@ -197,7 +196,7 @@
 		}
 	}
 
-	sendBody(chunk: Buffer): boolean {
+	sendBody(chunk: Uint8Array): boolean {
 		return this.#frames.send(frameTypes.data, '', chunk);
 	}
 
--- a/src/sidecar/link/link-server.ts
+++ b/src/sidecar/link/link-server.ts
@@ -97,7 +97,7 @@
 		// News travel from guards to entries.
 	}
 
-	handleAnswer(head: AnswerHead, body: Buffer): void {
+	handleAnswer(head: AnswerHead, body: Uint8Array): void {
 		const text = encodeAnswer(head, this.options.readNews(this.#route, this.#callerService));
 		const isWritable = this.#frames.send(frameTypes.answer, text, body);
 		if (head.isWhole) {
@@ -107,7 +107,7 @@
 		}
 	}
 
-	handleData(chunk: Buffer): void {
+	handleData(chunk: Uint8Array): void {
 		if (!this.#frames.send(frameTypes.data, '', chunk)) {
 			this.#exchange?.setPaused(true);
 		}
--- a/src/sidecar/link/messages.ts
+++ b/src/sidecar/link/messages.ts
@@ -3,6 +3,7 @@
  *
  * Fields have one-letter names, since each request carries two heads over links that are billed by volume.
  */
+import {type Cost, type CostVector} from '../overload/cost-book.ts';
 import {type Member, type RawHeaders} from '../types.ts';
 
 /** How busy a guard is, as it says on each reply. */
@@ -58,7 +59,7 @@
 	/** Overload of services as the guard knows it. */
 	readonly pressure: readonly PressureNews[];
 	/** Slot time that one request of the route costs, by service; on some replies only. */
-	readonly costs: ReadonlyMap<string, number> | undefined;
+	readonly costs: CostVector | undefined;
 	/** Whether such requests from the entry's instance are calls of the server there, as far as known. */
 	readonly isInner: boolean | undefined;
 };
@@ -70,6 +71,8 @@
 	readonly region: string;
 	/** Share of the demand that the service can take; 1 when it takes all. */
 	readonly openShare: number;
+	/** Share of the demand for which repeats suffice, while the server refuses requests at random. */
+	readonly repeatableShare: number;
 	readonly ageMs: number;
 };
 
@@ -138,7 +141,7 @@
 	const [reason, hasArrived, member, news] = JSON.parse(text) as [
 		RefusalReason,
 		number,
-		Member | null,
+		Member | undefined,
 		EncodedNews,
 	];
 	return {
@@ -223,14 +226,23 @@
 	};
 }
 
-type EncodedPressure = [string, string, string, number, number];
+type EncodedPressure = [
+	instance: string,
+	service: string,
+	region: string,
+	openShare: number,
+	repeatableShare: number,
+	ageMs: number,
+];
+type EncodedCosts = Array<[service: string, slotMs: number, calls: number]>;
+
 type EncodedNews = [
 	running: number,
 	waiting: number,
 	limit: number,
 	configVersion: number,
 	pressure: EncodedPressure[],
-	costs: Array<[string, number]> | 0,
+	costs: EncodedCosts | 0,
 	inner: EncodedFlag,
 ];
 
@@ -240,27 +252,38 @@
 function encodeNews(news: ReplyNews): EncodedNews {
 	const {running, waiting, limit} = news.load;
 	const pressure: EncodedPressure[] = [];
-	for (const {instance, service, region, openShare, ageMs} of news.pressure) {
-		pressure.push([instance, service, region, roundShare(openShare), Math.round(ageMs)]);
+	for (const report of news.pressure) {
+		const {instance, service, region, openShare, repeatableShare, ageMs} = report;
+		const shares = [roundShare(openShare), roundShare(repeatableShare)] as const;
+		pressure.push([instance, service, region, ...shares, Math.round(ageMs)]);
 	}
 
 	const inner = encodeFlag(news.isInner);
 	return [running, waiting, limit, news.configVersion, pressure, encodeCosts(news.costs), inner];
 }
 
-function encodeCosts(costs: ReadonlyMap<string, number> | undefined): Array<[string, number]> | 0 {
+function encodeCosts(costs: CostVector | undefined): EncodedCosts | 0 {
 	if (costs === undefined) {
 		return 0;
 	}
 
-	const encoded: Array<[string, number]> = [];
-	for (const [service, cost] of costs) {
-		encoded.push([service, Math.round(cost * 10) / 10]);
+	const encoded: EncodedCosts = [];
+	for (const [service, {slotMs, calls}] of costs) {
+		encoded.push([service, Math.round(slotMs * 10) / 10, Math.round(calls * 100) / 100]);
 	}
 
 	return encoded;
 }
 
+function decodeCosts(encoded: EncodedCosts): CostVector {
+	const costs = new Map<string, Cost>();
+	for (const [service, slotMs, calls] of encoded) {
+		costs.set(service, {slotMs, calls});
+	}
+
+	return costs;
+}
+
 function encodeFlag(flag: boolean | undefined): EncodedFlag {
 	if (flag === undefined) {
 		return 2;
@@ -276,15 +299,15 @@
 function decodeNews(encoded: EncodedNews): ReplyNews {
 	const [running, waiting, limit, configVersion, reports, costs, inner] = encoded;
 	const pressure: PressureNews[] = [];
-	for (const [instance, service, region, openShare, ageMs] of reports) {
-		pressure.push({instance, service, region, openShare, ageMs});
+	for (const [instance, service, region, openShare, repeatableShare, ageMs] of reports) {
+		pressure.push({instance, service, region, openShare, repeatableShare, ageMs});
 	}
 
 	return {
 		load: {running, waiting, limit},
 		configVersion,
 		pressure,
-		costs: costs === 0 ? undefined : new Map(costs),
+		costs: costs === 0 ? undefined : decodeCosts(costs),
 		isInner: inner === 2 ? undefined : inner === 1,
 	};
 }
--- a/src/sidecar/overload/admission.ts
+++ b/src/sidecar/overload/admission.ts
@@ -7,7 +7,7 @@
  */
 import {type Route} from '../types.ts';
 import {type CallModel} from './call-model.ts';
-import {type CostBook, type CostVector} from './cost-book.ts';
+import {type Cost, type CostBook, type CostVector} from './cost-book.ts';
 import {type PressureBoard} from './pressure-board.ts';
 
 export type AdmissionVerdict =
@@ -26,6 +26,14 @@
 const firstReturnMs = 300;
 const returnSpanMs = 1500;
 
+/** What one route asks of a scarce service. */
+type Need = {
+	readonly key: string;
+	readonly rate: number;
+	readonly cost: number;
+	readonly priority: number;
+};
+
 type Demand = {readonly route: Route; readonly service: string; rate: number; arrived: number};
 
 export class Admission {
@@ -97,8 +105,17 @@
 		}
 
 		const shares = new Map<string, {share: number; service: string}>();
-		for (const [service, openShare] of this.options.board.listPressed(nowMs)) {
-			this.#planService(service, openShare, shares);
+		for (const [service, pressure] of this.options.board.listPressed(nowMs)) {
+			this.#planService(
+				this.#listNeeds(service, 'slotMs'),
+				{service, share: pressure.openShare},
+				shares,
+			);
+			this.#planService(
+				this.#listNeeds(service, 'calls'),
+				{service, share: pressure.repeatableShare},
+				shares,
+			);
 		}
 
 		this.#shares = shares;
@@ -106,11 +123,15 @@
 
 	/** Shares the room of one service among the routes that need it. */
 	#planService(
-		service: string,
-		openShare: number,
+		needs: readonly Need[],
+		open: {readonly service: string; readonly share: number},
 		shares: Map<string, {share: number; service: string}>,
 	): void {
-		const needs = this.#listNeeds(service);
+		const {service, share: openShare} = open;
+		if (openShare >= 1) {
+			return;
+		}
+
 		let room = 0;
 		for (const need of needs) {
 			room += need.rate * need.cost * openShare;
@@ -133,14 +154,14 @@
 	}
 
 	/** Lists the routes that need a service, those to be served first at the beginning. */
-	#listNeeds(service: string): Array<{key: string; rate: number; cost: number; priority: number}> {
-		const needs: Array<{key: string; rate: number; cost: number; priority: number}> = [];
+	#listNeeds(service: string, unit: keyof Cost): Need[] {
+		const needs: Need[] = [];
 		for (const [key, demand] of this.#demands) {
 			const costs: CostVector | undefined = this.options.costs.read(
 				demand.route.name,
 				demand.service,
 			);
-			const cost = costs?.get(service) ?? (demand.service === service ? 1 : 0);
+			const cost = costs?.get(service)?.[unit] ?? (demand.service === service ? 1 : 0);
 			if (cost > 0) {
 				needs.push({key, rate: demand.rate, cost, priority: demand.route.priority});
 			}
--- a/src/sidecar/overload/call-model.ts
+++ b/src/sidecar/overload/call-model.ts
@@ -59,7 +59,9 @@
 	#ratios = new Map<string, Map<string, number>>();
 	readonly #inner = new Map<string, boolean>();
 
-	private constructor() {}
+	private constructor() {
+		// Made by `create`.
+	}
 
 	/** Counts a request that the server begins to run. */
 	recordBegun(route: string, nowMs: number): void {
--- a/src/sidecar/overload/cost-book.ts
+++ b/src/sidecar/overload/cost-book.ts
@@ -5,8 +5,16 @@
  * answers to them. The sum rides back on answers, so that costs travel up the call trees hop by hop.
  */
 
-/** Time in a slot, in milliseconds, by service. */
-export type CostVector = ReadonlyMap<string, number>;
+/** What one request costs one service. */
+export type Cost = {
+	/** Time in a slot, in milliseconds. */
+	readonly slotMs: number;
+	/** Requests at the service. */
+	readonly calls: number;
+};
+
+/** Costs by service. */
+export type CostVector = ReadonlyMap<string, Cost>;
 
 /** Smoothing of the time at the own server, per request. */
 const ownWeight = 0.05;
@@ -19,7 +27,7 @@
 	/**
 	 * @example
 	 * const book = CostBook.create();
-	 * book.learn('r-orders', 'catalogue', new Map([['catalogue', 80], ['commandes', 88]]));
+	 * book.learn('r-orders', 'catalogue', new Map([['catalogue', {slotMs: 80, calls: 1}]]));
 	 */
 	static create(): CostBook {
 		return new CostBook();
@@ -32,7 +40,9 @@
 	/** Time in a slot of the own server, by route. */
 	readonly #own = new Map<string, number>();
 
-	private constructor() {}
+	private constructor() {
+		// Made by `create`.
+	}
 
 	/** Takes the costs of a route that an answer of a service told. */
 	learn(route: string, service: string, costs: CostVector): void {
@@ -45,6 +55,11 @@
 		return this.#learnt.get(`${route} ${service}`);
 	}
 
+	/** Whether a route is known to make no calls. */
+	isLeaf(route: string, service: string): boolean {
+		return this.read(route, service)?.size === 1;
+	}
+
 	/** Counts the time that a request held a slot of the own server. */
 	recordOwn(route: string, ranMs: number): void {
 		const known = this.#own.get(route);
@@ -53,12 +68,14 @@
 
 	/** Adds up the costs of a route that the own server runs. */
 	compute(route: string, service: string, calls: ReadonlyMap<string, number>): CostVector {
-		const costs = new Map<string, number>([[service, this.#own.get(route) ?? 0]]);
+		const costs = new Map<string, Cost>([[service, {slotMs: this.#own.get(route) ?? 0, calls: 1}]]);
 		for (const [callRoute, ratio] of calls) {
 			for (const [callService, cost] of this.#byRoute.get(callRoute) ?? []) {
-				const sum = (costs.get(callService) ?? 0) + ratio * cost;
-				if (sum >= minCostMs && (costs.has(callService) || costs.size < maxServices)) {
-					costs.set(callService, sum);
+				const known = costs.get(callService);
+				const slotMs = (known?.slotMs ?? 0) + ratio * cost.slotMs;
+				const calls = (known?.calls ?? 0) + ratio * cost.calls;
+				if (slotMs >= minCostMs && (known !== undefined || costs.size < maxServices)) {
+					costs.set(callService, {slotMs, calls});
 				}
 			}
 		}
--- a/src/sidecar/overload/open-share.ts
+++ b/src/sidecar/overload/open-share.ts
@@ -5,8 +5,11 @@
  * itself as soon as there is room, in proportion to how far use is from its target.
  */
 
-/** Use of the slots, those who wait included, that the share aims at. */
-const targetUse = 0.86;
+/**
+ * Use of the slots that the share aims at, those who wait included. A third of the slots' worth of
+ * waiting delays a request by a third of the time that others take; below that the server is not short.
+ */
+const targetUse = 1.3;
 const stepMs = 100;
 /** Exponents of the correction per step: what builds up must be stopped faster than room is given back. */
 const cutExponent = 0.45;
@@ -31,7 +34,9 @@
 	#uses = 0;
 	#stepAtMs = 0;
 
-	private constructor() {}
+	private constructor() {
+		// Made by `create`.
+	}
 
 	/** Records the use of the slots that an arriving request finds. */
 	recordUse(use: number, nowMs: number): void {
--- a/src/sidecar/overload/pressure-board.ts
+++ b/src/sidecar/overload/pressure-board.ts
@@ -12,10 +12,19 @@
 /** A guard that takes nearly all is not worth the bytes. */
 const closedBelow = 0.995;
 
+/** Shares of its demand that a service can take. */
+export type Pressure = {
+	/** By the slots of its servers. */
+	readonly openShare: number;
+	/** By the repeats that may be spent, while servers refuse requests at random. */
+	readonly repeatableShare: number;
+};
+
 type Report = {
 	readonly service: string;
 	readonly region: string;
 	readonly openShare: number;
+	readonly repeatableShare: number;
 	readonly atMs: number;
 };
 
@@ -39,14 +48,14 @@
 		const atMs = nowMs - news.ageMs;
 		const known = this.#reports.get(news.instance);
 		if (known === undefined || known.atMs < atMs) {
-			const {service, region, openShare} = news;
-			this.#reports.set(news.instance, {service, region, openShare, atMs});
+			const {service, region, openShare, repeatableShare} = news;
+			this.#reports.set(news.instance, {service, region, openShare, repeatableShare, atMs});
 		}
 	}
 
-	/** Lists the services under pressure, with the share of the demand that they can take. */
-	listPressed(nowMs: number): Map<string, number> {
-		const sums = new Map<string, {near: number[]; all: number[]}>();
+	/** Lists the services under pressure, with the shares of the demand that they can take. */
+	listPressed(nowMs: number): Map<string, Pressure> {
+		const sums = new Map<string, {near: Pressure[]; all: Pressure[]}>();
 		for (const [instance, report] of this.#reports) {
 			if (nowMs - report.atMs > maxAgeMs) {
 				this.#reports.delete(instance);
@@ -54,19 +63,19 @@
 			}
 
 			const sum = sums.get(report.service) ?? {near: [], all: []};
-			sum.all.push(report.openShare);
+			sum.all.push(report);
 			if (report.region === this.region) {
-				sum.near.push(report.openShare);
+				sum.near.push(report);
 			}
 
 			sums.set(report.service, sum);
 		}
 
-		const pressed = new Map<string, number>();
+		const pressed = new Map<string, Pressure>();
 		for (const [service, {near, all}] of sums) {
-			const openShare = computeMean(near.length > 0 ? near : all);
-			if (openShare < closedBelow) {
-				pressed.set(service, openShare);
+			const pressure = computeMean(near.length > 0 ? near : all);
+			if (Math.min(pressure.openShare, pressure.repeatableShare) < closedBelow) {
+				pressed.set(service, pressure);
 			}
 		}
 
@@ -76,10 +85,10 @@
 	/** Lists reports to hand on; with many of them, some in turn. */
 	listNews(nowMs: number): PressureNews[] {
 		const news: PressureNews[] = [];
-		for (const [instance, {service, region, openShare, atMs}] of this.#reports) {
+		for (const [instance, {atMs, ...report}] of this.#reports) {
 			const ageMs = nowMs - atMs;
 			if (ageMs <= maxAgeMs) {
-				news.push({instance, service, region, openShare, ageMs});
+				news.push({instance, ...report, ageMs});
 			}
 		}
 
@@ -92,11 +101,13 @@
 	}
 }
 
-function computeMean(values: readonly number[]): number {
-	let sum = 0;
-	for (const value of values) {
-		sum += value;
+function computeMean(reports: readonly Pressure[]): Pressure {
+	let openShare = 0;
+	let repeatableShare = 0;
+	for (const report of reports) {
+		openShare += report.openShare / reports.length;
+		repeatableShare += report.repeatableShare / reports.length;
 	}
 
-	return sum / values.length;
+	return {openShare, repeatableShare};
 }
--- a/src/sidecar/overload/retry-budget.ts
+++ b/src/sidecar/overload/retry-budget.ts
@@ -5,11 +5,18 @@
  * calls again, and those may be repeated too, so each sidecar spends only a part of the ratio.
  */
 
-/** Part of the allowed ratio that one level of the call chain may spend. */
-const usedRatioShare = 0.5;
+/**
+ * Parts of the allowed ratio, by whether a request makes calls of its own. The services at the end of
+ * the trees get repeats of their callers' callers on top, for up to three levels above them.
+ */
+const usedRatioShares = {leaf: 0.7, inner: 0.08} as const;
+export type CallLevel = keyof typeof usedRatioShares;
+
 /** Part of the allowed slack that all sidecars together may spend. */
 const usedSlackShare = 0.4;
-const slots = 10;
+const slotsPerWindow = 10;
+/** Requests count in the last window, the one before it, or the one halfway between: where most came. */
+const slots = 2 * slotsPerWindow;
 
 type Window = {readonly requests: number[]; readonly repeats: number[]; slot: number};
 
@@ -47,13 +54,13 @@
 	 *
 	 * @returns false when none is left in this window
 	 */
-	spend(service: string, nowMs: number): boolean {
+	spend(service: string, level: CallLevel, nowMs: number): boolean {
 		const window = this.#readWindow(service, nowMs);
 		const {ratio, slack} = this.bound;
 		const allowed =
-			computeSum(window.requests) * ratio * usedRatioShare +
+			countRequests(window) * ratio * usedRatioShares[level] +
 			(slack * usedSlackShare) / Math.max(1, this.countSidecars());
-		if (computeSum(window.repeats) + 1 > allowed) {
+		if (countLast(window.repeats, window.slot) + 1 > allowed) {
 			return false;
 		}
 
@@ -62,7 +69,7 @@
 	}
 
 	#readWindow(service: string, nowMs: number): Window {
-		const slot = Math.floor(nowMs / (this.bound.windowMs / slots));
+		const slot = Math.floor(nowMs / (this.bound.windowMs / slotsPerWindow));
 		let window = this.#windows.get(service);
 		if (window === undefined) {
 			window = {requests: createSlots(), repeats: createSlots(), slot};
@@ -84,10 +91,19 @@
 	return Array.from({length: slots}, () => 0);
 }
 
-function computeSum(values: readonly number[]): number {
+function countRequests(window: Window): number {
+	return Math.max(
+		countLast(window.requests, window.slot),
+		countLast(window.requests, window.slot - slotsPerWindow / 2),
+		countLast(window.requests, window.slot - slotsPerWindow),
+	);
+}
+
+/** Sums the slots of the window that ends with a slot. */
+function countLast(values: readonly number[], slot: number): number {
 	let sum = 0;
-	for (const value of values) {
-		sum += value;
+	for (let index = 0; index < slotsPerWindow; index++) {
+		sum += values[(slot - index + 2 * slots) % slots]!;
 	}
 
 	return sum;
--- a/src/sidecar/reporting/metrics-page.ts
+++ b/src/sidecar/reporting/metrics-page.ts
@@ -95,7 +95,7 @@
 };
 
 /** Fills the request metrics from the counts of the request log whenever the page is rendered. */
-function addRequestMetrics(totals: object, buckets: object, log: RequestLog): void {
+function addRequestMetrics(totals: unknown, buckets: unknown, log: RequestLog): void {
 	const totalGauge = totals as LabelledGauge;
 	const bucketGauge = buckets as LabelledGauge;
 	totalGauge.collect = () => {
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -22,9 +22,10 @@
 import {Admission} from './overload/admission.ts';
 import {CallModel} from './overload/call-model.ts';
 import {CallerMix} from './overload/caller-mix.ts';
-import {CostBook} from './overload/cost-book.ts';
+import {CostBook, type CostVector} from './overload/cost-book.ts';
 import {OpenShare} from './overload/open-share.ts';
 import {PressureBoard} from './overload/pressure-board.ts';
+import {RefusalRate} from './overload/refusal-rate.ts';
 import {RetryBudget} from './overload/retry-budget.ts';
 import {type Row, type SharedTable} from './ports.ts';
 import {createMetricsHandler} from './reporting/metrics-page.ts';
@@ -57,6 +58,8 @@
 const configPauseMs = 20;
 /** Costs of a route ride on each so many-th reply; they change slowly. */
 const costsEvery = 8;
+/** Part of the allowed repeats that may carry requests past a server that refuses at random. */
+const repeatShare = 0.65;
 /** How often the own server's state is compared with what is announced. */
 const reviewMs = 250;
 /** Part of the grace for which callers that still come are served after a stop signal. */
@@ -92,6 +95,7 @@
 	readonly #mix = CallerMix.create(service => this.#directory.listService(service).length);
 	readonly #costs = CostBook.create();
 	readonly #openShare = OpenShare.create();
+	readonly #refusals: RefusalRate;
 	readonly #board: PressureBoard;
 	#replies = 0;
 	#outcomes = 0;
@@ -108,6 +112,7 @@
 	) {
 		const {codec, table} = surroundings;
 		this.#board = PressureBoard.create(settings.region);
+		this.#refusals = RefusalRate.create(settings.retryRatio * repeatShare);
 		this.#server = LocalServer.create(settings.drainMs);
 		this.#pool = ServerPool.create(settings.serverAddress, codec);
 		this.#log = RequestLog.create(logger);
@@ -249,7 +254,12 @@
 	}
 
 	#handleOutcome(route: string, outcome: CallOutcome): void {
-		if (outcome.kind === 'answered' && !outcome.head.isNotRun) {
+		if (outcome.kind !== 'answered') {
+			return;
+		}
+
+		this.#refusals.record(outcome.head.isNotRun, performance.now());
+		if (!outcome.head.isNotRun) {
 			this.#costs.recordOwn(route, outcome.ranMs);
 			const service = this.#server.state?.service;
 			// Requests that stay on this instance bring no replies of other guards.
@@ -301,6 +311,7 @@
 				random: () => Math.random(),
 			}),
 			model: this.#model,
+			costs: this.#costs,
 			log: this.#log,
 			readRoutes: () => this.#routes,
 			readCallerService: () => this.#server.state?.service ?? this.settings.service,
@@ -452,16 +463,18 @@
 	}
 
 	#recordOwnShare(nowMs: number): void {
-		const state = this.#server.state;
+		const {state} = this.#server;
 		if (state !== undefined) {
 			const {instance, region} = this.settings;
 			const openShare = this.#openShare.read(nowMs);
-			this.#board.record({instance, service: state.service, region, openShare, ageMs: 0}, nowMs);
+			const repeatableShare = this.#refusals.computeShare(nowMs);
+			const {service} = state;
+			this.#board.record({instance, service, region, openShare, repeatableShare, ageMs: 0}, nowMs);
 		}
 	}
 
-	#computeCosts(route: string): ReadonlyMap<string, number> | undefined {
-		const state = this.#server.state;
+	#computeCosts(route: string): CostVector | undefined {
+		const {state} = this.#server;
 		return state && this.#costs.compute(route, state.service, this.#model.listCalls(route));
 	}
 
@@ -491,7 +504,7 @@
 
 	/** Announces the own server when its state is another than announced. */
 	#review(): void {
-		const state = this.#server.state;
+		const {state} = this.#server;
 		if (state === undefined) {
 			return;
 		}
@@ -508,7 +521,7 @@
 	}
 
 	#announce(): void {
-		const state = this.#server.state;
+		const {state} = this.#server;
 		if (state === undefined) {
 			return;
 		}
