--- a/src/sidecar/entry/entry-call.ts
+++ b/src/sidecar/entry/entry-call.ts
@@ -78,6 +78,11 @@
 	start(): void {
 		const {request, response, head} = this.caller;
 		const routes = this.ctx.readRoutes();
+		if (this.ctx.isClosing()) {
+			this.#answer(ownStatuses.notRun, 'the sidecar stops', unknownReturnMs);
+			return;
+		}
+
 		if (routes === undefined) {
 			this.#answer(ownStatuses.notRun, 'no configuration is known yet', unknownReturnMs);
 			return;
--- a/src/sidecar/entry/entry-context.ts
+++ b/src/sidecar/entry/entry-context.ts
@@ -23,7 +23,10 @@
 	readRoutes(): RouteTable | undefined;
 	/** Service of the server beside the sidecar, which callers on this instance speak for. */
 	readCallerService(): string;
+	/** Whether callers are asked to open their next connection elsewhere. */
 	isStopping(): boolean;
+	/** Whether callers who still come are refused. */
+	isClosing(): boolean;
 	/** Takes what a guard's reply tells besides. */
 	handleNews(from: Member, route: string, news: ReplyNews): void;
 	/** Takes an announcement that came with a refusal. */
--- a/src/sidecar/guard/guard.ts
+++ b/src/sidecar/guard/guard.ts
@@ -22,6 +22,9 @@
 /** An entry that lost its link asks within this time; then a repeatable request is cancelled. */
 const orphanMs = 350;
 const sweepMs = 250;
+/** A request that was cancelled after so long without an answer puts idle connections in doubt. */
+const minSilenceMs = 700;
+const silenceFactor = 5;
 
 export type GuardEvents = {
 	/** A request arrives and finds this share of the slots in use; above 1 others wait. */
@@ -35,7 +38,10 @@
 
 export type GuardOptions = {
 	readonly server: LocalServer;
-	readonly pool: {acquire(requestId: string, isOnce: boolean): CallConnection};
+	readonly pool: {
+		acquire(requestId: string, isOnce: boolean): CallConnection;
+		closeIdleBefore(momentMs: number): void;
+	};
 	readonly codec: HeadCodec;
 	readonly incarnation: string;
 	readonly events: GuardEvents;
@@ -272,6 +278,7 @@
 			case 'cancelled': {
 				if (outcome.hasRun) {
 					this.#running--;
+					this.#checkSilence(outcome.ranMs);
 				} else {
 					this.#line.remove(call);
 				}
@@ -291,6 +298,13 @@
 		});
 	}
 
+	/** A request that heard nothing for long may have gone into a connection that is dead, as others may be. */
+	#checkSilence(ranMs: number): void {
+		if (ranMs > Math.max(minSilenceMs, this.serviceMs * silenceFactor)) {
+			this.options.pool.closeIdleBefore(performance.now() - ranMs);
+		}
+	}
+
 	/** Forgets old ends and verdicts, and gives up on requests whose entry does not come back. */
 	#sweep(): void {
 		const nowMs = performance.now();
--- a/src/sidecar/guard/guarded-call.ts
+++ b/src/sidecar/guard/guarded-call.ts
@@ -30,7 +30,7 @@
 	| {readonly kind: 'answered'; readonly head: ServerAnswerHead; readonly ranMs: number}
 	| {readonly kind: 'refused'; readonly reason: RefusalReason}
 	| {readonly kind: 'failed'; readonly reason: string; readonly hasSent: boolean}
-	| {readonly kind: 'cancelled'; readonly hasRun: boolean};
+	| {readonly kind: 'cancelled'; readonly hasRun: boolean; readonly ranMs: number};
 
 type Phase = 'waiting' | 'running' | 'ended';
 
@@ -130,7 +130,8 @@
 
 		const hasRun = this.#phase === 'running';
 		this.#connection?.close();
-		this.#end({kind: 'cancelled', hasRun}, listener => {
+		const ranMs = hasRun ? performance.now() - this.#startedAtMs : 0;
+		this.#end({kind: 'cancelled', hasRun, ranMs}, listener => {
 			if (hasRun) {
 				listener.handleFailure({reason: 'cancelled'});
 			} else {
--- a/src/sidecar/guard/run-proof-model.test.ts
+++ b/src/sidecar/guard/run-proof-model.test.ts
@@ -32,6 +32,7 @@
 const codec: HeadCodec = {
 	decodeRequest: () => ({requestId: '', deadlineMs: undefined, headers: []}),
 	encodeServerRequest: () => '',
+	serverIdHeader: 'id',
 	decodeAnswer: status => ({
 		requestId: undefined,
 		status,
@@ -157,7 +158,12 @@
 		server.adopt({id: 'i-1', service: 'orders', slots: 1}, performance.now());
 		this.guard = Guard.create({
 			server,
-			pool: {acquire: requestId => this.#connect(requestId)},
+			pool: {
+				acquire: requestId => this.#connect(requestId),
+				closeIdleBefore() {
+					// Connections are not kept here.
+				},
+			},
 			codec,
 			incarnation,
 			readMember: () => member,
--- a/src/sidecar/guard/server-pool.ts
+++ b/src/sidecar/guard/server-pool.ts
@@ -61,6 +61,15 @@
 		return ServerConnection.open(this.address, this.codec, this.#owner);
 	}
 
+	/** Closes connections that were idle before a moment, when one from then turned out to be dead. */
+	closeIdleBefore(momentMs: number): void {
+		const stale = this.#idle.filter(each => each.idleSinceMs < momentMs);
+		this.#idle = this.#idle.filter(each => each.idleSinceMs >= momentMs);
+		for (const connection of stale) {
+			connection.close();
+		}
+	}
+
 	/** Closes all idle connections, as when another server takes over the address. */
 	closeIdle(): void {
 		for (const connection of this.#idle.splice(0)) {
--- a/src/sidecar/knowledge/peer-sync.ts
+++ b/src/sidecar/knowledge/peer-sync.ts
@@ -6,6 +6,7 @@
  */
 import {type Logger} from '../../reporting/logger.ts';
 import {type Member, type MeshConfig} from '../types.ts';
+import {noVersion} from './config-keeper.ts';
 import {type Directory} from './directory.ts';
 import {type MemberView} from './member-view.ts';
 
@@ -14,8 +15,16 @@
 /** A peer in the other region answers within 100 ms; a lost packet costs some 200 ms more. */
 const answerTimeoutMs = 700;
 
-type Question = {readonly configVersion: number; readonly wantsMembers: boolean};
+/** A version that a peer still lacks after this time is handed to it; the store reaches most sooner. */
+const offerAfterMs = 400;
+
 type PeerState = {readonly config?: string; readonly members?: readonly Member[]};
+type Question = {
+	readonly configVersion: number;
+	readonly wantsMembers: boolean;
+	/** What the asker has and the peer seems to lack. */
+	readonly offer?: PeerState;
+};
 
 export type PeerSyncOptions = {
 	readonly directory: Directory;
@@ -38,6 +47,8 @@
 	}
 
 	#isAsking = false;
+	/** Peers that lag behind, with the time when it was noticed or something was last offered. */
+	readonly #laggards = new Map<string, number>();
 
 	private constructor(private readonly options: PeerSyncOptions) {}
 
@@ -53,6 +64,7 @@
 	/** Answers a peer's question. */
 	answer(text: string): string {
 		const question = JSON.parse(text) as Question;
+		this.#takeState(question.offer ?? {}, 'a peer');
 		const config = this.options.readConfig();
 		const isNewer = config !== undefined && config.version > question.configVersion;
 		const state: PeerState = {
@@ -62,11 +74,48 @@
 		return JSON.stringify(state);
 	}
 
-	/** Fetches the configuration of a peer that has a newer one. */
+	/** Fetches the configuration of a peer that has a newer one, or hands the own to one that lags. */
 	handleVersion(instance: string, version: number): void {
+		const ownVersion = this.#readVersion();
+		if (version === ownVersion) {
+			this.#laggards.delete(instance);
+			return;
+		}
+
 		const view = this.options.directory.findMember(instance);
-		if (view !== undefined && version > this.#readVersion()) {
-			void this.#ask(view, false);
+		if (view === undefined) {
+			return;
+		}
+
+		if (version > ownVersion) {
+			void this.#ask(view, {configVersion: ownVersion, wantsMembers: false});
+		} else {
+			this.#offer(view);
+		}
+	}
+
+	#offer(view: MemberView): void {
+		const nowMs = performance.now();
+		const {instance} = view.member;
+		const sinceMs = this.#laggards.get(instance) ?? nowMs;
+		this.#laggards.set(instance, sinceMs);
+		const config = this.options.readConfig();
+		if (nowMs - sinceMs < offerAfterMs || config === undefined) {
+			return;
+		}
+
+		this.#laggards.set(instance, nowMs);
+		const offer = {config: config.source, members: this.#listMembers()};
+		void this.#ask(view, {configVersion: config.version, wantsMembers: false, offer});
+	}
+
+	#takeState(state: PeerState, from: string): void {
+		if (state.config !== undefined) {
+			this.options.handleConfig(state.config, from);
+		}
+
+		for (const member of state.members ?? []) {
+			this.options.handleMember(member);
 		}
 	}
 
@@ -75,24 +124,23 @@
 	}
 
 	#readVersion(): number {
-		return this.options.readConfig()?.version ?? -1;
+		return this.options.readConfig()?.version ?? noVersion;
 	}
 
 	async #askAnyone(): Promise<void> {
 		const views = this.options.directory.list().filter(view => view.way.kind === 'link');
 		const view = views[Math.floor(Math.random() * views.length)];
 		if (view !== undefined) {
-			await this.#ask(view, true);
+			await this.#ask(view, {configVersion: this.#readVersion(), wantsMembers: true});
 		}
 	}
 
-	async #ask(view: MemberView, wantsMembers: boolean): Promise<void> {
+	async #ask(view: MemberView, question: Question): Promise<void> {
 		if (this.#isAsking || view.way.kind !== 'link') {
 			return;
 		}
 
 		this.#isAsking = true;
-		const question: Question = {configVersion: this.#readVersion(), wantsMembers};
 		const text = await view.way.pool.sync(JSON.stringify(question), answerTimeoutMs);
 		this.#isAsking = false;
 		if (text === undefined) {
@@ -100,13 +148,6 @@
 			return;
 		}
 
-		const state = JSON.parse(text) as PeerState;
-		if (state.config !== undefined) {
-			this.options.handleConfig(state.config, view.member.instance);
-		}
-
-		for (const member of state.members ?? []) {
-			this.options.handleMember(member);
-		}
+		this.#takeState(JSON.parse(text) as PeerState, view.member.instance);
 	}
 }
--- a/src/sidecar/overload/admission.test.ts
+++ b/src/sidecar/overload/admission.test.ts
@@ -4,7 +4,6 @@
 import test from 'ava';
 import {type Route} from '../types.ts';
 import {Admission} from './admission.ts';
-import {CallModel} from './call-model.ts';
 import {CostBook} from './cost-book.ts';
 import {PressureBoard} from './pressure-board.ts';
 
@@ -55,7 +54,6 @@
 	const board = PressureBoard.create('east');
 	let state = 1;
 	const admission = Admission.create({
-		model: CallModel.create(),
 		costs: createCosts(),
 		board,
 		random() {
@@ -108,7 +106,6 @@
 test('a route whose costs are unknown is judged by the service that runs it', t => {
 	const board = PressureBoard.create('east');
 	const admission = Admission.create({
-		model: CallModel.create(),
 		costs: CostBook.create(),
 		board,
 		random: () => 0.99,
@@ -133,7 +130,6 @@
 	const board = PressureBoard.create('east');
 	const random = () => 0.99;
 	const admission = Admission.create({
-		model: CallModel.create(),
 		costs: createCosts(),
 		board,
 		random,
--- a/src/sidecar/overload/admission.ts
+++ b/src/sidecar/overload/admission.ts
@@ -6,7 +6,6 @@
  * routes first, then those that cost the scarce service least, and a floor for every route.
  */
 import {type Route} from '../types.ts';
-import {type CallModel} from './call-model.ts';
 import {type Cost, type CostBook, type CostVector} from './cost-book.ts';
 import {type PressureBoard} from './pressure-board.ts';
 
@@ -39,10 +38,9 @@
 export class Admission {
 	/**
 	 * @example
-	 * const admission = Admission.create({model, costs, board, random: Math.random});
+	 * const admission = Admission.create({costs, board, random: () => Math.random()});
 	 */
 	static create(options: {
-		readonly model: CallModel;
 		readonly costs: CostBook;
 		readonly board: PressureBoard;
 		readonly random: () => number;
@@ -57,7 +55,6 @@
 
 	private constructor(
 		private readonly options: {
-			readonly model: CallModel;
 			readonly costs: CostBook;
 			readonly board: PressureBoard;
 			readonly random: () => number;
--- a/src/sidecar/types.ts
+++ b/src/sidecar/types.ts
@@ -156,6 +156,8 @@
 
 /** Translates heads between the users' wire and the types above. */
 export type HeadCodec = {
+	/** Header of a health answer in which the server names itself, in lower case. */
+	readonly serverIdHeader: string;
 	decodeRequest(rawHeaders: RawHeaders): RequestHead;
 	/** Encodes the head of a request to a backend server, the blank line included. */
 	encodeServerRequest(request: ServerRequestHead): string;
