--- a/src/sidecar/entry/entry-server.ts
+++ b/src/sidecar/entry/entry-server.ts
@@ -68,6 +68,7 @@
 	}
 
 	close(): void {
+		this.#server.closeAllConnections();
 		this.#server.close();
 	}
 
--- a/src/sidecar/knowledge/member-views.ts
+++ b/src/sidecar/knowledge/member-views.ts
@@ -4,29 +4,43 @@
 import {type Member, type SidecarSettings} from '../types.ts';
 import {type Distance, distances, MemberView} from './member-view.ts';
 
-/**
- * Creates the function that builds a view; members at the same address share their connections.
- *
- * @param readOwnLoad - load of the own guard, which needs no reports
- * @example
- * const directory = Directory.create(createViewFactory(settings, readOwnLoad));
- */
-export function createViewFactory(
-	settings: SidecarSettings,
-	readOwnLoad: () => GuardLoad,
-): (member: Member) => MemberView {
-	const pools = new Map<string, LinkPool>();
-	return member => {
+export class ViewFactory {
+	/**
+	 * @param readOwnLoad - load of the own guard, which needs no reports
+	 * @example
+	 * const views = ViewFactory.create(settings, readOwnLoad);
+	 * const view = views.createView(member);
+	 */
+	static create(settings: SidecarSettings, readOwnLoad: () => GuardLoad): ViewFactory {
+		return new ViewFactory(settings, readOwnLoad);
+	}
+
+	/** Members at the same address share their connections. */
+	readonly #pools = new Map<string, LinkPool>();
+
+	private constructor(
+		private readonly settings: SidecarSettings,
+		private readonly readOwnLoad: () => GuardLoad,
+	) {}
+
+	createView(member: Member): MemberView {
+		const {settings, readOwnLoad: readLoad} = this;
 		if (member.instance === settings.instance) {
-			const way = {kind: 'local', readLoad: readOwnLoad} as const;
-			return MemberView.create(member, way, distances.dataCentre);
+			return MemberView.create(member, {kind: 'local', readLoad}, distances.dataCentre);
 		}
 
 		const key = `${member.link.host}:${member.link.port}`;
-		const pool = pools.get(key) ?? LinkPool.create(member.link);
-		pools.set(key, pool);
+		const pool = this.#pools.get(key) ?? LinkPool.create(member.link);
+		this.#pools.set(key, pool);
 		return MemberView.create(member, {kind: 'link', pool}, computeDistance(member, settings));
-	};
+	}
+
+	/** Closes all connections. */
+	close(): void {
+		for (const pool of this.#pools.values()) {
+			pool.close();
+		}
+	}
 }
 
 function computeDistance(member: Member, settings: SidecarSettings): Distance {
--- a/src/sidecar/knowledge/store-follower.ts
+++ b/src/sidecar/knowledge/store-follower.ts
@@ -55,6 +55,11 @@
 		this.#members.start();
 	}
 
+	stop(): void {
+		this.#config.stop();
+		this.#members.stop();
+	}
+
 	#createConfigFollower(): TableFollower {
 		const {table, logger, configKey} = this.options;
 		const handle = (rows: readonly Row[]) => {
--- a/src/sidecar/link/link-server.ts
+++ b/src/sidecar/link/link-server.ts
@@ -42,10 +42,15 @@
 	}
 
 	readonly #server: net.Server;
+	readonly #sockets = new Set<net.Socket>();
 
 	private constructor(options: LinkServerOptions) {
 		this.#server = net.createServer(socket => {
 			GuardLink.create(socket, options);
+			this.#sockets.add(socket);
+			socket.on('close', () => {
+				this.#sockets.delete(socket);
+			});
 		});
 	}
 
@@ -57,6 +62,10 @@
 	}
 
 	close(): void {
+		for (const socket of this.#sockets) {
+			socket.destroy();
+		}
+
 		this.#server.close();
 	}
 }
--- a/src/sidecar/server-side.ts
+++ b/src/sidecar/server-side.ts
@@ -47,6 +47,7 @@
 	readonly pool: ServerPool;
 	readonly #server: LocalServer;
 	readonly #announcer: Announcer;
+	#timer: NodeJS.Timeout | undefined;
 	#announced = '';
 	#isStopping = false;
 	#hasProbed = false;
@@ -65,9 +66,15 @@
 	}
 
 	start(): void {
-		setInterval(() => {
+		this.#timer = setInterval(() => {
 			this.#review();
-		}, reviewMs).unref();
+		}, reviewMs);
+		this.#timer.unref();
+	}
+
+	close(): void {
+		clearInterval(this.#timer);
+		this.pool.closeIdle();
 	}
 
 	/** Takes a report or a leave message of the server; returning acknowledges it. */
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -1,5 +1,6 @@
 /** One sidecar: entry, guard and control of one backend server, wired together. */
 import {randomBytes} from 'node:crypto';
+import type http from 'node:http';
 import {type Result} from 'neverthrow';
 import {type Logger} from '../reporting/logger.ts';
 import {createControlHandler, createReadyHandler, listenForRequests} from './control-server.ts';
@@ -7,7 +8,7 @@
 import {EntryServer} from './entry/entry-server.ts';
 import {ConfigKeeper} from './knowledge/config-keeper.ts';
 import {Directory} from './knowledge/directory.ts';
-import {createViewFactory} from './knowledge/member-views.ts';
+import {ViewFactory} from './knowledge/member-views.ts';
 import {PeerSync} from './knowledge/peer-sync.ts';
 import {StoreFollower} from './knowledge/store-follower.ts';
 import {LinkServer} from './link/link-server.ts';
@@ -59,6 +60,8 @@
 	readonly #log: RequestLog;
 	readonly #follower: StoreFollower;
 	readonly #stopSequence: StopSequence;
+	readonly #closeLinks: () => void;
+	#servers: http.Server[] = [];
 	#sentNonces = 0;
 
 	private constructor(
@@ -67,9 +70,12 @@
 		private readonly logger: Logger,
 	) {
 		this.#log = RequestLog.create(logger);
-		this.#directory = Directory.create(
-			createViewFactory(settings, () => this.#serverSide.guard.readLoad()),
-		);
+		const views = ViewFactory.create(settings, () => this.#serverSide.guard.readLoad());
+		this.#directory = Directory.create(member => views.createView(member));
+		this.#closeLinks = () => {
+			views.close();
+		};
+
 		this.#config = this.#createConfigKeeper();
 		this.#serverSide = this.#createServerSide();
 		this.#newsDesk = this.#createNewsDesk();
@@ -90,9 +96,8 @@
 		const {callerAddress, linkAddress, readyAddress, controlAddress, metricsAddress} =
 			this.settings;
 		this.#follower.start();
-		await Promise.all([
-			this.#linkServer.listen(linkAddress),
-			this.#entry.listen(callerAddress),
+		await Promise.all([this.#linkServer.listen(linkAddress), this.#entry.listen(callerAddress)]);
+		this.#servers = await Promise.all([
 			listenForRequests(controlAddress, this.#createControlHandler()),
 			listenForRequests(
 				readyAddress,
@@ -117,6 +122,20 @@
 		return this.#stopSequence.run();
 	}
 
+	/** Closes all listeners and connections at once; what is under way is cut. */
+	close(): void {
+		this.#follower.stop();
+		this.surroundings.table.close();
+		this.#linkServer.close();
+		this.#entry.close();
+		this.#serverSide.close();
+		this.#closeLinks();
+		for (const server of this.#servers) {
+			server.closeAllConnections();
+			server.close();
+		}
+	}
+
 	#isReady(): boolean {
 		return this.#config.routes !== undefined && !this.#stopSequence.isStopping;
 	}
