--- a/src/sidecar/news-desk.ts
+++ b/src/sidecar/news-desk.ts
@@ -16,8 +16,11 @@
 
 /** Costs of a route ride on each so many-th reply; they change slowly. */
 const costsEvery = 8;
-/** Part of the allowed repeats that may carry requests past a server that refuses at random. */
-const repeatShare = 0.65;
+/**
+ * Part of the allowed repeats that may carry requests past a server that refuses at random. The rest
+ * covers that demand and budgets are unevenly spread over the sidecars.
+ */
+const repeatShare = 0.4;
 
 export type NewsOptions = {
 	readonly instance: string;
--- a/src/sidecar/overload/call-model.ts
+++ b/src/sidecar/overload/call-model.ts
@@ -16,8 +16,9 @@
 const keptPerSpan = 0.965;
 /** Spans needed before the ratios mean anything. */
 const minSpans = 10;
-/** A ratio below this is taken for chance. */
+/** A ratio below this, or below this many times its standard error, is taken for chance. */
 const minRatio = 0.4;
+const minErrors = 3;
 /** Routes compared at a time; the busiest are kept. */
 const maxRoutes = 12;
 
@@ -134,6 +135,10 @@
 			}
 		}
 
+		for (const [route, change] of made) {
+			addProduct(products, `z ${route}`, change * change);
+		}
+
 		if (this.#moments.spans >= minSpans) {
 			this.#solve();
 		}
@@ -167,7 +172,11 @@
 			const matrix = tried.map(row => readRow(products, row, tried));
 			const vector = tried.map(row => products.get(`y ${row} ${route}`) ?? 0);
 			const solution = solveLinear(matrix, vector);
-			used = tried.filter((_parent, index) => solution[index]! >= minRatio);
+			const variance = computeResidual(products.get(`z ${route}`) ?? 0, solution, vector);
+			used = tried.filter((_parent, index) => {
+				const error = Math.sqrt(variance / matrix[index]![index]!);
+				return solution[index]! >= Math.max(minRatio, minErrors * error);
+			});
 			if (used.length === tried.length) {
 				return new Map(tried.map((parent, index) => [parent, solution[index]!]));
 			}
@@ -179,6 +188,20 @@
 
 const noCalls: ReadonlyMap<string, number> = new Map();
 
+/** Mean square of what a fit leaves unexplained, per span. */
+function computeResidual(
+	total: number,
+	solution: readonly number[],
+	vector: readonly number[],
+): number {
+	let explained = 0;
+	for (const [index, ratio] of solution.entries()) {
+		explained += ratio * vector[index]!;
+	}
+
+	return Math.max(0, total - explained) * (1 - keptPerSpan);
+}
+
 /** Products of the changes of one parent with those of all. */
 function readRow(products: Counts, row: string, columns: readonly string[]): number[] {
 	return columns.map(column => products.get(`x ${row} ${column}`) ?? 0);
--- a/src/sidecar/overload/caller-mix.test.ts
+++ b/src/sidecar/overload/caller-mix.test.ts
@@ -40,3 +40,13 @@
 	mix.record('prices', 'patrons');
 	t.is(mix.isInner('prices', 'patrons', services), undefined);
 });
+
+test('a route that two services call, one of them seldom, is inner for both', t => {
+	const mix = CallerMix.create(() => 4);
+	for (let index = 0; index < 100; index++) {
+		mix.record('index', index % 10 === 0 ? 'catalogue' : 'atelier');
+	}
+
+	t.true(mix.isInner('index', 'catalogue', services));
+	t.true(mix.isInner('index', 'atelier', services));
+});
--- a/src/sidecar/overload/caller-mix.ts
+++ b/src/sidecar/overload/caller-mix.ts
@@ -58,15 +58,29 @@
 			return undefined;
 		}
 
-		let otherInstances = 0;
+		const others: number[] = [];
 		for (const service of services) {
-			otherInstances += service === callerService ? 0 : this.countInstances(service);
+			if (service !== callerService) {
+				others.push(this.#computeRate(mix, service));
+			}
 		}
 
-		const otherRate = (mix.total - count) / Math.max(1, otherInstances);
-		const rate = count / Math.max(1, this.countInstances(callerService));
-		return rate > innerFactor * otherRate;
+		return this.#computeRate(mix, callerService) > innerFactor * readUsual(others);
 	}
+
+	/** Requests per instance of a service. */
+	#computeRate(mix: Mix, service: string): number {
+		return (mix.counts.get(service) ?? 0) / Math.max(1, this.countInstances(service));
+	}
+}
+
+/**
+ * Reads what comes from beside a service whose servers don't call the route: the second lowest rate,
+ * since several services may call it and chance may spare one.
+ */
+function readUsual(rates: readonly number[]): number {
+	const sorted = rates.toSorted((first, second) => first - second);
+	return sorted[Math.min(1, sorted.length - 1)] ?? 0;
 }
 
 function halve(mix: Mix): void {
