Tell a reset from the end of an answer without a length

Ruled out: the framing towards callers and the parser (the bytes were all relayed). The reading is stopped at each read of such an answer, so that the next read gives the reset.

--- a/src/sidecar/guard/server-connection.ts
+++ b/src/sidecar/guard/server-connection.ts
@@ -32,6 +32,21 @@
 	handleClosed(connection: ServerConnection): void;
 };
 
+/** Bytes that are read are copied from here at once, so all connections share it. */
+const readBuffer = Buffer.allocUnsafe(64 * 1024);
+const lengthHeaders = new Set(['content-length', 'transfer-encoding']);
+
+/** Whether a head says where the body ends. */
+function hasLength(rawHeaders: readonly string[]): boolean {
+	for (let index = 0; index < rawHeaders.length; index += 2) {
+		if (lengthHeaders.has(rawHeaders[index]!.toLowerCase())) {
+			return true;
+		}
+	}
+
+	return false;
+}
+
 export class ServerConnection {
 	/**
 	 * Opens a connection; requests may be sent at once and go out when it is established.
@@ -62,11 +77,21 @@
 	#isRequestSent = false;
 	#isClosed = false;
 	#isHeadRequest = false;
+	/** Whether the answer under way has no length. */
+	#isUnframed = false;
+	#isPaused = false;
 
 	private constructor(address: SocketAddress, codec: HeadCodec, owner: ConnectionOwner) {
 		this.#codec = codec;
 		this.#owner = owner;
-		this.#socket = net.connect({...address, noDelay: true});
+		this.#socket = net.connect({
+			...address,
+			noDelay: true,
+			onread: {
+				buffer: readBuffer,
+				callback: (count, bytes) => this.#handleRead(Buffer.from(bytes.subarray(0, count))),
+			},
+		});
 		this.#socket.setTimeout(connectTimeoutMs);
 		this.#listenToSocket();
 		this.#listenToParser();
@@ -112,6 +137,7 @@
 	}
 
 	setPaused(isPaused: boolean): void {
+		this.#isPaused = isPaused;
 		if (isPaused) {
 			this.#socket.pause();
 		} else {
@@ -134,9 +160,6 @@
 		socket.on('timeout', () => {
 			socket.destroy(new Error(`no connection within ${connectTimeoutMs} ms`));
 		});
-		socket.on('data', chunk => {
-			this.#receive(chunk);
-		});
 		socket.on('end', () => {
 			this.#receiveEnd();
 		});
@@ -168,6 +191,24 @@
 		};
 	}
 
+	/**
+	 * Handles what was read; false stops the reading.
+	 *
+	 * An answer without a length is whole when the server ends its side, and cut when the connection is
+	 * reset. While a read is under way, libuv reports both alike, so each read of such an answer stops the
+	 * reading and the next one tells them apart.
+	 */
+	#handleRead(chunk: ParserChunk): boolean {
+		this.#receive(chunk);
+		if (this.#isUnframed && !this.#isPaused) {
+			setImmediate(() => {
+				this.setPaused(this.#isPaused);
+			});
+		}
+
+		return !this.#isUnframed;
+	}
+
 	#receive(chunk: ParserChunk): void {
 		if (this.#exchange === undefined) {
 			this.#socket.destroy();
@@ -218,6 +259,7 @@
 		}
 
 		this.#isOurs = true;
+		this.#isUnframed = !hasLength(headers);
 		this.#isCondemned ||= head.closes || !shouldKeepAlive;
 		this.keepAliveMs = head.keepAliveMs ?? this.keepAliveMs;
 		exchange.listener.handleHead(head);
