Find servers that are back while the store is away; learn call ratios within a second; refuse those who wait too long

The first two seconds failed 178 of 875, as costs were learnt in 5 s only. 290 answers of 502 or 504 reached no server: they waited in guards up to their timeout.

--- a/src/sidecar/guard/guard.ts
+++ b/src/sidecar/guard/guard.ts
@@ -9,10 +9,6 @@
 import {type LocalServer} from './local-server.ts';
 import {WaitingLine} from './waiting-line.ts';
 
-/** Part of the time left that a request may spend waiting; the rest is for the server's work. */
-const maxWaitShare = 0.35;
-/** Calls of work that was admitted wait longer: refusing one wastes all that was done for its parent. */
-const maxInnerWaitShare = 0.75;
 /** Smoothing of the mean time at the server, per finished request. */
 const serviceTimeWeight = 0.03;
 /** First guess of the time at the server, before anything was measured. */
@@ -21,7 +17,7 @@
 const keptEndMs = 2000;
 /** An entry that lost its link asks within this time; then a repeatable request is cancelled. */
 const orphanMs = 350;
-const sweepMs = 250;
+const sweepMs = 100;
 /** A request that was cancelled after so long without an answer puts idle connections in doubt. */
 const minSilenceMs = 700;
 const silenceFactor = 5;
@@ -122,8 +118,7 @@
 			return call;
 		}
 
-		const waitShare = head.isInner ? maxInnerWaitShare : maxWaitShare;
-		if (this.#estimateWaitMs(call, limit) > head.remainingMs * waitShare) {
+		if (this.#estimateWaitMs(call, limit) > call.maxWaitMs) {
 			call.refuse('full');
 			return call;
 		}
@@ -327,7 +322,7 @@
 			}
 		}
 
-		for (const call of this.#line.takeWhere(each => each.answerByMs < nowMs)) {
+		for (const call of this.#line.takeWhere(each => nowMs - each.arrivedAtMs > each.maxWaitMs)) {
 			call.refuse('late');
 		}
 	}
--- a/src/sidecar/guard/guarded-call.ts
+++ b/src/sidecar/guard/guarded-call.ts
@@ -8,6 +8,10 @@
 /** Answers up to this size are collected and sent as one frame; longer ones stream. */
 const maxCollectedBytes = 64 * 1024;
 
+/** Part of the time left that a request may spend waiting; the rest is for the server's work. */
+const maxWaitShare = 0.35;
+/** Calls of work that was admitted wait longer: refusing one wastes all that was done for its parent. */
+const maxInnerWaitShare = 0.75;
 /** Calls of work that was admitted go before callers' requests of any rank. */
 const innerPriority = -1;
 
@@ -52,6 +56,8 @@
 	readonly arrivedAtMs = performance.now();
 	readonly answerByMs: number;
 	readonly priority: number;
+	/** Longest wait for a slot; after it the request is refused while its caller can still go elsewhere. */
+	readonly maxWaitMs: number;
 	/** When the call ended, on the steady clock. */
 	endedAtMs: number | undefined;
 
@@ -76,6 +82,7 @@
 		this.#listener = listener;
 		this.#isBodyWhole = head.isWhole;
 		this.answerByMs = this.arrivedAtMs + head.remainingMs;
+		this.maxWaitMs = head.remainingMs * (head.isInner ? maxInnerWaitShare : maxWaitShare);
 		this.priority = head.isInner ? innerPriority : head.priority;
 	}
 
--- a/src/sidecar/knowledge/announcer.ts
+++ b/src/sidecar/knowledge/announcer.ts
@@ -26,6 +26,7 @@
 	#isWriting = false;
 	#retryMs = firstRetryMs;
 	#isKnown = false;
+	#isClosed = false;
 
 	private constructor(
 		private readonly instance: string,
@@ -59,9 +60,14 @@
 		void this.#write();
 	}
 
+	/** Writes nothing any more. */
+	close(): void {
+		this.#isClosed = true;
+	}
+
 	async #write(): Promise<void> {
 		const wanted = this.#wanted;
-		if (this.#isWriting || wanted === undefined || !this.#isKnown) {
+		if (this.#isWriting || this.#isClosed || wanted === undefined || !this.#isKnown) {
 			return;
 		}
 
@@ -73,6 +79,10 @@
 		this.#isWriting = true;
 		const result = await this.table.writeRow('members', this.instance, text, this.#rowVersion);
 		this.#isWriting = false;
+		if (this.#isClosed) {
+			return;
+		}
+
 		if (result.isOk()) {
 			this.#rowVersion = result.value;
 			this.#rowText = text;
--- a/src/sidecar/knowledge/peer-sync.ts
+++ b/src/sidecar/knowledge/peer-sync.ts
@@ -10,7 +10,7 @@
 import {type Directory} from './directory.ts';
 import {type MemberView} from './member-view.ts';
 
-/** How often a peer is asked while the store is lost. */
+/** How often peers are asked while the store is lost. */
 const askEveryMs = 700;
 /** A peer in the other region answers within 100 ms; a lost packet costs some 200 ms more. */
 const answerTimeoutMs = 700;
@@ -18,12 +18,21 @@
 /** A version that a peer still lacks after this time is handed to it; the store reaches most sooner. */
 const offerAfterMs = 400;
 
-type PeerState = {readonly config?: string; readonly members?: readonly Member[]};
+/** Peers that are asked at a time while the store is lost. */
+const askedAtATime = 2;
+/** Peers that hear of a change of the own server while the store is lost; they are drawn from more. */
+const maxToldDirectly = 24;
+
+type PeerState = {
+	/** Version of the configuration in force at the teller. */
+	readonly version: number;
+	readonly config?: string;
+	readonly members?: readonly Member[];
+};
 type Question = {
-	readonly configVersion: number;
 	readonly wantsMembers: boolean;
-	/** What the asker has and the peer seems to lack. */
-	readonly offer?: PeerState;
+	/** What the asker has and the peer may lack. */
+	readonly state: PeerState;
 };
 
 export type PeerSyncOptions = {
@@ -31,6 +40,8 @@
 	readonly logger: Logger;
 	readConfig(): MeshConfig | undefined;
 	isStoreLost(): boolean;
+	/** The own announcement; undefined while the server is not known. */
+	readOwnMember(): Member | undefined;
 	/** Takes the source of a configuration that a peer has. */
 	handleConfig(source: string, from: string): void;
 	handleMember(member: Member): void;
@@ -46,7 +57,8 @@
 		return new PeerSync(options);
 	}
 
-	#isAsking = false;
+	/** Peers that have been asked and have not answered. */
+	readonly #asked = new Set<string>();
 	/** Peers that lag behind, with the time when it was noticed or something was last offered. */
 	readonly #laggards = new Map<string, number>();
 
@@ -55,20 +67,21 @@
 	start(): void {
 		const timer = setInterval(() => {
 			if (this.options.isStoreLost()) {
-				void this.#askAnyone();
+				this.#askSome();
 			}
 		}, askEveryMs);
 		timer.unref();
 	}
 
-	/** Answers a peer's question. */
+	/** Answers a peer's question, and takes what came with it. */
 	answer(text: string): string {
 		const question = JSON.parse(text) as Question;
-		this.#takeState(question.offer ?? {}, 'a peer');
+		this.#takeState(question.state, 'a peer');
 		const config = this.options.readConfig();
-		const isNewer = config !== undefined && config.version > question.configVersion;
+		const version = config?.version ?? noVersion;
 		const state: PeerState = {
-			...(isNewer && {config: config.source}),
+			version,
+			...(version > question.state.version && {config: config!.source}),
 			...(question.wantsMembers && {members: this.#listMembers()}),
 		};
 		return JSON.stringify(state);
@@ -88,25 +101,46 @@
 		}
 
 		if (version > ownVersion) {
-			void this.#ask(view, {configVersion: ownVersion, wantsMembers: false});
+			void this.#ask(view, {wantsMembers: false, state: this.#createOwnState()});
 		} else {
-			this.#offer(view);
+			this.#offerLater(view);
 		}
 	}
 
-	#offer(view: MemberView): void {
+	/** Tells peers of a change of the own server that can't be written to the store. */
+	tellDirectly(): void {
+		if (!this.options.isStoreLost()) {
+			return;
+		}
+
+		for (const view of pickSome(this.#listPeers(), maxToldDirectly)) {
+			void this.#ask(view, {wantsMembers: false, state: this.#createOwnState()});
+		}
+	}
+
+	#offerLater(view: MemberView): void {
 		const nowMs = performance.now();
 		const {instance} = view.member;
 		const sinceMs = this.#laggards.get(instance) ?? nowMs;
 		this.#laggards.set(instance, sinceMs);
+		if (nowMs - sinceMs >= offerAfterMs) {
+			this.#laggards.set(instance, nowMs);
+			this.#offer(view);
+		}
+	}
+
+	/** Hands over all that is known. */
+	#offer(view: MemberView): void {
 		const config = this.options.readConfig();
-		if (nowMs - sinceMs < offerAfterMs || config === undefined) {
-			return;
+		if (config !== undefined) {
+			const state = {version: config.version, config: config.source, members: this.#listMembers()};
+			void this.#ask(view, {wantsMembers: false, state});
 		}
+	}
 
-		this.#laggards.set(instance, nowMs);
-		const offer = {config: config.source, members: this.#listMembers()};
-		void this.#ask(view, {configVersion: config.version, wantsMembers: false, offer});
+	#createOwnState(): PeerState {
+		const member = this.options.readOwnMember();
+		return {version: this.#readVersion(), ...(member !== undefined && {members: [member]})};
 	}
 
 	#takeState(state: PeerState, from: string): void {
@@ -119,6 +153,10 @@
 		}
 	}
 
+	#listPeers(): MemberView[] {
+		return this.options.directory.list().filter(view => view.way.kind === 'link');
+	}
+
 	#listMembers(): Member[] {
 		return this.options.directory.list().map(view => view.member);
 	}
@@ -127,27 +165,44 @@
 		return this.options.readConfig()?.version ?? noVersion;
 	}
 
-	async #askAnyone(): Promise<void> {
-		const views = this.options.directory.list().filter(view => view.way.kind === 'link');
-		const view = views[Math.floor(Math.random() * views.length)];
-		if (view !== undefined) {
-			await this.#ask(view, {configVersion: this.#readVersion(), wantsMembers: true});
+	/** Asks a few peers; those that were last heard to leave or to be down may be back unheard. */
+	#askSome(): void {
+		const peers = this.#listPeers();
+		const away = peers.filter(view => view.member.state !== 'ready');
+		for (const view of [...pickSome(away, askedAtATime), ...pickSome(peers, askedAtATime)]) {
+			void this.#ask(view, {wantsMembers: true, state: this.#createOwnState()});
 		}
 	}
 
 	async #ask(view: MemberView, question: Question): Promise<void> {
-		if (this.#isAsking || view.way.kind !== 'link') {
+		const {instance} = view.member;
+		if (this.#asked.has(instance) || view.way.kind !== 'link') {
 			return;
 		}
 
-		this.#isAsking = true;
+		this.#asked.add(instance);
 		const text = await view.way.pool.sync(JSON.stringify(question), answerTimeoutMs);
-		this.#isAsking = false;
+		this.#asked.delete(instance);
 		if (text === undefined) {
-			this.options.logger.warn({peer: view.member.instance}, 'peer did not answer a sync');
+			this.options.logger.warn({peer: instance}, 'peer did not answer a sync');
 			return;
 		}
 
-		this.#takeState(JSON.parse(text) as PeerState, view.member.instance);
+		const state = JSON.parse(text) as PeerState;
+		this.#takeState(state, instance);
+		if (state.version < this.#readVersion() && question.state.config === undefined) {
+			this.#offer(view);
+		}
+	}
+}
+
+/** Draws some of the views without repeats. */
+function pickSome(views: readonly MemberView[], count: number): MemberView[] {
+	const rest = [...views];
+	const picked: MemberView[] = [];
+	while (picked.length < count && rest.length > 0) {
+		picked.push(...rest.splice(Math.floor(Math.random() * rest.length), 1));
 	}
+
+	return picked;
 }
--- a/src/sidecar/news-desk.ts
+++ b/src/sidecar/news-desk.ts
@@ -4,6 +4,7 @@
  * Load, configuration, pressure and costs ride on the replies between sidecars, so that this knowledge
  * costs no messages of its own and is as fresh as the traffic.
  */
+import {type Logger} from '../reporting/logger.ts';
 import {type Directory} from './knowledge/directory.ts';
 import {type GuardLoad, type ReplyNews} from './link/messages.ts';
 import {CallerMix} from './overload/caller-mix.ts';
@@ -16,6 +17,8 @@
 
 /** Costs of a route ride on each so many-th reply; they change slowly. */
 const costsEvery = 8;
+/** Lines about pressure come at most this often. */
+const logEveryMs = 1000;
 /**
  * Part of the allowed repeats that may carry requests past a server that refuses at random. The rest
  * covers that demand and budgets are unevenly spread over the sidecars.
@@ -27,6 +30,7 @@
 	readonly region: string;
 	readonly retryRatio: number;
 	readonly directory: Directory;
+	readonly logger: Logger;
 	readLoad(): GuardLoad;
 	readConfigVersion(): number;
 	/** Service of the own server; undefined while it is not known. */
@@ -51,6 +55,7 @@
 	readonly #mix: CallerMix;
 	#replies = 0;
 	#outcomes = 0;
+	#loggedAtMs = 0;
 
 	private constructor(private readonly options: NewsOptions) {
 		this.board = PressureBoard.create(options.region);
@@ -128,6 +133,21 @@
 		}
 	}
 
+	/** Logs once a second while the own server can't take all of its demand. */
+	#logPressure(openShare: number, repeatableShare: number, nowMs: number): void {
+		if (Math.min(openShare, repeatableShare) >= 1 || nowMs - this.#loggedAtMs < logEveryMs) {
+			return;
+		}
+
+		this.#loggedAtMs = nowMs;
+		const {running, waiting, limit} = this.options.readLoad();
+		const shares = {
+			openShare: Math.round(openShare * 100) / 100,
+			repeatableShare: Math.round(repeatableShare * 100) / 100,
+		};
+		this.options.logger.info({...shares, running, waiting, limit}, 'server is under pressure');
+	}
+
 	#computeCosts(route: string): CostVector | undefined {
 		const service = this.options.readService();
 		return service === undefined
@@ -145,5 +165,6 @@
 		const openShare = this.#openShare.read(nowMs);
 		const repeatableShare = this.#refusals.computeShare(nowMs);
 		this.board.record({instance, service, region, openShare, repeatableShare, ageMs: 0}, nowMs);
+		this.#logPressure(openShare, repeatableShare, nowMs);
 	}
 }
--- a/src/sidecar/overload/call-model.ts
+++ b/src/sidecar/overload/call-model.ts
@@ -3,19 +3,19 @@
  *
  * Calls of a server carry nothing that names their parent. But the sidecar beside it sees which
  * requests the server begins and which requests come from its instance, so the ratios follow from
- * counts in short spans by least squares. Differences between neighbouring spans are compared and not
- * the counts, since callers on the same instance follow the same swing of the day.
+ * counts in short spans by least squares. Only routes that guards have named as inner are fitted, since
+ * requests of callers follow the same swing of the day.
  *
  * Pattern: a service at the end of the call trees fills up, and the entries have to know which of
  * their callers' requests end there.
  */
 
-/** Long enough that most calls fall into the span in which their parent began. */
-export const spanMs = 500;
+/** Long enough that most calls fall into the span in which their parent began, or the next. */
+export const spanMs = 250;
 /** Weight of the past per span; half of it is forgotten in about ten seconds. */
-const keptPerSpan = 0.965;
+const keptPerSpan = 0.9825;
 /** Spans needed before the ratios mean anything. */
-const minSpans = 10;
+const minSpans = 4;
 /** A ratio below this, or below this many times its standard error, is taken for chance. */
 const minRatio = 0.4;
 const minErrors = 3;
@@ -24,7 +24,7 @@
 
 type Counts = Map<string, number>;
 
-/** Sums of products of differences, decayed. */
+/** Sums of products of counts, decayed. */
 type Moments = {
 	readonly products: Map<string, number>;
 	readonly begunMeans: Counts;
@@ -46,8 +46,6 @@
 
 	#begun: Counts = new Map();
 	#made: Counts = new Map();
-	#lastBegun: Counts = new Map();
-	#lastMade: Counts = new Map();
 	#span = -1;
 	readonly #moments: Moments = {
 		products: new Map(),
@@ -105,13 +103,7 @@
 			return;
 		}
 
-		// After a pause the neighbouring spans are empty and tell nothing.
-		if (span === this.#span + 1) {
-			this.#addSpan();
-		}
-
-		this.#lastBegun = this.#begun;
-		this.#lastMade = this.#made;
+		this.#addSpan();
 		this.#begun = new Map();
 		this.#made = new Map();
 		this.#span = span;
@@ -123,20 +115,18 @@
 		decay(products);
 		addMeans(begunMeans, this.#begun);
 		addMeans(madeMeans, this.#made);
-		const begun = computeChanges(this.#begun, this.#lastBegun);
-		const made = computeChanges(this.#made, this.#lastMade);
-		for (const [first, change] of begun) {
-			for (const [second, otherChange] of begun) {
-				addProduct(products, `x ${first} ${second}`, change * otherChange);
+		for (const [first, count] of this.#begun) {
+			for (const [second, otherCount] of this.#begun) {
+				addProduct(products, `x ${first} ${second}`, count * otherCount);
 			}
 
-			for (const [route, madeChange] of made) {
-				addProduct(products, `y ${first} ${route}`, change * madeChange);
+			for (const [route, madeCount] of this.#made) {
+				addProduct(products, `y ${first} ${route}`, count * madeCount);
 			}
 		}
 
-		for (const [route, change] of made) {
-			addProduct(products, `z ${route}`, change * change);
+		for (const [route, count] of this.#made) {
+			addProduct(products, `z ${route}`, count * count);
 		}
 
 		if (this.#moments.spans >= minSpans) {
@@ -202,7 +192,7 @@
 	return Math.max(0, total - explained) * (1 - keptPerSpan);
 }
 
-/** Products of the changes of one parent with those of all. */
+/** Products of the counts of one parent with those of all. */
 function readRow(products: Counts, row: string, columns: readonly string[]): number[] {
 	return columns.map(column => products.get(`x ${row} ${column}`) ?? 0);
 }
@@ -227,21 +217,6 @@
 	}
 }
 
-function computeChanges(now: Counts, before: Counts): Array<[string, number]> {
-	const changes: Array<[string, number]> = [];
-	for (const [route, count] of now) {
-		changes.push([route, count - (before.get(route) ?? 0)]);
-	}
-
-	for (const [route, count] of before) {
-		if (!now.has(route)) {
-			changes.push([route, -count]);
-		}
-	}
-
-	return changes;
-}
-
 function listBusiest(means: Counts): string[] {
 	const routes = [...means].toSorted((first, second) => second[1] - first[1]);
 	return routes.slice(0, maxRoutes).map(([route]) => route);
--- a/src/sidecar/server-side.ts
+++ b/src/sidecar/server-side.ts
@@ -31,6 +31,8 @@
 	readonly directory: Directory;
 	readNewsDesk(): NewsDesk;
 	readConfig(): MeshConfig | undefined;
+	/** The own announcement has changed. */
+	handleAnnounced(): void;
 };
 
 export class ServerSide {
@@ -60,6 +62,11 @@
 		this.guard = this.#createGuard();
 	}
 
+	/** The own announcement; undefined until the server has reported. */
+	get member(): Member | undefined {
+		return this.#announcer.current;
+	}
+
 	/** Service of the server; undefined until it has reported. */
 	get service(): string | undefined {
 		return this.#server.state?.service;
@@ -74,6 +81,7 @@
 
 	close(): void {
 		clearInterval(this.#timer);
+		this.#announcer.close();
 		this.pool.closeIdle();
 	}
 
@@ -205,6 +213,7 @@
 			state: this.#readState(),
 		});
 		this.options.directory.apply(member);
+		this.options.handleAnnounced();
 		const fields = {service, serverId, state: member.state, slots, epoch: member.epoch};
 		this.options.logger.info(fields, 'server is announced');
 	}
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -160,6 +160,9 @@
 			directory: this.#directory,
 			readNewsDesk: () => this.#newsDesk,
 			readConfig: () => this.#config.routes?.config,
+			handleAnnounced: () => {
+				this.#sync.tellDirectly();
+			},
 		});
 	}
 
@@ -170,6 +173,7 @@
 			region,
 			retryRatio,
 			directory: this.#directory,
+			logger: this.logger,
 			readLoad: () => this.#serverSide.guard.readLoad(),
 			readConfigVersion: () => this.#config.version,
 			readService: () => this.#serverSide.service,
@@ -204,6 +208,7 @@
 			logger: this.logger,
 			readConfig: () => this.#config.routes?.config,
 			isStoreLost: () => this.#follower.isLost,
+			readOwnMember: () => this.#serverSide.member,
 			handleConfig: (source, from) => {
 				this.#config.take(source, from);
 			},
