--- a/src/sidecar/news-desk.ts
+++ b/src/sidecar/news-desk.ts
@@ -23,7 +23,7 @@
  * Part of the allowed repeats that may carry requests past a server that refuses at random. The rest
  * covers that demand and budgets are unevenly spread over the sidecars.
  */
-const repeatShare = 0.4;
+const repeatShare = 0.6;
 
 export type NewsOptions = {
 	readonly instance: string;
--- a/src/sidecar/overload/admission.test.ts
+++ b/src/sidecar/overload/admission.test.ts
@@ -154,5 +154,6 @@
 	const shares = play(1, 0.2);
 	t.true(shares.get('order')! > 0.4);
 	t.true(shares.get('lookup')! < 0.15);
+	t.is(shares.get('status'), 1);
 	t.is(shares.get('download'), 1);
 });
--- a/src/sidecar/overload/admission.ts
+++ b/src/sidecar/overload/admission.ts
@@ -17,6 +17,10 @@
 const planEveryMs = 100;
 /** Part of the open share that every route gets, whatever it costs. */
 const floorShare = 0.3;
+/** The same while servers refuse at random: what a few trees get is taken from the important ones. */
+const treeFloorShare = 0.1;
+/** Calls at one service from which on a request counts as a tree of calls. */
+const treeCalls = 1.5;
 /** Smoothing of the rates of requests, per plan. */
 const rateWeight = 0.15;
 /** Routes that were not asked for any more are forgotten below this rate per plan. */
@@ -103,16 +107,12 @@
 
 		const shares = new Map<string, {share: number; service: string}>();
 		for (const [service, pressure] of this.options.board.listPressed(nowMs)) {
-			this.#planService(
-				this.#listNeeds(service, 'slotMs'),
-				{service, share: pressure.openShare},
-				shares,
-			);
-			this.#planService(
-				this.#listNeeds(service, 'calls'),
-				{service, share: pressure.repeatableShare},
-				shares,
-			);
+			const {openShare, repeatableShare} = pressure;
+			const bySlots = this.#listNeeds(service, 'slotMs');
+			this.#planService(bySlots, {service, share: openShare, floor: floorShare}, shares);
+			// A single call gets through by chance as well as by repeats; a tree of calls needs them.
+			const byCalls = this.#listNeeds(service, 'calls').filter(need => need.cost >= treeCalls);
+			this.#planService(byCalls, {service, share: repeatableShare, floor: treeFloorShare}, shares);
 		}
 
 		this.#shares = shares;
@@ -121,7 +121,7 @@
 	/** Shares the room of one service among the routes that need it. */
 	#planService(
 		needs: readonly Need[],
-		open: {readonly service: string; readonly share: number},
+		open: {readonly service: string; readonly share: number; readonly floor: number},
 		shares: Map<string, {share: number; service: string}>,
 	): void {
 		const {service, share: openShare} = open;
@@ -134,7 +134,7 @@
 			room += need.rate * need.cost * openShare;
 		}
 
-		const floor = openShare * floorShare;
+		const floor = openShare * open.floor;
 		for (const need of needs) {
 			room -= need.rate * need.cost * floor;
 		}
