--- a/src/sidecar/entry/entry-call.ts
+++ b/src/sidecar/entry/entry-call.ts
@@ -69,6 +69,7 @@
 	#isInner = false;
 	#isDone = false;
 	#lastReason = '';
+	#reportAgeMs = -1;
 
 	private constructor(
 		private readonly ctx: EntryContext,
@@ -127,6 +128,7 @@
 			}
 
 			case 'shed': {
+				this.#reportAgeMs = verdict.reportAgeMs;
 				this.#answer(ownStatuses.notRun, verdict.reason, verdict.retryAfterMs);
 				break;
 			}
@@ -384,6 +386,7 @@
 			serverId: this.#send?.view.member.serverId ?? '',
 			configVersion: this.ctx.readRoutes()?.config.version ?? 0,
 			deadlineMs: head.deadlineMs ?? 0,
+			reportAgeMs: this.#reportAgeMs,
 		});
 	}
 
--- a/src/sidecar/overload/admission.ts
+++ b/src/sidecar/overload/admission.ts
@@ -11,7 +11,13 @@
 
 export type AdmissionVerdict =
 	| {readonly kind: 'admitted'}
-	| {readonly kind: 'shed'; readonly reason: string; readonly retryAfterMs: number};
+	| {
+			readonly kind: 'shed';
+			readonly reason: string;
+			readonly retryAfterMs: number;
+			/** Age of the report that decided. */
+			readonly reportAgeMs: number;
+	  };
 
 /** How often the shares are worked out anew. */
 const planEveryMs = 100;
@@ -29,6 +35,17 @@
 const firstReturnMs = 300;
 const returnSpanMs = 1500;
 
+/** The room of one service, and the part of it that every route gets. */
+type OpenService = {
+	readonly service: string;
+	readonly share: number;
+	readonly floor: number;
+	readonly ageMs: number;
+};
+
+/** Share of a route's requests that is started, and the service that bounds it. */
+type PlannedShare = {readonly share: number; readonly service: string; readonly ageMs: number};
+
 /** What one route asks of a scarce service. */
 type Need = {
 	readonly key: string;
@@ -54,7 +71,7 @@
 
 	readonly #demands = new Map<string, Demand>();
 	/** Share of each route's requests that is started; routes that are missing are open. */
-	#shares = new Map<string, {share: number; service: string}>();
+	#shares = new Map<string, PlannedShare>();
 	#plannedAtMs = 0;
 
 	private constructor(
@@ -82,6 +99,7 @@
 			kind: 'shed',
 			reason: `${planned.service} has room for ${Math.round(planned.share * 100)} in 100`,
 			retryAfterMs: firstReturnMs + this.options.random() * spanMs,
+			reportAgeMs: Math.round(planned.ageMs + nowMs - this.#plannedAtMs),
 		};
 	}
 
@@ -105,26 +123,26 @@
 			}
 		}
 
-		const shares = new Map<string, {share: number; service: string}>();
+		const shares = new Map<string, PlannedShare>();
 		for (const [service, pressure] of this.options.board.listPressed(nowMs)) {
-			const {openShare, repeatableShare} = pressure;
+			const {openShare, repeatableShare, ageMs} = pressure;
 			const bySlots = this.#listNeeds(service, 'slotMs');
-			this.#planService(bySlots, {service, share: openShare, floor: floorShare}, shares);
+			this.#planService(bySlots, {service, share: openShare, floor: floorShare, ageMs}, shares);
 			// A single call gets through by chance as well as by repeats; a tree of calls needs them.
 			const byCalls = this.#listNeeds(service, 'calls').filter(need => need.cost >= treeCalls);
-			this.#planService(byCalls, {service, share: repeatableShare, floor: treeFloorShare}, shares);
+			this.#planService(
+				byCalls,
+				{service, share: repeatableShare, floor: treeFloorShare, ageMs},
+				shares,
+			);
 		}
 
 		this.#shares = shares;
 	}
 
 	/** Shares the room of one service among the routes that need it. */
-	#planService(
-		needs: readonly Need[],
-		open: {readonly service: string; readonly share: number; readonly floor: number},
-		shares: Map<string, {share: number; service: string}>,
-	): void {
-		const {service, share: openShare} = open;
+	#planService(needs: readonly Need[], open: OpenService, shares: Map<string, PlannedShare>): void {
+		const {service, share: openShare, ageMs} = open;
 		if (openShare >= 1) {
 			return;
 		}
@@ -145,7 +163,7 @@
 			room -= wanted;
 			const planned = shares.get(need.key);
 			if (share < (planned?.share ?? 1)) {
-				shares.set(need.key, {share, service});
+				shares.set(need.key, {share, service, ageMs});
 			}
 		}
 	}
--- a/src/sidecar/overload/pressure-board.ts
+++ b/src/sidecar/overload/pressure-board.ts
@@ -18,6 +18,8 @@
 	readonly openShare: number;
 	/** By the repeats that may be spent, while servers refuse requests at random. */
 	readonly repeatableShare: number;
+	/** Time since the newest report. */
+	readonly ageMs: number;
 };
 
 type Report = {
@@ -55,7 +57,7 @@
 
 	/** Lists the services under pressure, with the shares of the demand that they can take. */
 	listPressed(nowMs: number): Map<string, Pressure> {
-		const sums = new Map<string, {near: Pressure[]; all: Pressure[]}>();
+		const sums = new Map<string, {near: Report[]; all: Report[]}>();
 		for (const [instance, report] of this.#reports) {
 			if (nowMs - report.atMs > maxAgeMs) {
 				this.#reports.delete(instance);
@@ -73,7 +75,7 @@
 
 		const pressed = new Map<string, Pressure>();
 		for (const [service, {near, all}] of sums) {
-			const pressure = computeMean(near.length > 0 ? near : all);
+			const pressure = computeMean(near.length > 0 ? near : all, nowMs);
 			if (Math.min(pressure.openShare, pressure.repeatableShare) < closedBelow) {
 				pressed.set(service, pressure);
 			}
@@ -101,13 +103,15 @@
 	}
 }
 
-function computeMean(reports: readonly Pressure[]): Pressure {
+function computeMean(reports: readonly Report[], nowMs: number): Pressure {
 	let openShare = 0;
 	let repeatableShare = 0;
+	let newestMs = Number.NEGATIVE_INFINITY;
 	for (const report of reports) {
 		openShare += report.openShare / reports.length;
 		repeatableShare += report.repeatableShare / reports.length;
+		newestMs = Math.max(newestMs, report.atMs);
 	}
 
-	return {openShare, repeatableShare};
+	return {openShare, repeatableShare, ageMs: nowMs - newestMs};
 }
--- a/src/sidecar/reporting/request-log.ts
+++ b/src/sidecar/reporting/request-log.ts
@@ -17,12 +17,32 @@
 	readonly serverId: string;
 	readonly configVersion: number;
 	readonly deadlineMs: number;
+	/** Age of the report that the admission went by; -1 when it went by none. */
+	readonly reportAgeMs: number;
+};
+
+/** Why a guard did not bring a request to an answer. */
+export type GuardRecord = {
+	readonly requestId: string;
+	readonly route: string;
+	readonly callerService: string;
+	readonly reason: string;
+	/** Whether the server may have run it. */
+	readonly mayHaveRun: boolean;
+	/** Time since the request arrived at the guard. */
+	readonly afterMs: number;
+	readonly remainingMs: number;
+	readonly running: number;
+	readonly waiting: number;
+	readonly limit: number;
 };
 
 /** Lines a second for requests that were served; they are the first to be dropped. */
 const maxServedPerSecond = 2;
 /** Lines a second for requests that were refused or failed. */
 const maxFailedPerSecond = 20;
+/** Lines a second of a guard about requests that it refused or lost. */
+const maxGuardedPerSecond = 10;
 /** Upper bounds of the latency buckets, in milliseconds. */
 export const latencyBucketsMs = [5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10_000] as const;
 
@@ -50,6 +70,7 @@
 	#second = 0;
 	#served = 0;
 	#failed = 0;
+	#guarded = 0;
 	#droppedBefore = 0;
 
 	private constructor(private readonly logger: Logger) {}
@@ -71,6 +92,17 @@
 		}
 	}
 
+	/** Records a request that this instance's guard refused or lost. */
+	recordGuarded(record: GuardRecord): void {
+		this.#startSecond();
+		if (this.#guarded++ >= maxGuardedPerSecond) {
+			this.dropped++;
+			return;
+		}
+
+		this.logger.warn(record, record.mayHaveRun ? 'request lost at the server' : 'request refused');
+	}
+
 	#takeLine(isServed: boolean): boolean {
 		if (isServed) {
 			return this.#served++ < maxServedPerSecond;
@@ -93,6 +125,7 @@
 		this.#second = second;
 		this.#served = 0;
 		this.#failed = 0;
+		this.#guarded = 0;
 	}
 
 	#count(record: RequestRecord): void {
--- a/src/sidecar/server-side.ts
+++ b/src/sidecar/server-side.ts
@@ -1,7 +1,7 @@
 /** The backend server beside the sidecar: what it reports, what reaches it, and what peers hear of it. */
 import {type Logger} from '../reporting/logger.ts';
 import {Guard} from './guard/guard.ts';
-import {type CallOutcome} from './guard/guarded-call.ts';
+import {type CallOutcome, type GuardedCall} from './guard/guarded-call.ts';
 import {probeHealth} from './guard/health-probe.ts';
 import {LocalServer} from './guard/local-server.ts';
 import {ServerPool} from './guard/server-pool.ts';
@@ -9,6 +9,7 @@
 import {type Directory} from './knowledge/directory.ts';
 import {type NewsDesk} from './news-desk.ts';
 import {type Row, type SharedTable} from './ports.ts';
+import {type RequestLog} from './reporting/request-log.ts';
 import {decodeMember} from './knowledge/member-codec.ts';
 import {
 	type HeadCodec,
@@ -29,6 +30,7 @@
 	readonly logger: Logger;
 	readonly incarnation: string;
 	readonly directory: Directory;
+	readonly log: RequestLog;
 	readNewsDesk(): NewsDesk;
 	readConfig(): MeshConfig | undefined;
 	/** The own announcement has changed. */
@@ -129,6 +131,7 @@
 				},
 				handleOutcome: (call, outcome) => {
 					this.#handleOutcome(call.head.route, outcome);
+					this.#logOutcome(call, outcome);
 				},
 			},
 		});
@@ -148,6 +151,24 @@
 		}
 	}
 
+	#logOutcome(call: GuardedCall, outcome: CallOutcome): void {
+		if (outcome.kind !== 'refused' && outcome.kind !== 'failed') {
+			return;
+		}
+
+		const {requestId, route, callerService, remainingMs} = call.head;
+		this.options.log.recordGuarded({
+			requestId,
+			route,
+			callerService,
+			reason: outcome.reason,
+			mayHaveRun: outcome.kind === 'failed' && outcome.hasSent,
+			afterMs: Math.round(performance.now() - call.arrivedAtMs),
+			remainingMs: Math.round(remainingMs),
+			...this.guard.readLoad(),
+		});
+	}
+
 	/**
 	 * Asks the server who it is after a restart of the sidecar alone, so that work can come before the
 	 * next report. A leaving server is not healthy, and a refused probe leaves it to the report.
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -158,6 +158,7 @@
 			logger: this.logger,
 			incarnation: this.#incarnation,
 			directory: this.#directory,
+			log: this.#log,
 			readNewsDesk: () => this.#newsDesk,
 			readConfig: () => this.#config.routes?.config,
 			handleAnnounced: () => {
