--- a/src/operator/commands/record-actions.ts
+++ b/src/operator/commands/record-actions.ts
@@ -94,7 +94,7 @@
 	const verdict = verifyRecord(batches.value, history.value);
 	if (verdict.findings.length > 0) {
 		const message = `the record does not prove the policy in force\n${formatFindings(verdict.findings)}`;
-		const nextStep = 'See "The record has findings" in docs/OPERATING.md.';
+		const nextStep = 'See "The record has findings" in docs/OPERATIONS.md.';
 		return err(OperatorError.create('failed', message.trimEnd(), nextStep));
 	}
 
--- a/src/operator/convert-error.ts
+++ b/src/operator/convert-error.ts
@@ -48,7 +48,7 @@
 		}
 
 		case 'corrupt': {
-			const nextStep = 'Don\'t apply anything; see "A version is corrupt" in docs/OPERATING.md.';
+			const nextStep = 'Don\'t apply anything; see "A version is corrupt" in docs/OPERATIONS.md.';
 			return OperatorError.create('failed', error.message, nextStep);
 		}
 
--- /dev/null
+++ b/src/sidecar/routing/picker.test.ts
@@ -0,0 +1,63 @@
+/** Pattern: near servers first, others when the near ones are clearly busier. */
+import test from 'ava';
+import {type Distance, distances, MemberView} from '../knowledge/member-view.ts';
+import {type Member} from '../types.ts';
+import {pickMember} from './picker.ts';
+
+const nowMs = 1000;
+
+/** Creates a view of a member with a fresh load report. */
+function createView(instance: string, distance: Distance, running: number): MemberView {
+	const member: Member = {
+		instance,
+		link: {host: '10.0.0.1', port: 1},
+		dataCentre: 'a',
+		region: 'r',
+		service: 's',
+		serverId: instance,
+		slots: 20,
+		state: 'ready',
+		epoch: 1,
+	};
+	const pool = {
+		open() {
+			throw new Error('nothing is sent here');
+		},
+		resume() {
+			throw new Error('nothing is sent here');
+		},
+		sync: async () => undefined,
+	};
+	const view = MemberView.create(member, {kind: 'link', pool}, distance);
+	view.recordLoad({running, waiting: 0, limit: 20}, nowMs);
+	return view;
+}
+
+function pick(views: MemberView[], tried: string[] = []): string | undefined {
+	return pickMember(views, new Set(tried), nowMs, () => 0)?.member.instance;
+}
+
+test('a near server with room is taken before an idle one elsewhere', t => {
+	const views = [createView('near', distances.dataCentre, 10), createView('far', distances.far, 0)];
+	t.is(pick([...views, createView('region', distances.region, 0)]), 'near');
+});
+
+test('work goes to another data centre of the region when the near server is busy', t => {
+	const views = [createView('near', distances.dataCentre, 15), createView('far', distances.far, 0)];
+	t.is(pick([...views, createView('region', distances.region, 4)]), 'region');
+});
+
+test('work crosses to the other region only when requests would wait', t => {
+	const far = createView('far', distances.far, 4);
+	t.is(pick([createView('near', distances.dataCentre, 19), far]), 'near');
+	t.is(pick([createView('near', distances.dataCentre, 24), far]), 'far');
+});
+
+test('servers that turned the request away, that leave or that failed are passed by', t => {
+	const near = createView('near', distances.dataCentre, 0);
+	const other = createView('other', distances.dataCentre, 10);
+	t.is(pick([near, other], ['near']), 'other');
+	near.recordFailure(nowMs);
+	t.is(pick([near, other]), 'other');
+	t.is(pick([near]), undefined);
+});
--- a/src/sidecar/routing/picker.ts
+++ b/src/sidecar/routing/picker.ts
@@ -6,11 +6,17 @@
  */
 import {type Distance, distances, type MemberView} from '../knowledge/member-view.ts';
 
-/** What a farther server has to be less busy by, as a share of its slots, before work goes there. */
-const distancePenalty: Readonly<Record<Distance, number>> = {
-	[distances.dataCentre]: 0,
-	[distances.region]: 0.15,
-	[distances.far]: 0.5,
+/**
+ * What a farther server has to be less busy by, as a share of its slots, before work goes there, and the
+ * least use that it counts with. A near server has to be busier than the sum: work goes to another data
+ * centre above 0.6 of the near slots, and to the other region when requests wait.
+ */
+const distanceCosts: Readonly<
+	Record<Distance, {readonly penalty: number; readonly least: number}>
+> = {
+	[distances.dataCentre]: {penalty: 0, least: 0},
+	[distances.region]: {penalty: 0.15, least: 0.45},
+	[distances.far]: {penalty: 0.45, least: 0.6},
 };
 /** Members are all compared up to this number; of more, that many are drawn. */
 const maxCompared = 8;
@@ -41,7 +47,8 @@
 			continue;
 		}
 
-		const cost = view.estimateUse(nowMs) + distancePenalty[view.distance] + random() * jitter;
+		const {penalty, least} = distanceCosts[view.distance];
+		const cost = Math.max(least, view.estimateUse(nowMs)) + penalty + random() * jitter;
 		if (cost < bestCost) {
 			best = view;
 			bestCost = cost;
