--- a/src/sidecar/overload/admission.ts
+++ b/src/sidecar/overload/admission.ts
@@ -21,9 +21,14 @@
 
 /** How often the shares are worked out anew. */
 const planEveryMs = 100;
-/** Part of the open share that every route gets, whatever it costs. */
-const floorShare = 0.3;
-/** The same while servers refuse at random: what a few trees get is taken from the important ones. */
+/** Part of the open share that every route gets, whatever its rank, so that none is shut out. */
+const floorShare = 0.15;
+/**
+ * Part of what a rank gets that its routes share evenly; the rest goes to those that cost least. A route
+ * must not be shut out for others of its rank that happen to be cheaper.
+ */
+const evenShare = 0.6;
+/** The floor while servers refuse at random: what a few trees get is taken from the important ones. */
 const treeFloorShare = 0.1;
 /** Calls at one service from which on a request counts as a tree of calls. */
 const treeCalls = 1.5;
@@ -142,28 +147,15 @@
 
 	/** Shares the room of one service among the routes that need it. */
 	#planService(needs: readonly Need[], open: OpenService, shares: Map<string, PlannedShare>): void {
-		const {service, share: openShare, ageMs} = open;
-		if (openShare >= 1) {
+		if (open.share >= 1) {
 			return;
 		}
 
-		let room = 0;
-		for (const need of needs) {
-			room += need.rate * need.cost * openShare;
-		}
-
-		const floor = openShare * open.floor;
-		for (const need of needs) {
-			room -= need.rate * need.cost * floor;
-		}
-
-		for (const need of needs) {
-			const wanted = need.rate * need.cost * (1 - floor);
-			const share = wanted <= 0 ? 1 : floor + (1 - floor) * Math.max(0, Math.min(1, room / wanted));
-			room -= wanted;
+		const floor = open.share * open.floor;
+		for (const {need, share} of shareRoom(needs, open.share, floor)) {
 			const planned = shares.get(need.key);
 			if (share < (planned?.share ?? 1)) {
-				shares.set(need.key, {share, service, ageMs});
+				shares.set(need.key, {share, service: open.service, ageMs: open.ageMs});
 			}
 		}
 	}
@@ -187,3 +179,50 @@
 		);
 	}
 }
+
+type SharedNeed = {readonly need: Need; readonly share: number};
+
+/** Shares a part of what is asked: rank by rank, after a floor for all. */
+function shareRoom(needs: readonly Need[], openShare: number, floor: number): SharedNeed[] {
+	let room = sumDemand(needs) * (openShare - floor);
+	const shared: SharedNeed[] = [];
+	for (const rank of listRanks(needs)) {
+		const group = needs.filter(need => need.priority === rank);
+		const wanted = sumDemand(group) * (1 - floor);
+		const given = Math.min(room, wanted);
+		shared.push(...shareWithinRank(group, floor, wanted <= 0 ? 1 : given / wanted));
+		room -= given;
+	}
+
+	return shared;
+}
+
+/** Shares what one rank gets: a part evenly, the rest to the cheapest first. */
+function shareWithinRank(group: readonly Need[], floor: number, rankShare: number): SharedNeed[] {
+	const even = rankShare < 1 ? rankShare * evenShare : 1;
+	let rest = sumDemand(group) * (1 - floor) * (rankShare - even);
+	const shared: SharedNeed[] = [];
+	for (const need of group) {
+		const wanted = need.rate * need.cost * (1 - floor);
+		const extra = wanted <= 0 ? 0 : Math.max(0, Math.min(1 - even, rest / wanted));
+		rest -= extra * wanted;
+		shared.push({need, share: floor + (1 - floor) * (even + extra)});
+	}
+
+	return shared;
+}
+
+function sumDemand(needs: readonly Need[]): number {
+	let sum = 0;
+	for (const need of needs) {
+		sum += need.rate * need.cost;
+	}
+
+	return sum;
+}
+
+/** Lists the ranks that occur, the most important first. */
+function listRanks(needs: readonly Need[]): number[] {
+	const ranks = new Set(needs.map(need => need.priority));
+	return [...ranks].toSorted((first, second) => first - second);
+}
