--- a/src/sidecar/entry/send.ts
+++ b/src/sidecar/entry/send.ts
@@ -217,7 +217,9 @@
 		const silenceMs = Math.max(minSilenceMs, this.view.latencyMs * silenceFactor);
 		clearTimeout(this.#timer);
 		this.#timer = setTimeout(() => {
-			if (!this.#hasAnswerBegun) {
+			const {way} = this.view;
+			if (!this.#hasAnswerBegun && way.kind === 'link') {
+				way.pool.closeIdleBefore(this.startedAtMs);
 				this.#resume();
 			}
 		}, silenceMs);
--- a/src/sidecar/guard/run-proof-model.test.ts
+++ b/src/sidecar/guard/run-proof-model.test.ts
@@ -188,6 +188,9 @@
 			resume: (question: ResumeHead, listener: LinkListener) =>
 				this.#link(question.nonce, listener).resume(question),
 			sync: async () => undefined,
+			closeIdleBefore() {
+				// Links are not kept here.
+			},
 		};
 		this.#view = MemberView.create(member, {kind: 'link', pool}, distances.dataCentre);
 	}
--- /dev/null
+++ b/src/sidecar/knowledge/announcer.test.ts
@@ -0,0 +1,107 @@
+/** Pattern: a store whose answers are lost, or that carries writes out late. */
+import {err, ok, type Result} from 'neverthrow';
+import test from 'ava';
+import {Logger} from '../../reporting/logger.ts';
+import {type SharedTable, type StoreFailure} from '../ports.ts';
+import {type Member} from '../types.ts';
+import {Announcer} from './announcer.ts';
+import {decodeMember} from './member-codec.ts';
+
+const logger = Logger.create('test', 'error');
+const member: Omit<Member, 'epoch'> = {
+	instance: 'one',
+	link: {host: '10.0.0.1', port: 1},
+	dataCentre: 'a',
+	region: 'r',
+	service: 's',
+	serverId: 'i-1',
+	slots: 20,
+	state: 'ready',
+};
+
+type WriteResult = Result<number, StoreFailure>;
+
+/** A table with one row; each write first asks what should happen to it. */
+function createTable(decide: (applied: () => WriteResult) => WriteResult) {
+	const row = {value: undefined as string | undefined, version: 0};
+	const table: Pick<SharedTable, 'writeRow'> = {
+		async writeRow(_table, _key, value, expectedVersion) {
+			return decide(() => {
+				if (expectedVersion !== row.version) {
+					return err({kind: 'conflict', version: row.version});
+				}
+
+				row.value = value;
+				row.version++;
+				return ok(row.version);
+			});
+		},
+	};
+	return {row, table: table as SharedTable};
+}
+
+async function settle(): Promise<void> {
+	return new Promise(resolve => {
+		setTimeout(resolve, 1000);
+	});
+}
+
+const lost: WriteResult = err({kind: 'unavailable', reason: 'lost', mayHaveRun: true});
+
+test('a write whose answer is lost is followed by one that finds out', async t => {
+	let writes = 0;
+	const {row, table} = createTable(apply => {
+		writes++;
+		const result = apply();
+		return writes === 1 ? lost : result;
+	});
+	let failures = 0;
+	const announcer = Announcer.create('one', table, logger, () => {
+		failures++;
+	});
+	announcer.recordRow(undefined);
+	const announced = announcer.announce(member);
+	await settle();
+	t.is(decodeMember(row.value!)?.epoch, announced.epoch);
+	t.is(failures, 1);
+	t.false(announcer.isFailing);
+	announcer.close();
+});
+
+test('the last of several changes is what the table ends with', async t => {
+	const {row, table} = createTable(apply => apply());
+	const announcer = Announcer.create('one', table, logger, () => {
+		t.fail('no write fails');
+	});
+	announcer.recordRow(undefined);
+	announcer.announce(member);
+	announcer.announce({...member, state: 'leaving'});
+	announcer.announce({...member, state: 'down'});
+	await settle();
+	t.is(decodeMember(row.value!)?.state, 'down');
+	announcer.close();
+});
+
+test('an epoch that a peer knows of an earlier life is outbid', async t => {
+	const {row, table} = createTable(apply => apply());
+	const announcer = Announcer.create('one', table, logger, () => {
+		t.fail('no write fails');
+	});
+	announcer.recordRow(undefined);
+	const announced = announcer.announce(member);
+	announcer.raise(announced.epoch + 5000);
+	await settle();
+	t.is(decodeMember(row.value!)?.epoch, announced.epoch + 5001);
+	announcer.close();
+});
+
+test('nothing is written before the own row was read', async t => {
+	const {row, table} = createTable(apply => apply());
+	const announcer = Announcer.create('one', table, logger, () => {
+		t.fail('no write fails');
+	});
+	announcer.announce(member);
+	await settle();
+	t.is(row.value, undefined);
+	announcer.close();
+});
--- a/src/sidecar/knowledge/announcer.ts
+++ b/src/sidecar/knowledge/announcer.ts
@@ -10,12 +10,18 @@
 
 export class Announcer {
 	/**
+	 * @param handleFailure - hears that the table did not take an announcement
 	 * @example
-	 * const announcer = Announcer.create('sidecar-est-a-1', table, logger);
+	 * const announcer = Announcer.create('sidecar-est-a-1', table, logger, tellPeers);
 	 * announcer.announce(member);
 	 */
-	static create(instance: string, table: SharedTable, logger: Logger): Announcer {
-		return new Announcer(instance, table, logger);
+	static create(
+		instance: string,
+		table: SharedTable,
+		logger: Logger,
+		handleFailure: () => void,
+	): Announcer {
+		return new Announcer(instance, table, logger, handleFailure);
 	}
 
 	#wanted: Member | undefined;
@@ -27,17 +33,36 @@
 	#retryMs = firstRetryMs;
 	#isKnown = false;
 	#isClosed = false;
+	#isFailing = false;
 
 	private constructor(
 		private readonly instance: string,
 		private readonly table: SharedTable,
 		private readonly logger: Logger,
+		private readonly handleFailure: () => void,
 	) {}
 
 	get current(): Member | undefined {
 		return this.#wanted;
 	}
 
+	/** Whether the table did not take the last write. */
+	get isFailing(): boolean {
+		return this.#isFailing;
+	}
+
+	/**
+	 * Raises the epoch over one that a peer knows of an earlier life of this sidecar; the time of day may
+	 * have been set back since.
+	 */
+	raise(epoch: number): void {
+		if (this.#wanted !== undefined && epoch >= this.#wanted.epoch) {
+			this.#epoch = Math.max(this.#epoch, epoch) + 1;
+			this.#wanted = {...this.#wanted, epoch: this.#epoch};
+			void this.#write();
+		}
+	}
+
 	/** Announces a change of the member; the epoch is set here. */
 	announce(member: Omit<Member, 'epoch'>): Member {
 		this.#epoch = Math.max(this.#epoch + 1, Date.now());
@@ -87,6 +112,7 @@
 			this.#rowVersion = result.value;
 			this.#rowText = text;
 			this.#retryMs = firstRetryMs;
+			this.#isFailing = false;
 			void this.#write();
 			return;
 		}
@@ -97,6 +123,12 @@
 			this.#rowText = undefined;
 		}
 
+		const wasFailing = this.#isFailing;
+		this.#isFailing = failure.kind === 'unavailable';
+		if (this.#isFailing && !wasFailing) {
+			this.handleFailure();
+		}
+
 		const reason = failure.kind === 'unavailable' ? failure.reason : failure.kind;
 		this.logger.warn(
 			{reason, state: wanted.state, service: wanted.service},
--- a/src/sidecar/knowledge/member-view.ts
+++ b/src/sidecar/knowledge/member-view.ts
@@ -10,7 +10,10 @@
 /** Where a request for a member goes. */
 export type MemberWay =
 	| {readonly kind: 'local'; readonly readLoad: () => GuardLoad}
-	| {readonly kind: 'link'; readonly pool: Pick<LinkPool, 'open' | 'resume' | 'sync'>};
+	| {
+			readonly kind: 'link';
+			readonly pool: Pick<LinkPool, 'open' | 'resume' | 'sync' | 'closeIdleBefore'>;
+	  };
 
 /** First pause after a failure; doubled with each further one. */
 const firstPauseMs = 400;
--- a/src/sidecar/link/link-client.ts
+++ b/src/sidecar/link/link-client.ts
@@ -83,9 +83,11 @@
 		}
 	}
 
-	/** Closes idle connections, for a peer that doesn't answer on one of them. */
-	closeIdle(): void {
-		for (const link of this.#idle.splice(0)) {
+	/** Closes connections that were idle before a moment, when one from then turned out to be silent. */
+	closeIdleBefore(momentMs: number): void {
+		const stale = this.#idle.filter(link => link.idleSinceMs < momentMs);
+		this.#idle = this.#idle.filter(link => link.idleSinceMs >= momentMs);
+		for (const link of stale) {
 			link.close();
 		}
 	}
--- a/src/sidecar/routing/picker.test.ts
+++ b/src/sidecar/routing/picker.test.ts
@@ -27,6 +27,9 @@
 			throw new Error('nothing is sent here');
 		},
 		sync: async () => undefined,
+		closeIdleBefore() {
+			throw new Error('nothing is sent here');
+		},
 	};
 	const view = MemberView.create(member, {kind: 'link', pool}, distance);
 	view.recordLoad({running, waiting: 0, limit: 20}, nowMs);
--- a/src/sidecar/server-side.ts
+++ b/src/sidecar/server-side.ts
@@ -60,7 +60,9 @@
 		const {settings, codec, table, logger} = options;
 		this.#server = LocalServer.create(settings.drainMs);
 		this.pool = ServerPool.create(settings.serverAddress, codec);
-		this.#announcer = Announcer.create(settings.instance, table, logger);
+		this.#announcer = Announcer.create(settings.instance, table, logger, () => {
+			options.handleAnnounced();
+		});
 		this.guard = this.#createGuard();
 	}
 
@@ -69,6 +71,11 @@
 		return this.#announcer.current;
 	}
 
+	/** Whether the last announcement did not reach the shared table. */
+	get isAnnouncementLost(): boolean {
+		return this.#announcer.isFailing;
+	}
+
 	/** Service of the server; undefined until it has reported. */
 	get service(): string | undefined {
 		return this.#server.state?.service;
@@ -105,6 +112,15 @@
 		}
 	}
 
+	/** Takes what a peer believes of this instance; an earlier life may have announced a later epoch. */
+	handleOwnMember(member: Member): void {
+		const {current} = this.#announcer;
+		if (current !== undefined && member.epoch > current.epoch) {
+			this.#announcer.raise(member.epoch);
+			this.options.directory.apply(this.#announcer.current!);
+		}
+	}
+
 	/** Tells peers that nothing new should come. */
 	setStopping(): void {
 		this.#isStopping = true;
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -208,7 +208,7 @@
 			directory: this.#directory,
 			logger: this.logger,
 			readConfig: () => this.#config.routes?.config,
-			isStoreLost: () => this.#follower.isLost,
+			isStoreLost: () => this.#follower.isLost || this.#serverSide.isAnnouncementLost,
 			readOwnMember: () => this.#serverSide.member,
 			handleConfig: (source, from) => {
 				this.#config.take(source, from);
@@ -260,8 +260,13 @@
 	}
 
 	#handleMember(member: Member): void {
-		// Of the own server the sidecar knows more than any announcement says.
-		if (member.instance !== this.settings.instance && this.#directory.apply(member)) {
+		if (member.instance === this.settings.instance) {
+			// Of the own server the sidecar knows more than any announcement says.
+			this.#serverSide.handleOwnMember(member);
+			return;
+		}
+
+		if (this.#directory.apply(member)) {
 			const {instance, service, state, serverId, epoch} = member;
 			this.logger.info({instance, service, state, serverId, epoch}, 'member has changed');
 		}
