--- a/src/sidecar/overload/call-model.test.ts
+++ b/src/sidecar/overload/call-model.test.ts
@@ -70,3 +70,27 @@
 		add();
 	}
 }
+
+test('a route that makes no calls is not charged with those of a failing tree', t => {
+	const random = createRandom(11);
+	const model = CallModel.create();
+	model.setInner('price', true);
+	for (let span = 0; span < 120; span++) {
+		const nowMs = span * spanMs + 1;
+		const swing = computeSwing(nowMs / 1000);
+		const lookups = drawCount(10 * swing, random);
+		record(lookups, () => {
+			model.recordBegun('lookup', nowMs);
+		});
+		record(drawCount(2 * swing, random), () => {
+			model.recordBegun('download', nowMs);
+		});
+		// From the middle on a tree ends with its first call that fails.
+		record(span < 60 ? lookups * 4 : lookups + drawCount(lookups, random), () => {
+			model.recordMade('price', nowMs);
+		});
+		t.is(model.readRatio('download', 'price'), 0, `span ${span}`);
+	}
+
+	t.true(model.readRatio('lookup', 'price') > 3.2);
+});
--- a/src/sidecar/overload/call-model.ts
+++ b/src/sidecar/overload/call-model.ts
@@ -16,6 +16,11 @@
 const keptPerSpan = 0.9825;
 /** Spans needed before the ratios mean anything. */
 const minSpans = 4;
+/**
+ * A ratio falls by this factor a span at most. A tree whose calls fail ends early and makes fewer, while
+ * one that is to succeed still needs them all.
+ */
+const keptPerSolve = 0.997;
 /** A ratio below this, or below this many times its standard error, is taken for chance. */
 const minRatio = 0.4;
 const minErrors = 3;
@@ -145,7 +150,8 @@
 
 			for (const [parent, ratio] of this.#fit(parents, route)) {
 				const calls = ratios.get(parent) ?? new Map<string, number>();
-				calls.set(route, ratio);
+				const known = this.readRatio(parent, route) * keptPerSolve;
+				calls.set(route, Math.max(ratio, known));
 				ratios.set(parent, calls);
 			}
 		}
@@ -164,7 +170,7 @@
 			const solution = solveLinear(matrix, vector);
 			const variance = computeResidual(products.get(`z ${route}`) ?? 0, solution, vector);
 			used = tried.filter((_parent, index) => {
-				const error = Math.sqrt(variance / matrix[index]![index]!);
+				const error = Math.sqrt(variance * computeSpread(matrix, index));
 				return solution[index]! >= Math.max(minRatio, minErrors * error);
 			});
 			if (used.length === tried.length) {
@@ -222,6 +228,15 @@
 	return routes.slice(0, maxRoutes).map(([route]) => route);
 }
 
+/**
+ * One diagonal element of the inverse: how far a ratio may be off for a given variance. It grows where
+ * routes come and go together, so that one could pass for the other.
+ */
+function computeSpread(matrix: number[][], index: number): number {
+	const unit = matrix.map((_row, row) => (row === index ? 1 : 0));
+	return Math.max(0, solveLinear(matrix, unit)[index]!);
+}
+
 /** Solves a symmetric system by elimination; directions without data get 0. */
 function solveLinear(matrix: number[][], vector: number[]): number[] {
 	const size = vector.length;
