--- a/src/sidecar/entry/entry-call.ts
+++ b/src/sidecar/entry/entry-call.ts
@@ -1,5 +1,4 @@
 /** One caller's request, from its head to its answer: classify, decide, send, relay. */
-import type http from 'node:http';
 import {
 	type AnswerHead,
 	type FailureHead,
@@ -7,9 +6,8 @@
 	type ReplyNews,
 } from '../link/messages.ts';
 import {type MemberView} from '../knowledge/member-view.ts';
-import {type CallLevel} from '../overload/retry-budget.ts';
 import {pickMember} from '../routing/picker.ts';
-import {type RequestHead, type Route} from '../types.ts';
+import {type Route} from '../types.ts';
 import {
 	answerCaller,
 	type OwnStatus,
@@ -18,31 +16,19 @@
 	relayHead,
 } from './caller-answer.ts';
 import {type EntryContext} from './entry-context.ts';
+import {type CallerRequest, streamBody} from './caller-request.ts';
+import {createRecord} from './request-record.ts';
+import {minUsefulMs, SendHistory} from './send-history.ts';
 import {Send} from './send.ts';
 
 /** Time that a caller has who does not say how long it waits. */
 const defaultDeadlineMs = 30_000;
-/** Guards that are asked in turn before a request is given up as refused. */
-const maxRefusals = 3;
-/** Sends of one request to servers that refuse it without running it. */
-const maxSends = 10;
-/** A request with less time left is not worth sending: the way there and back takes some of it. */
-const minUsefulMs = 5;
 /** Return of callers who were refused for want of room: spread over this span after a first pause. */
 const firstReturnMs = 250;
 const returnSpanMs = 1000;
 /** Return of callers while no configuration or no server is known: both come within moments. */
 const unknownReturnMs = 500;
 
-export type CallerRequest = {
-	readonly request: http.IncomingMessage;
-	readonly response: http.ServerResponse;
-	readonly head: RequestHead;
-	/** The whole body, or the part of it that has come. */
-	readonly body: Uint8Array;
-	readonly isWhole: boolean;
-};
-
 export class EntryCall {
 	/**
 	 * @example
@@ -59,16 +45,9 @@
 	#answerByMs = 0;
 	#timer: NodeJS.Timeout | undefined;
 	#send: Send | undefined;
-	readonly #tried = new Set<string>();
-	/** Members whose servers had the request. */
-	readonly #servers = new Set<MemberView>();
-	/** Sends that reached a server. */
-	#arrivals = 0;
-	#refusals = 0;
-	#mayHaveRun = false;
+	#history: SendHistory | undefined;
 	#isInner = false;
 	#isDone = false;
-	#lastReason = '';
 	#reportAgeMs = -1;
 
 	private constructor(
@@ -97,6 +76,7 @@
 
 		this.#route = route;
 		this.#service = routes.pickService(route);
+		this.#history = SendHistory.create(this.ctx, route, this.#service);
 		const patienceMs = Math.min(head.deadlineMs ?? defaultDeadlineMs, route.timeoutMs);
 		this.#answerByMs = this.#arrivedAtMs + patienceMs;
 		this.#timer = setTimeout(() => {
@@ -143,17 +123,17 @@
 		}
 
 		const views = this.ctx.directory.listService(this.#service);
-		const view = pickMember(views, this.#tried, nowMs, this.ctx.random);
+		const view = pickMember(views, this.#history!.tried, nowMs, this.ctx.random);
 		if (view === undefined || this.#answerByMs - nowMs < minUsefulMs) {
 			this.#giveUp(view === undefined ? 'no server has room' : 'no time is left');
 			return;
 		}
 
-		this.#tried.add(view.member.instance);
 		this.#sendTo(view, nowMs);
 	}
 
 	#sendTo(view: MemberView, nowMs: number): void {
+		const history = this.#history!;
 		const {request, head, body, isWhole} = this.caller;
 		const route = this.#route!;
 		const callHead = {
@@ -170,13 +150,14 @@
 			isOnce: route.callKind === 'once',
 			priority: route.priority,
 			isWhole,
-			isRepeat: this.#arrivals > 0,
+			isRepeat: history.arrivals > 0,
 			isInner: this.#isInner,
 		};
+		history.recordSend(view);
 		this.#send = Send.create(view, callHead, this.#createListener(view));
 		this.#send.start(this.ctx.guard, body);
 		if (!isWhole && !this.#isDone) {
-			this.#streamBody();
+			streamBody(this.caller.request, this.#send);
 		}
 	}
 
@@ -211,9 +192,10 @@
 	}
 
 	#handleAnswer(view: MemberView, head: AnswerHead, body: Uint8Array): void {
-		this.#recordArrival(view);
-		if (head.isNotRun && head.isWhole && this.#arrivals < maxSends && this.#canRepeat()) {
-			this.#lastReason = `the server refused with ${head.status}`;
+		const history = this.#history!;
+		history.recordArrival(view);
+		if (head.isNotRun && head.isWhole && this.#canRepeat(left => history.spendAfterRefusal(left))) {
+			history.lastReason = `the server refused with ${head.status}`;
 			this.#sendAgain();
 			return;
 		}
@@ -233,7 +215,7 @@
 
 	/** Hands a server's answer to the caller. */
 	#relay(head: AnswerHead, body: Uint8Array): void {
-		const isPromiseBroken = head.isNotRun && this.#mayHaveRun;
+		const isPromiseBroken = head.isNotRun && this.#history!.mayHaveRun;
 		if (isPromiseBroken) {
 			this.#giveUp('an earlier send may have run');
 			return;
@@ -245,8 +227,7 @@
 	}
 
 	#handleRefusal(view: MemberView, head: RefusalHead, wasReached: boolean): void {
-		this.#lastReason = head.reason;
-		this.#refusals++;
+		const mayAskAnother = this.#history!.recordRefusal(head.reason);
 		if (head.member !== undefined) {
 			this.ctx.handleMember(head.member);
 		}
@@ -255,7 +236,7 @@
 			view.recordFailure(performance.now());
 		}
 
-		if (this.#refusals < maxRefusals) {
+		if (mayAskAnother) {
 			this.#sendOn();
 		} else {
 			this.#giveUp(head.reason);
@@ -263,9 +244,8 @@
 	}
 
 	#handleFailure(view: MemberView, head: FailureHead, wasReached: boolean): void {
-		this.#recordArrival(view);
-		this.#mayHaveRun = true;
-		this.#lastReason = head.reason;
+		const history = this.#history!;
+		history.recordFailure(view, head.reason);
 		if (!wasReached) {
 			view.recordFailure(performance.now());
 		}
@@ -273,37 +253,23 @@
 		if (this.caller.response.headersSent) {
 			this.caller.response.destroy();
 			this.#finish(0, 'cut short');
-		} else if (this.#hasFurtherServers() && this.#canRepeat()) {
+		} else if (this.#canRepeat(left => history.spendAfterFailure(left))) {
 			this.#sendOn();
 		} else {
 			this.#giveUp(head.reason);
 		}
 	}
 
-	#recordArrival(view: MemberView): void {
-		this.#arrivals++;
-		this.#servers.add(view);
-	}
-
-	/** Whether a request that may have run may go to a further server. */
-	#hasFurtherServers(): boolean {
-		const {callKind, maxAttempts} = this.#route!;
-		return callKind === 'repeatable' && this.#servers.size < maxAttempts;
-	}
-
-	#findLevel(): CallLevel {
-		return this.ctx.costs.isLeaf(this.#route!.name, this.#service) ? 'leaf' : 'inner';
-	}
-
 	/** Sends a request that a server refused to a further one, or again to one that had it. */
 	#sendAgain(): void {
-		if (this.#servers.size < this.#route!.maxAttempts) {
+		const {servers} = this.#history!;
+		if (this.#history!.hasFurtherServers()) {
 			this.#sendOn();
 			return;
 		}
 
 		const nowMs = performance.now();
-		const view = pickMember([...this.#servers], new Set(), nowMs, this.ctx.random);
+		const view = pickMember([...servers], new Set(), nowMs, this.ctx.random);
 		if (view === undefined) {
 			this.#giveUp('no server has room');
 		} else {
@@ -311,20 +277,19 @@
 		}
 	}
 
-	/** Whether time and budget allow a further send. */
-	#canRepeat(): boolean {
-		const nowMs = performance.now();
-		return (
-			!this.#isDone &&
-			this.caller.isWhole &&
-			this.#answerByMs - nowMs > minUsefulMs &&
-			this.ctx.budget.spend(this.#service, this.#findLevel(), nowMs)
-		);
+	/**
+	 * Whether a further send is possible.
+	 *
+	 * @param spend - takes a repeat, given the time that is left
+	 */
+	#canRepeat(spend: (remainingMs: number) => boolean): boolean {
+		const remainingMs = this.#answerByMs - performance.now();
+		return !this.#isDone && this.caller.isWhole && spend(remainingMs);
 	}
 
 	/** Answers that the request was not run, if that is certain, and that it failed otherwise. */
 	#giveUp(reason: string): void {
-		if (this.#mayHaveRun) {
+		if (this.#history?.mayHaveRun) {
 			this.#answer(ownStatuses.failed, reason);
 		} else {
 			const retryAfterMs = firstReturnMs + this.ctx.random() * returnSpanMs;
@@ -371,36 +336,18 @@
 
 		this.#isDone = true;
 		clearTimeout(this.#timer);
-		const {head, request} = this.caller;
-		this.ctx.log.recordRequest({
-			requestId: head.requestId,
-			route: this.#route?.name ?? request.url ?? '',
-			service: this.#service,
-			status,
-			outcome,
-			tookMs: performance.now() - this.#arrivedAtMs,
-			sends: this.#tried.size,
-			arrivals: this.#arrivals,
-			lastReason: this.#lastReason,
-			lastInstance: this.#send?.view.member.instance ?? '',
-			serverId: this.#send?.view.member.serverId ?? '',
-			configVersion: this.ctx.readRoutes()?.config.version ?? 0,
-			deadlineMs: head.deadlineMs ?? 0,
-			reportAgeMs: this.#reportAgeMs,
-		});
-	}
-
-	/** Passes on the rest of a body that is too long to be kept. */
-	#streamBody(): void {
-		const {request} = this.caller;
-		request.on('data', (chunk: Uint8Array) => {
-			if (this.#send?.sendBody(chunk) === false) {
-				request.pause();
-			}
-		});
-		request.on('end', () => {
-			this.#send?.endBody();
-		});
-		request.resume();
+		this.ctx.log.recordRequest(
+			createRecord({
+				caller: this.caller,
+				route: this.#route,
+				service: this.#service,
+				history: this.#history,
+				status,
+				outcome,
+				tookMs: performance.now() - this.#arrivedAtMs,
+				reportAgeMs: this.#reportAgeMs,
+				configVersion: this.ctx.readRoutes()?.config.version,
+			}),
+		);
 	}
 }
--- a/src/sidecar/entry/send.ts
+++ b/src/sidecar/entry/send.ts
@@ -7,7 +7,7 @@
 import {type MemberView} from '../knowledge/member-view.ts';
 import {type Guard} from '../guard/guard.ts';
 import {type Exchange} from '../link/exchange.ts';
-import {type LinkListener} from '../link/link-client.ts';
+import {type LinkListener} from '../link/link.ts';
 import {
 	type AnswerHead,
 	type CallHead,
--- a/src/sidecar/guard/guard.ts
+++ b/src/sidecar/guard/guard.ts
@@ -2,10 +2,11 @@
  * The only way to the backend server: admits requests, bounds what runs there, and can prove of a
  * request that it was not run.
  */
-import {type Exchange, type ExchangeListener} from '../link/exchange.ts';
+import {endedExchange, type Exchange, type ExchangeListener} from '../link/exchange.ts';
 import {type CallHead, type GuardLoad, type RefusalReason} from '../link/messages.ts';
 import {type HeadCodec, type Member} from '../types.ts';
 import {type CallConnection, type CallOutcome, GuardedCall} from './guarded-call.ts';
+import {CallRegistry} from './call-registry.ts';
 import {type LocalServer} from './local-server.ts';
 import {WaitingLine} from './waiting-line.ts';
 
@@ -13,10 +14,6 @@
 const serviceTimeWeight = 0.03;
 /** First guess of the time at the server, before anything was measured. */
 const initialServiceMs = 50;
-/** For this long the end of a request is kept, so that an entry that lost its link can ask for it. */
-const keptEndMs = 2000;
-/** An entry that lost its link asks within this time; then a repeatable request is cancelled. */
-const orphanMs = 350;
 const sweepMs = 100;
 /** A request that was cancelled after so long without an answer puts idle connections in doubt. */
 const minSilenceMs = 700;
@@ -45,17 +42,6 @@
 	readMember(): Member | undefined;
 };
 
-const noOperation = () => {
-	// A refused request has nothing to cancel or to pause.
-};
-
-const endedExchange: Exchange = {
-	cancel: noOperation,
-	sendBody: () => true,
-	endBody: noOperation,
-	setPaused: noOperation,
-};
-
 export class Guard {
 	/**
 	 * @example
@@ -70,11 +56,7 @@
 	isStopping = false;
 
 	readonly #line = WaitingLine.create<GuardedCall>();
-	/** Calls by nonce: waiting, running, and ended a short time ago. */
-	readonly #calls = new Map<string, GuardedCall>();
-	/** Nonces that must not run any more, with the time of the verdict. */
-	readonly #killed = new Map<string, number>();
-	readonly #orphans = new Map<GuardedCall, number>();
+	readonly #calls = CallRegistry.create();
 	#running = 0;
 	readonly #timer: NodeJS.Timeout;
 
@@ -110,7 +92,7 @@
 		}
 
 		const call = GuardedCall.create(head, body, listener, this.#createOwner());
-		this.#calls.set(head.nonce, call);
+		this.#calls.add(call);
 		const {limit} = this.options.server;
 		this.options.events.handleArrival(head, (this.#running + this.#line.length) / limit);
 		if (this.#running < limit && this.#line.length === 0) {
@@ -129,14 +111,14 @@
 
 	/** Tells a listener on a new connection what became of a request. */
 	resume(nonce: string, incarnation: string, listener: ExchangeListener): Exchange {
-		const call = this.#calls.get(nonce);
+		const call = this.#calls.findCall(nonce);
 		if (call !== undefined) {
-			this.#orphans.delete(call);
+			this.#calls.removeOrphan(call);
 			return this.#resumeCall(call, listener);
 		}
 
 		if (incarnation === this.options.incarnation) {
-			this.#killed.set(nonce, performance.now());
+			this.#calls.bar(nonce, performance.now());
 			listener.handleRefusal({reason: 'forgotten', hasArrived: false, member: undefined});
 		} else {
 			listener.handleFailure({reason: 'the guard has restarted'});
@@ -147,7 +129,7 @@
 
 	/** Records that the connection over which a listener heard of a request was lost without a word. */
 	orphan(nonce: string, listener: ExchangeListener): void {
-		const call = this.#calls.get(nonce);
+		const call = this.#calls.findCall(nonce);
 		if (call?.listener !== listener) {
 			return;
 		}
@@ -160,7 +142,7 @@
 			}
 
 			case 'running': {
-				this.#orphans.set(call, performance.now());
+				this.#calls.addOrphan(call, performance.now());
 				break;
 			}
 
@@ -191,7 +173,7 @@
 	#findRefusal(head: CallHead): RefusalReason | undefined {
 		const {server} = this.options;
 		const {state} = server;
-		if (this.#killed.has(head.nonce)) {
+		if (this.#calls.isBarred(head.nonce)) {
 			return 'forgotten';
 		}
 
@@ -286,7 +268,7 @@
 			}
 		}
 
-		this.#orphans.delete(call);
+		this.#calls.removeOrphan(call);
 		this.options.events.handleOutcome(call, outcome);
 		queueMicrotask(() => {
 			this.#startWaiting();
@@ -303,25 +285,11 @@
 	/** Forgets old ends and verdicts, and gives up on requests whose entry does not come back. */
 	#sweep(): void {
 		const nowMs = performance.now();
-		for (const [call, sinceMs] of this.#orphans) {
-			if (nowMs - sinceMs > orphanMs && !call.head.isOnce) {
-				call.cancel();
-			}
-		}
-
-		for (const [nonce, call] of this.#calls) {
-			if (call.endedAtMs !== undefined && nowMs - call.endedAtMs > keptEndMs) {
-				this.#calls.delete(nonce);
-			}
-		}
-
-		for (const [nonce, atMs] of this.#killed) {
-			// A frame that is older than the longest request can't arrive any more.
-			if (nowMs - atMs > 60_000) {
-				this.#killed.delete(nonce);
-			}
+		for (const call of this.#calls.listAbandoned(nowMs)) {
+			call.cancel();
 		}
 
+		this.#calls.prune(nowMs);
 		for (const call of this.#line.takeWhere(each => nowMs - each.arrivedAtMs > each.maxWaitMs)) {
 			call.refuse('late');
 		}
--- a/src/sidecar/guard/run-proof-model.test.ts
+++ b/src/sidecar/guard/run-proof-model.test.ts
@@ -10,7 +10,7 @@
 import {Send} from '../entry/send.ts';
 import {distances, MemberView} from '../knowledge/member-view.ts';
 import {type Exchange, type ExchangeListener} from '../link/exchange.ts';
-import {type LinkListener} from '../link/link-client.ts';
+import {type LinkListener} from '../link/link.ts';
 import {type CallHead, type ReplyNews, type ResumeHead} from '../link/messages.ts';
 import {type HeadCodec, type Member} from '../types.ts';
 import {Guard} from './guard.ts';
--- a/src/sidecar/knowledge/member-view.ts
+++ b/src/sidecar/knowledge/member-view.ts
@@ -1,6 +1,6 @@
 /** One backend server as an entry sees it: its announcement, and what its own traffic tells. */
 import {type GuardLoad} from '../link/messages.ts';
-import {type LinkPool} from '../link/link-client.ts';
+import {type LinkPool} from '../link/link-pool.ts';
 import {type Member} from '../types.ts';
 
 /** How near a member is, from the entry's own data centre outwards. */
--- a/src/sidecar/knowledge/member-views.ts
+++ b/src/sidecar/knowledge/member-views.ts
@@ -1,6 +1,6 @@
 /** Builds the views of members: how far they are and which connections lead there. */
 import {type GuardLoad} from '../link/messages.ts';
-import {LinkPool} from '../link/link-client.ts';
+import {LinkPool} from '../link/link-pool.ts';
 import {type Member, type SidecarSettings} from '../types.ts';
 import {type Distance, distances, MemberView} from './member-view.ts';
 
--- /dev/null
+++ b/src/sidecar/link/codec.ts
@@ -0,0 +1,226 @@
+/**
+ * Encodes the heads of frames as JSON lists without names, since each request carries two of them over
+ * links that are billed by volume.
+ */
+import {type Cost, type CostVector} from '../overload/cost-book.ts';
+import {type Member} from '../types.ts';
+import {
+	type AnswerHead,
+	type CallHead,
+	type FailureHead,
+	type PressureNews,
+	type RefusalHead,
+	type RefusalReason,
+	type ReplyNews,
+} from './messages.ts';
+
+/** Encodes an answer's head; news ride along. */
+export function encodeAnswer(head: AnswerHead, news: ReplyNews): string {
+	return JSON.stringify([
+		head.status,
+		head.headers,
+		head.isWhole ? 1 : 0,
+		head.isNotRun ? 1 : 0,
+		Math.round(head.serviceMs),
+		encodeNews(news),
+	]);
+}
+
+export function decodeAnswer(text: string): {head: AnswerHead; news: ReplyNews} {
+	const [status, headers, isWhole, isNotRun, serviceMs, news] = JSON.parse(text) as [
+		number,
+		string[],
+		number,
+		number,
+		number,
+		EncodedNews,
+	];
+	return {
+		head: {status, headers, isWhole: isWhole === 1, isNotRun: isNotRun === 1, serviceMs},
+		news: decodeNews(news),
+	};
+}
+
+export function encodeRefusal(head: RefusalHead, news: ReplyNews): string {
+	return JSON.stringify([
+		head.reason,
+		head.hasArrived ? 1 : 0,
+		head.member ?? null,
+		encodeNews(news),
+	]);
+}
+
+export function decodeRefusal(text: string): {head: RefusalHead; news: ReplyNews} {
+	const [reason, hasArrived, member, news] = JSON.parse(text) as [
+		RefusalReason,
+		number,
+		Member | undefined,
+		EncodedNews,
+	];
+	return {
+		head: {reason, hasArrived: hasArrived === 1, member: member ?? undefined},
+		news: decodeNews(news),
+	};
+}
+
+export function encodeFailure(head: FailureHead, news: ReplyNews): string {
+	return JSON.stringify([head.reason, encodeNews(news)]);
+}
+
+export function decodeFailure(text: string): {head: FailureHead; news: ReplyNews} {
+	const [reason, news] = JSON.parse(text) as [string, EncodedNews];
+	return {head: {reason}, news: decodeNews(news)};
+}
+
+export function encodeCall(head: CallHead): string {
+	return JSON.stringify([
+		head.nonce,
+		head.requestId,
+		head.method,
+		head.path,
+		head.headers,
+		Math.floor(head.remainingMs),
+		head.service,
+		head.serverId,
+		head.callerService,
+		head.route,
+		(head.isOnce ? 1 : 0) +
+			(head.isWhole ? 2 : 0) +
+			(head.isRepeat ? 4 : 0) +
+			(head.isInner ? 8 : 0),
+		head.priority,
+	]);
+}
+
+export function decodeCall(text: string): CallHead {
+	const [
+		nonce,
+		requestId,
+		method,
+		path,
+		headers,
+		remainingMs,
+		service,
+		serverId,
+		callerService,
+		route,
+		flags,
+		priority,
+	] = JSON.parse(text) as [
+		string,
+		string,
+		string,
+		string,
+		string[],
+		number,
+		string,
+		string,
+		string,
+		string,
+		number,
+		number,
+	];
+	return {
+		nonce,
+		requestId,
+		method,
+		path,
+		headers,
+		remainingMs,
+		service,
+		serverId,
+		callerService,
+		route,
+		isOnce: flags % 2 === 1,
+		isWhole: Math.floor(flags / 2) % 2 === 1,
+		isRepeat: Math.floor(flags / 4) % 2 === 1,
+		isInner: flags >= 8,
+		priority,
+	};
+}
+
+type EncodedPressure = [
+	instance: string,
+	service: string,
+	region: string,
+	openShare: number,
+	repeatableShare: number,
+	ageMs: number,
+];
+type EncodedCosts = Array<[service: string, slotMs: number, calls: number]>;
+
+type EncodedNews = [
+	running: number,
+	waiting: number,
+	limit: number,
+	configVersion: number,
+	pressure: EncodedPressure[],
+	costs: EncodedCosts | 0,
+	inner: EncodedFlag,
+];
+
+/** A flag that may be unknown. */
+type EncodedFlag = 0 | 1 | 2;
+
+function encodeNews(news: ReplyNews): EncodedNews {
+	const {running, waiting, limit} = news.load;
+	const pressure: EncodedPressure[] = [];
+	for (const report of news.pressure) {
+		const {instance, service, region, openShare, repeatableShare, ageMs} = report;
+		const shares = [roundShare(openShare), roundShare(repeatableShare)] as const;
+		pressure.push([instance, service, region, ...shares, Math.round(ageMs)]);
+	}
+
+	const inner = encodeFlag(news.isInner);
+	return [running, waiting, limit, news.configVersion, pressure, encodeCosts(news.costs), inner];
+}
+
+function encodeCosts(costs: CostVector | undefined): EncodedCosts | 0 {
+	if (costs === undefined) {
+		return 0;
+	}
+
+	const encoded: EncodedCosts = [];
+	for (const [service, {slotMs, calls}] of costs) {
+		encoded.push([service, Math.round(slotMs * 10) / 10, Math.round(calls * 100) / 100]);
+	}
+
+	return encoded;
+}
+
+function decodeCosts(encoded: EncodedCosts): CostVector {
+	const costs = new Map<string, Cost>();
+	for (const [service, slotMs, calls] of encoded) {
+		costs.set(service, {slotMs, calls});
+	}
+
+	return costs;
+}
+
+function encodeFlag(flag: boolean | undefined): EncodedFlag {
+	if (flag === undefined) {
+		return 2;
+	}
+
+	return flag ? 1 : 0;
+}
+
+function roundShare(share: number): number {
+	return Math.round(share * 1000) / 1000;
+}
+
+function decodeNews(encoded: EncodedNews): ReplyNews {
+	const [running, waiting, limit, configVersion, reports, costs, inner] = encoded;
+	const pressure: PressureNews[] = [];
+	for (const [instance, service, region, openShare, repeatableShare, ageMs] of reports) {
+		pressure.push({instance, service, region, openShare, repeatableShare, ageMs});
+	}
+
+	return {
+		load: {running, waiting, limit},
+		configVersion,
+		pressure,
+		costs: costs === 0 ? undefined : decodeCosts(costs),
+		isInner: inner === 2 ? undefined : inner === 1,
+	};
+}
--- a/src/sidecar/link/exchange.ts
+++ b/src/sidecar/link/exchange.ts
@@ -24,3 +24,15 @@
 	/** Stops and starts the flow of a long answer. */
 	setPaused(isPaused: boolean): void;
 };
+
+const noOperation = () => {
+	// Nothing is under way any more.
+};
+
+/** Stands for a request that has ended. */
+export const endedExchange: Exchange = {
+	cancel: noOperation,
+	sendBody: () => true,
+	endBody: noOperation,
+	setPaused: noOperation,
+};
--- a/src/sidecar/link/link-server.ts
+++ b/src/sidecar/link/link-server.ts
@@ -6,12 +6,9 @@
 import {type Exchange, type ExchangeListener} from './exchange.ts';
 import {type Frame, frameTypes} from './frames.ts';
 import {FrameSocket} from './frame-socket.ts';
+import {decodeCall, encodeAnswer, encodeFailure, encodeRefusal} from './codec.ts';
 import {
 	type AnswerHead,
-	decodeCall,
-	encodeAnswer,
-	encodeFailure,
-	encodeRefusal,
 	type FailureHead,
 	type RefusalHead,
 	type ReplyNews,
--- a/src/sidecar/link/link-client.ts
+++ b/src/sidecar/link/link.ts
@@ -1,24 +1,14 @@
-/** The entry's side of links: one pool of connections for each peer. */
+/** One connection to a peer, from the entry's side; it carries one exchange at a time. */
 import net from 'node:net';
 import {type SocketAddress} from '../types.ts';
+import {decodeAnswer, decodeFailure, decodeRefusal, encodeCall} from './codec.ts';
 import {type Exchange, type ExchangeListener} from './exchange.ts';
 import {type Frame, frameTypes} from './frames.ts';
 import {FrameSocket} from './frame-socket.ts';
-import {
-	type CallHead,
-	decodeAnswer,
-	decodeFailure,
-	decodeRefusal,
-	encodeCall,
-	type ResumeHead,
-} from './messages.ts';
+import {type CallHead, type ResumeHead} from './messages.ts';
 
 /** The slowest way between regions takes 60 ms there and back; a lost packet costs some 200 ms more. */
 const connectTimeoutMs = 500;
-/** Idle connections kept for each peer, beyond which they are closed after use. */
-const maxIdle = 48;
-/** A connection that was idle for longer may have been dropped on the way without a word. */
-const maxIdleMs = 20_000;
 
 /** What becomes of an exchange on a link, besides what the guard tells. */
 export type LinkListener = ExchangeListener & {
@@ -30,98 +20,21 @@
 	handleDrain(): void;
 };
 
-type LinkOwner = {handleIdle(link: Link): void; handleClosed(link: Link): void};
-
-/** Connections to one peer. */
-export class LinkPool {
-	/**
-	 * @example
-	 * const pool = LinkPool.create({host: '10.1.0.9', port: 8300});
-	 * const exchange = pool.open(head, body, listener);
-	 */
-	static create(address: SocketAddress): LinkPool {
-		return new LinkPool(address);
-	}
-
-	#idle: Link[] = [];
-	readonly #links = new Set<Link>();
-	readonly #owner: LinkOwner = {
-		handleIdle: link => {
-			if (this.#idle.length < maxIdle) {
-				link.idleSinceMs = performance.now();
-				this.#idle.push(link);
-			} else {
-				link.close();
-			}
-		},
-		handleClosed: link => {
-			this.#links.delete(link);
-			this.#idle = this.#idle.filter(each => each !== link);
-		},
-	};
-
-	private constructor(private readonly address: SocketAddress) {}
-
-	/** Sends a request to the guard of the peer. */
-	open(head: CallHead, body: Uint8Array, listener: LinkListener): Exchange {
-		return this.#acquire().open(head, body, listener);
-	}
-
-	/** Asks over a new connection what became of a request whose connection was lost. */
-	resume(question: ResumeHead, listener: LinkListener): Exchange {
-		return this.#connect().resume(question, listener);
-	}
-
-	/** Asks the peer for newer configuration and members. */
-	async sync(question: string, timeoutMs: number): Promise<string | undefined> {
-		return this.#acquire().sync(question, timeoutMs);
-	}
-
-	close(): void {
-		for (const link of this.#links) {
-			link.close();
-		}
-	}
-
-	/** Closes connections that were idle before a moment, when one from then turned out to be silent. */
-	closeIdleBefore(momentMs: number): void {
-		const stale = this.#idle.filter(link => link.idleSinceMs < momentMs);
-		this.#idle = this.#idle.filter(link => link.idleSinceMs >= momentMs);
-		for (const link of stale) {
-			link.close();
-		}
-	}
-
-	#acquire(): Link {
-		const nowMs = performance.now();
-		for (;;) {
-			const link = this.#idle.pop();
-			if (link === undefined) {
-				return this.#connect();
-			}
-
-			if (nowMs - link.idleSinceMs <= maxIdleMs) {
-				return link;
-			}
-
-			link.close();
-		}
-	}
-
-	#connect(): Link {
-		const link = Link.connect(this.address, this.#owner);
-		this.#links.add(link);
-		return link;
-	}
-}
+/** What a link tells the pool that owns it. */
+export type LinkOwner = {handleIdle(link: Link): void; handleClosed(link: Link): void};
 
 type LinkState =
 	| {readonly kind: 'idle'}
 	| {readonly kind: 'exchange'; readonly listener: LinkListener}
 	| {readonly kind: 'sync'; readonly onDone: (state: string | undefined) => void};
 
-/** One connection to a peer. */
-class Link implements Exchange {
+export class Link implements Exchange {
+	/**
+	 * Opens a connection; requests may be sent at once and go out when it is established.
+	 *
+	 * @example
+	 * const link = Link.connect(address, owner);
+	 */
 	static connect(address: SocketAddress, owner: LinkOwner): Link {
 		return new Link(address, owner);
 	}
