--- /dev/null
+++ b/src/sidecar/entry/call-head.ts
@@ -0,0 +1,47 @@
+/** Puts together what a guard needs to know of a request. */
+import {type CallHead} from '../link/messages.ts';
+import {type Route} from '../types.ts';
+import {type CallerRequest} from './caller-request.ts';
+import {type EntryContext} from './entry-context.ts';
+
+/** What differs from send to send of one request. */
+export type SendDetails = {
+	readonly route: Route;
+	readonly service: string;
+	readonly serverId: string;
+	readonly remainingMs: number;
+	readonly isRepeat: boolean;
+	readonly isInner: boolean;
+};
+
+/**
+ * Creates the head of one send, with a nonce of its own.
+ *
+ * @example
+ * const head = createCallHead(ctx, caller, details);
+ */
+export function createCallHead(
+	ctx: EntryContext,
+	caller: CallerRequest,
+	details: SendDetails,
+): CallHead {
+	const {request, head, isWhole} = caller;
+	const {route, service, serverId, remainingMs, isRepeat, isInner} = details;
+	return {
+		nonce: ctx.createNonce(),
+		requestId: head.requestId,
+		method: request.method ?? 'GET',
+		path: request.url ?? '/',
+		headers: head.headers,
+		remainingMs,
+		service,
+		serverId,
+		callerService: ctx.readCallerService(),
+		route: route.name,
+		isOnce: route.callKind === 'once',
+		priority: route.priority,
+		isWhole,
+		isRepeat,
+		isInner,
+	};
+}
--- a/src/sidecar/entry/caller-answer.ts
+++ b/src/sidecar/entry/caller-answer.ts
@@ -16,8 +16,20 @@
 } as const;
 export type OwnStatus = (typeof ownStatuses)[keyof typeof ownStatuses];
 
+/** Return of callers who were refused for want of room: spread over this span after a first pause. */
+const firstReturnMs = 250;
+const returnSpanMs = 1000;
 const bodilessStatuses = new Set([204, 304]);
 
+/**
+ * Computes when a refused caller may come back.
+ *
+ * @param random - uniform in [0, 1)
+ */
+export function computeReturnMs(random: number): number {
+	return firstReturnMs + random * returnSpanMs;
+}
+
 /** Writes an answer that the entry gives itself. */
 export function answerCaller(
 	response: http.ServerResponse,
--- a/src/sidecar/entry/entry-call.ts
+++ b/src/sidecar/entry/entry-call.ts
@@ -6,16 +6,11 @@
 	type ReplyNews,
 } from '../link/messages.ts';
 import {type MemberView} from '../knowledge/member-view.ts';
-import {pickMember} from '../routing/picker.ts';
 import {type Route} from '../types.ts';
-import {
-	answerCaller,
-	type OwnStatus,
-	ownStatuses,
-	relayAnswer,
-	relayHead,
-} from './caller-answer.ts';
+import {ownStatuses} from './caller-answer.ts';
+import {CallerReply} from './caller-reply.ts';
 import {type EntryContext} from './entry-context.ts';
+import {createCallHead} from './call-head.ts';
 import {type CallerRequest, streamBody} from './caller-request.ts';
 import {createRecord} from './request-record.ts';
 import {minUsefulMs, SendHistory} from './send-history.ts';
@@ -23,9 +18,6 @@
 
 /** Time that a caller has who does not say how long it waits. */
 const defaultDeadlineMs = 30_000;
-/** Return of callers who were refused for want of room: spread over this span after a first pause. */
-const firstReturnMs = 250;
-const returnSpanMs = 1000;
 /** Return of callers while no configuration or no server is known: both come within moments. */
 const unknownReturnMs = 500;
 
@@ -47,30 +39,40 @@
 	#send: Send | undefined;
 	#history: SendHistory | undefined;
 	#isInner = false;
-	#isDone = false;
+	readonly #reply: CallerReply;
 	#reportAgeMs = -1;
 
 	private constructor(
 		private readonly ctx: EntryContext,
 		private readonly caller: CallerRequest,
-	) {}
+	) {
+		this.#reply = CallerReply.create({
+			response: caller.response,
+			isBodyRead: caller.isWhole,
+			isStopping: () => ctx.isStopping(),
+			random: () => ctx.random(),
+			handleDone: (status, outcome) => {
+				this.#finish(status, outcome);
+			},
+		});
+	}
 
 	start(): void {
 		const {request, response, head} = this.caller;
 		const routes = this.ctx.readRoutes();
 		if (this.ctx.isClosing()) {
-			this.#answer(ownStatuses.notRun, 'the sidecar stops', unknownReturnMs);
+			this.#reply.refuse('the sidecar stops', unknownReturnMs);
 			return;
 		}
 
 		if (routes === undefined) {
-			this.#answer(ownStatuses.notRun, 'no configuration is known yet', unknownReturnMs);
+			this.#reply.refuse('no configuration is known yet', unknownReturnMs);
 			return;
 		}
 
 		const route = routes.findRoute(request.headers.host ?? '', request.url ?? '/');
 		if (route === undefined) {
-			this.#answer(ownStatuses.noRoute, `version ${routes.config.version} has no such route`);
+			this.#reply.answer(ownStatuses.noRoute, `version ${routes.config.version} has no such route`);
 			return;
 		}
 
@@ -109,7 +111,7 @@
 
 			case 'shed': {
 				this.#reportAgeMs = verdict.reportAgeMs;
-				this.#answer(ownStatuses.notRun, verdict.reason, verdict.retryAfterMs);
+				this.#reply.refuse(verdict.reason, verdict.retryAfterMs);
 				break;
 			}
 		}
@@ -117,13 +119,12 @@
 
 	/** Sends the request to the next server, or gives it up. */
 	#sendOn(): void {
-		const nowMs = performance.now();
-		if (this.#isDone) {
+		if (this.#reply.isDone) {
 			return;
 		}
 
-		const views = this.ctx.directory.listService(this.#service);
-		const view = pickMember(views, this.#history!.tried, nowMs, this.ctx.random);
+		const nowMs = performance.now();
+		const view = this.#history!.pickNext(nowMs);
 		if (view === undefined || this.#answerByMs - nowMs < minUsefulMs) {
 			this.#giveUp(view === undefined ? 'no server has room' : 'no time is left');
 			return;
@@ -134,30 +135,20 @@
 
 	#sendTo(view: MemberView, nowMs: number): void {
 		const history = this.#history!;
-		const {request, head, body, isWhole} = this.caller;
-		const route = this.#route!;
-		const callHead = {
-			nonce: this.ctx.createNonce(),
-			requestId: head.requestId,
-			method: request.method ?? 'GET',
-			path: request.url ?? '/',
-			headers: head.headers,
-			remainingMs: this.#answerByMs - nowMs,
+		const {request, body, isWhole} = this.caller;
+		const callHead = createCallHead(this.ctx, this.caller, {
+			route: this.#route!,
 			service: this.#service,
 			serverId: view.member.serverId,
-			callerService: this.ctx.readCallerService(),
-			route: route.name,
-			isOnce: route.callKind === 'once',
-			priority: route.priority,
-			isWhole,
+			remainingMs: this.#answerByMs - nowMs,
 			isRepeat: history.arrivals > 0,
 			isInner: this.#isInner,
-		};
+		});
 		history.recordSend(view);
 		this.#send = Send.create(view, callHead, this.#createListener(view));
 		this.#send.start(this.ctx.guard, body);
-		if (!isWhole && !this.#isDone) {
-			streamBody(this.caller.request, this.#send);
+		if (!isWhole && !this.#reply.isDone) {
+			streamBody(request, this.#send);
 		}
 	}
 
@@ -171,13 +162,12 @@
 				this.#handleAnswer(view, head, body);
 			},
 			handleData: (chunk: Uint8Array) => {
-				if (!this.caller.response.write(chunk)) {
+				if (!this.#reply.write(chunk)) {
 					this.#send?.setPaused(true);
 				}
 			},
 			handleEnd: () => {
-				this.caller.response.end();
-				this.#finish(200, 'relayed');
+				this.#reply.end();
 			},
 			handleRefusal: (head: RefusalHead, wasReached: boolean) => {
 				this.#handleRefusal(view, head, wasReached);
@@ -202,28 +192,18 @@
 
 		view.recordAnswer(performance.now() - this.#arrivedAtMs);
 		if (!head.isWhole) {
-			relayHead(this.caller.response, head);
-			this.caller.response.on('drain', () => {
+			this.#reply.begin(head, body, () => {
 				this.#send?.setPaused(false);
 			});
-			this.caller.response.write(body);
 			return;
 		}
 
-		this.#relay(head, body);
-	}
-
-	/** Hands a server's answer to the caller. */
-	#relay(head: AnswerHead, body: Uint8Array): void {
-		const isPromiseBroken = head.isNotRun && this.#history!.mayHaveRun;
-		if (isPromiseBroken) {
+		// A server's word that it did not run the request says nothing of the servers before.
+		if (head.isNotRun && history.mayHaveRun) {
 			this.#giveUp('an earlier send may have run');
-			return;
+		} else {
+			this.#reply.relay(head, body);
 		}
-
-		const {response} = this.caller;
-		relayAnswer(response, head, body, this.ctx.isStopping());
-		this.#finish(head.status, 'relayed');
 	}
 
 	#handleRefusal(view: MemberView, head: RefusalHead, wasReached: boolean): void {
@@ -250,9 +230,8 @@
 			view.recordFailure(performance.now());
 		}
 
-		if (this.caller.response.headersSent) {
-			this.caller.response.destroy();
-			this.#finish(0, 'cut short');
+		if (this.#reply.hasBegun) {
+			this.#reply.cut();
 		} else if (this.#canRepeat(left => history.spendAfterFailure(left))) {
 			this.#sendOn();
 		} else {
@@ -262,14 +241,14 @@
 
 	/** Sends a request that a server refused to a further one, or again to one that had it. */
 	#sendAgain(): void {
-		const {servers} = this.#history!;
-		if (this.#history!.hasFurtherServers()) {
+		const history = this.#history!;
+		if (history.hasFurtherServers()) {
 			this.#sendOn();
 			return;
 		}
 
 		const nowMs = performance.now();
-		const view = pickMember([...servers], new Set(), nowMs, this.ctx.random);
+		const view = history.pickAgain(nowMs);
 		if (view === undefined) {
 			this.#giveUp('no server has room');
 		} else {
@@ -284,57 +263,31 @@
 	 */
 	#canRepeat(spend: (remainingMs: number) => boolean): boolean {
 		const remainingMs = this.#answerByMs - performance.now();
-		return !this.#isDone && this.caller.isWhole && spend(remainingMs);
+		return !this.#reply.isDone && this.caller.isWhole && spend(remainingMs);
 	}
 
 	/** Answers that the request was not run, if that is certain, and that it failed otherwise. */
 	#giveUp(reason: string): void {
 		if (this.#history?.mayHaveRun) {
-			this.#answer(ownStatuses.failed, reason);
+			this.#reply.answer(ownStatuses.failed, reason);
 		} else {
-			const retryAfterMs = firstReturnMs + this.ctx.random() * returnSpanMs;
-			this.#answer(ownStatuses.notRun, reason, retryAfterMs);
+			this.#reply.refuse(reason);
 		}
 	}
 
 	#handleTimeout(): void {
 		this.#send?.cancel();
-		this.#answer(ownStatuses.timeout, 'no answer in time');
+		this.#reply.answer(ownStatuses.timeout, 'no answer in time');
 	}
 
 	#handleCallerGone(): void {
-		if (!this.#isDone) {
+		if (!this.#reply.isDone) {
 			this.#send?.cancel();
-			this.#finish(0, 'the caller left');
-		}
-	}
-
-	#answer(status: OwnStatus, reason: string, retryAfterMs?: number): void {
-		const {response} = this.caller;
-		if (this.#isDone) {
-			return;
-		}
-
-		if (response.headersSent) {
-			response.destroy();
-		} else {
-			const closes = this.ctx.isStopping() || !this.caller.isWhole;
-			answerCaller(response, status, {
-				reason,
-				closes,
-				...(retryAfterMs !== undefined && {retryAfterMs}),
-			});
+			this.#reply.abandon();
 		}
-
-		this.#finish(status, reason);
 	}
 
 	#finish(status: number, outcome: string): void {
-		if (this.#isDone) {
-			return;
-		}
-
-		this.#isDone = true;
 		clearTimeout(this.#timer);
 		this.ctx.log.recordRequest(
 			createRecord({
--- a/src/sidecar/entry/send-history.ts
+++ b/src/sidecar/entry/send-history.ts
@@ -1,6 +1,7 @@
 /** Where a request has been, and whether it may go on to a further server. */
 import {type MemberView} from '../knowledge/member-view.ts';
 import {type CallLevel} from '../overload/retry-budget.ts';
+import {pickMember} from '../routing/picker.ts';
 import {type Route} from '../types.ts';
 import {type EntryContext} from './entry-context.ts';
 
@@ -38,6 +39,17 @@
 		private readonly service: string,
 	) {}
 
+	/** Picks a server that has not been asked yet; undefined when none can take the request. */
+	pickNext(nowMs: number): MemberView | undefined {
+		const views = this.ctx.directory.listService(this.service);
+		return pickMember(views, this.tried, nowMs, this.ctx.random);
+	}
+
+	/** Picks among the servers that had the request, all of which refused it. */
+	pickAgain(nowMs: number): MemberView | undefined {
+		return pickMember([...this.servers], new Set(), nowMs, this.ctx.random);
+	}
+
 	recordSend(view: MemberView): void {
 		this.tried.add(view.member.instance);
 		this.lastView = view;
