--- a/src/sidecar/entry/entry-call.ts
+++ b/src/sidecar/entry/entry-call.ts
@@ -1,10 +1,5 @@
 /** One caller's request, from its head to its answer: classify, decide, send, relay. */
-import {
-	type AnswerHead,
-	type FailureHead,
-	type RefusalHead,
-	type ReplyNews,
-} from '../link/messages.ts';
+import {type AnswerHead, type FailureHead, type RefusalHead} from '../link/messages.ts';
 import {type MemberView} from '../knowledge/member-view.ts';
 import {type Route} from '../types.ts';
 import {ownStatuses} from './caller-answer.ts';
@@ -14,7 +9,7 @@
 import {type CallerRequest, streamBody} from './caller-request.ts';
 import {createRecord} from './request-record.ts';
 import {minUsefulMs, SendHistory} from './send-history.ts';
-import {Send} from './send.ts';
+import {Send, type SendListener} from './send.ts';
 
 /** Time that a caller has who does not say how long it waits. */
 const defaultDeadlineMs = 30_000;
@@ -152,16 +147,15 @@
 		}
 	}
 
-	#createListener(view: MemberView) {
+	#createListener(view: MemberView): SendListener {
 		return {
-			handleNews: (news: ReplyNews) => {
-				view.recordLoad(news.load, performance.now());
-				this.ctx.handleNews(view.member, this.#route!.name, news);
+			handleNews: news => {
+				this.ctx.handleNews(view, this.#route!.name, news);
 			},
-			handleAnswer: (head: AnswerHead, body: Uint8Array) => {
+			handleAnswer: (head, body) => {
 				this.#handleAnswer(view, head, body);
 			},
-			handleData: (chunk: Uint8Array) => {
+			handleData: chunk => {
 				if (!this.#reply.write(chunk)) {
 					this.#send?.setPaused(true);
 				}
@@ -169,10 +163,10 @@
 			handleEnd: () => {
 				this.#reply.end();
 			},
-			handleRefusal: (head: RefusalHead, wasReached: boolean) => {
+			handleRefusal: (head, wasReached) => {
 				this.#handleRefusal(view, head, wasReached);
 			},
-			handleFailure: (head: FailureHead, wasReached: boolean) => {
+			handleFailure: (head, wasReached) => {
 				this.#handleFailure(view, head, wasReached);
 			},
 			handleDrain: () => {
--- a/src/sidecar/entry/entry-context.ts
+++ b/src/sidecar/entry/entry-context.ts
@@ -3,6 +3,7 @@
 import {type CallModel} from '../overload/call-model.ts';
 import {type CostBook} from '../overload/cost-book.ts';
 import {type RetryBudget} from '../overload/retry-budget.ts';
+import {type MemberView} from '../knowledge/member-view.ts';
 import {type Directory} from '../knowledge/directory.ts';
 import {type RouteTable} from '../knowledge/route-table.ts';
 import {type Guard} from '../guard/guard.ts';
@@ -28,7 +29,7 @@
 	/** Whether callers who still come are refused. */
 	isClosing(): boolean;
 	/** Takes what a guard's reply tells besides. */
-	handleNews(from: Member, route: string, news: ReplyNews): void;
+	handleNews(from: MemberView, route: string, news: ReplyNews): void;
 	/** Takes an announcement that came with a refusal. */
 	handleMember(member: Member): void;
 	createNonce(): string;
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -9,6 +9,7 @@
 import {ConfigKeeper} from './knowledge/config-keeper.ts';
 import {Directory} from './knowledge/directory.ts';
 import {ViewFactory} from './knowledge/member-views.ts';
+import {type MemberView} from './knowledge/member-view.ts';
 import {PeerSync} from './knowledge/peer-sync.ts';
 import {StoreFollower} from './knowledge/store-follower.ts';
 import {LinkServer} from './link/link-server.ts';
@@ -272,9 +273,10 @@
 		}
 	}
 
-	#handleNews(from: Member, route: string, news: ReplyNews): void {
-		this.#newsDesk.take(from, route, news);
-		this.#sync.handleVersion(from.instance, news.configVersion);
+	#handleNews(from: MemberView, route: string, news: ReplyNews): void {
+		from.recordLoad(news.load, performance.now());
+		this.#newsDesk.take(from.member, route, news);
+		this.#sync.handleVersion(from.member.instance, news.configVersion);
 	}
 
 	#createControlHandler() {
