--- a/xo.config.js
+++ b/xo.config.js
@@ -1,7 +1,7 @@
 /** Linter settings: XO's rules, with layout left to Prettier. */
 const xoConfig = [
 	{
-		ignores: ['dist/**', 'node_modules/**', 'docs/generated/**'],
+		ignores: ['dist/**', 'target/**', 'journal/**', 'node_modules/**', 'docs/generated/**'],
 	},
 	{
 		prettier: 'compat',
