--- a/bench/fuzz/once/world-table.ts
+++ b/bench/fuzz/once/world-table.ts
@@ -3,12 +3,7 @@
  */
 import {errAsync, okAsync, ResultAsync, type Result} from 'neverthrow';
 import {PlatformError, type PlatformErrorKind} from '../../../src/store/errors.ts';
-import {
-	type RowKey,
-	type Table,
-	type TableRow,
-	type TableWrite,
-} from '../../../src/store/types.ts';
+import {type RowKey, type Table, type TableRow, type TableWrite} from '../../../src/store/types.ts';
 import {network} from './types.ts';
 import {type World} from './world.ts';
 
