Revert the correction of the share of trees by repeats that come again

Requests whose single call is refused and not repeated for want of budget count as staying away, so trees were cut below what the repeats carry.

--- a/src/sidecar/news-desk.ts
+++ b/src/sidecar/news-desk.ts
@@ -6,7 +6,7 @@
  */
 import {type Logger} from '../reporting/logger.ts';
 import {type Directory} from './knowledge/directory.ts';
-import {type CallHead, type GuardLoad, type ReplyNews} from './link/messages.ts';
+import {type GuardLoad, type ReplyNews} from './link/messages.ts';
 import {CallerMix} from './overload/caller-mix.ts';
 import {CallModel} from './overload/call-model.ts';
 import {CostBook, type CostVector} from './overload/cost-book.ts';
@@ -95,13 +95,9 @@
 	}
 
 	/** Records a request that arrives at the own guard and the use of the slots that it finds. */
-	recordArrival(head: CallHead, use: number): void {
-		const nowMs = performance.now();
-		this.#mix.record(head.route, head.callerService);
-		this.#openShare.recordUse(use, nowMs);
-		if (head.isRepeat) {
-			this.#refusals.recordRepeat(nowMs);
-		}
+	recordArrival(route: string, callerService: string, use: number): void {
+		this.#mix.record(route, callerService);
+		this.#openShare.recordUse(use, performance.now());
 	}
 
 	/** Records a request that goes to the own server. */
--- a/src/sidecar/overload/refusal-rate.test.ts
+++ b/src/sidecar/overload/refusal-rate.test.ts
@@ -6,9 +6,6 @@
 	const rate = RefusalRate.create(0.14);
 	for (let index = 0; index < 1000; index++) {
 		rate.record(index % 2 === 0, index);
-		if (index % 2 === 0) {
-			rate.recordRepeat(index);
-		}
 	}
 
 	t.true(Math.abs(rate.computeShare(1000) - 0.14) < 0.03);
@@ -35,44 +32,3 @@
 
 	t.is(rate.computeShare(6000), 1);
 });
-
-test('while callers have spent their repeats, fewer requests are started until those get through', t => {
-	const rate = RefusalRate.create(0.14);
-	const refusedShare = 0.55;
-	const demandPerMs = 2;
-	const repeatsPerMs = 0.1;
-	let started = 0;
-	let through = 0;
-	for (let nowMs = 0; nowMs < 8000; nowMs++) {
-		const first = demandPerMs * rate.computeShare(nowMs);
-		const needed = (first * refusedShare) / (1 - refusedShare);
-		const repeats = Math.min(needed, repeatsPerMs);
-		const arrivals = first + repeats;
-		recordMany(arrivals * refusedShare, () => {
-			rate.record(true, nowMs);
-		});
-		recordMany(arrivals * (1 - refusedShare), () => {
-			rate.record(false, nowMs);
-		});
-		recordMany(repeats, () => {
-			rate.recordRepeat(nowMs);
-		});
-		if (nowMs > 4000) {
-			started += first;
-			through += arrivals * (1 - refusedShare);
-		}
-	}
-
-	t.true(through / started > 0.75);
-});
-
-let remainder = 0;
-
-/** Calls a function as often as a rate says on average. */
-function recordMany(count: number, add: () => void): void {
-	remainder += count;
-	while (remainder >= 1) {
-		remainder--;
-		add();
-	}
-}
--- a/src/sidecar/overload/refusal-rate.ts
+++ b/src/sidecar/overload/refusal-rate.ts
@@ -4,21 +4,13 @@
  *
  * Pattern: a server fails part of its requests while its health check is good. A tree of several calls
  * hardly ever gets through then, unless its calls are repeated; and repeats are bounded. So fewer trees
- * are started, and those get the repeats. Whether they suffice shows in how many of the refused requests
- * come again: callers whose budget is spent stay away.
+ * are started, and those get the repeats.
  */
 
 /** The rate halves in about this time without news. */
 const memoryMs = 1000;
 /** Below this rate the usual repeats suffice. */
 const minRate = 0.08;
-/** Part of the refused requests that comes again while budgets last; some run out of time. */
-const enoughComeAgain = 0.8;
-const stepMs = 100;
-/** Corrections per step, and the bounds of their product. */
-const cutFactor = 0.88;
-const riseFactor = 1.04;
-const correctionBounds = {least: 0.15, most: 1.5} as const;
 
 export class RefusalRate {
 	/**
@@ -33,9 +25,6 @@
 	}
 
 	#refused = 0;
-	#repeats = 0;
-	#correction = 1;
-	#steppedAtMs = 0;
 	#all = 0;
 	#atMs = 0;
 
@@ -48,43 +37,22 @@
 		this.#all++;
 	}
 
-	/** Records a request that comes again after a refusal. */
-	recordRepeat(nowMs: number): void {
-		this.#decay(nowMs);
-		this.#repeats++;
-	}
-
 	/** Share of the demand for which the repeats suffice, from just above 0 to 1. */
 	computeShare(nowMs: number): number {
 		this.#decay(nowMs);
 		const minAnswers = 5;
 		const rate = this.#all < minAnswers ? 0 : this.#refused / this.#all;
 		if (rate < minRate) {
-			this.#correction = 1;
 			return 1;
 		}
 
-		this.#correct(nowMs);
 		const repeatsNeeded = rate / Math.max(0.01, 1 - rate);
-		return Math.min(1, (this.#correction * this.repeatRatio) / repeatsNeeded);
-	}
-
-	#correct(nowMs: number): void {
-		if (nowMs - this.#steppedAtMs < stepMs) {
-			return;
-		}
-
-		this.#steppedAtMs = nowMs;
-		const isEnough = this.#repeats >= enoughComeAgain * this.#refused;
-		const corrected = this.#correction * (isEnough ? riseFactor : cutFactor);
-		const {least, most} = correctionBounds;
-		this.#correction = Math.min(most, Math.max(least, corrected));
+		return Math.min(1, this.repeatRatio / repeatsNeeded);
 	}
 
 	#decay(nowMs: number): void {
 		const kept = 0.5 ** ((nowMs - this.#atMs) / memoryMs);
 		this.#refused *= kept;
-		this.#repeats *= kept;
 		this.#all *= kept;
 		this.#atMs = nowMs;
 	}
--- a/src/sidecar/server-side.ts
+++ b/src/sidecar/server-side.ts
@@ -136,7 +136,7 @@
 			readMember: () => this.#announcer.current,
 			events: {
 				handleArrival: (head, use) => {
-					this.options.readNewsDesk().recordArrival(head, use);
+					this.options.readNewsDesk().recordArrival(head.route, head.callerService, use);
 				},
 				handleStart: head => {
 					this.options.readNewsDesk().recordStart(head.route);
