--- /dev/null
+++ b/src/sidecar/guard/local-server.test.ts
@@ -0,0 +1,65 @@
+/** Pattern: reports that come late, servers that start anew, leave or fall silent. */
+import test from 'ava';
+import {type ServerReport} from '../types.ts';
+import {LocalServer} from './local-server.ts';
+
+const first: ServerReport = {
+	id: 'i-1',
+	service: 'shop',
+	address: '10.0.0.1:1',
+	dataCentre: 'a',
+	slots: 100,
+	isLeaving: false,
+	sequence: 5,
+	warmupMs: 0,
+	bornMs: 1000,
+};
+
+function createServer(): LocalServer {
+	const server = LocalServer.create(2500);
+	server.apply({kind: 'report', report: first}, 0);
+	return server;
+}
+
+test('a late report changes nothing', t => {
+	const server = createServer();
+	t.false(server.apply({kind: 'report', report: {...first, sequence: 4, isLeaving: true}}, 10));
+	t.false(server.apply({kind: 'report', report: {...first, id: 'i-0', bornMs: 900}}, 10));
+	t.is(server.readState(10), 'ready');
+});
+
+test('a new start under the same id begins anew', t => {
+	const server = createServer();
+	server.apply({kind: 'report', report: {...first, sequence: 6, isLeaving: true}}, 10);
+	t.is(server.readState(20), 'leaving');
+	server.apply({kind: 'report', report: {...first, sequence: 1, bornMs: 2000}}, 30);
+	t.is(server.readState(40), 'ready');
+});
+
+test('a leaving server takes work for half of the bound, whatever it reports later', t => {
+	const server = createServer();
+	server.apply({kind: 'leave', id: 'i-1', bornMs: undefined}, 100);
+	server.apply({kind: 'report', report: {...first, sequence: 9}}, 200);
+	t.true(server.canTakeWork(1300));
+	t.false(server.canTakeWork(1400));
+});
+
+test('a leave message of an earlier start or of another server is ignored', t => {
+	const server = createServer();
+	t.false(server.apply({kind: 'leave', id: 'i-1', bornMs: 500}, 100));
+	t.false(server.apply({kind: 'leave', id: 'i-9', bornMs: undefined}, 100));
+	t.is(server.readState(100), 'ready');
+});
+
+test('a server that is silent for long, or whose address does not answer, is down', t => {
+	const server = createServer();
+	t.is(server.readState(6100), 'down');
+	server.apply({kind: 'report', report: {...first, sequence: 6}}, 6200);
+	t.is(server.readState(6300), 'ready');
+	server.setUnreachable();
+	t.is(server.readState(6400), 'down');
+});
+
+test('the last slots are left free', t => {
+	t.is(createServer().limit, 94);
+});
--- a/src/sidecar/guard/local-server.ts
+++ b/src/sidecar/guard/local-server.ts
@@ -57,7 +57,7 @@
 		switch (message.kind) {
 			case 'report': {
 				const {report} = message;
-				if (this.#isOlder(report, nowMs)) {
+				if (this.#isOlder(report)) {
 					return false;
 				}
 
@@ -146,7 +146,7 @@
 	}
 
 	/** A late report of an earlier start, or of an earlier moment of this one. */
-	#isOlder(report: {id: string; bornMs: number; sequence: number}, _nowMs: number): boolean {
+	#isOlder(report: {id: string; bornMs: number; sequence: number}): boolean {
 		const state = this.#state;
 		if (state === undefined || state.bornMs === 0) {
 			return false;
