Never tell a request that ran as not run, however late its entry asks

Cause: the guard forgot ended requests after two seconds, and took a nonce that it had forgotten for one that never came. An entry that lost its link and asked later, as after a cut or a freeze, got the proof that the request had not run, and its caller a 503. The nonce registry of src/once remembers what was sent and tells the two apart; the guard's own list of barred nonces goes. Nonces take its format. The test failed before. The specs of the guard share their fixtures.

--- /dev/null
+++ b/src/sidecar/guard/fixtures.ts
@@ -0,0 +1,122 @@
+/** Requests, a codec and a server for the specs of this folder. */
+import {Buffer} from 'node:buffer';
+import {formatNonce} from '../../once/nonce.ts';
+import {type CallHead} from '../link/messages.ts';
+import {type HeadCodec, type Member, type ServerAnswerHead} from '../types.ts';
+import {Guard} from './guard.ts';
+import {type CallConnection} from './guarded-call.ts';
+import {LocalServer} from './local-server.ts';
+import {type ConnectionListener} from './server-connection.ts';
+
+export const testIncarnation = 'g1';
+
+export const testMember: Member = {
+	instance: 'beside',
+	link: {host: '10.0.0.1', port: 1},
+	dataCentre: 'a',
+	region: 'r',
+	service: 'shop',
+	serverId: 'i-1',
+	slots: 1,
+	state: 'ready',
+	epoch: 1,
+};
+
+export const testAnswer: ServerAnswerHead = {
+	requestId: undefined,
+	status: 200,
+	isNotRun: false,
+	isMisdirected: false,
+	closes: false,
+	keepAliveMs: undefined,
+	headers: [],
+};
+
+/** Creates a codec that encodes nothing and decodes answers as told. */
+export function createTestCodec(
+	decodeAnswer: HeadCodec['decodeAnswer'] = () => testAnswer,
+): HeadCodec {
+	return {
+		serverIdHeader: 'id',
+		decodeRequest: () => ({requestId: '', deadlineMs: undefined, headers: []}),
+		encodeServerRequest: () => '',
+		decodeAnswer,
+	};
+}
+
+/** Creates the nonce under which the specs send a request. */
+export function createTestNonce(requestId: string): string {
+	const digits = Buffer.from(requestId).toString('hex').padEnd(16, '0');
+	return formatNonce(0, digits);
+}
+
+/** Creates the head of a patient request for the test server. */
+export function createTestHead(requestId: string, more: Partial<CallHead> = {}): CallHead {
+	return {
+		nonce: createTestNonce(requestId),
+		requestId,
+		method: 'GET',
+		path: '/',
+		headers: [],
+		remainingMs: 5000,
+		service: 'shop',
+		serverId: 'i-1',
+		callerService: 'shop',
+		route: 'r',
+		isOnce: false,
+		priority: 2,
+		isWhole: true,
+		isInner: false,
+		isRepeat: false,
+		...more,
+	};
+}
+
+/** A request at the test server, which ends it as the spec likes. */
+export type ServerRun = {
+	readonly requestId: string;
+	readonly listener: ConnectionListener;
+	isOpen: boolean;
+};
+
+function ignore(): void {
+	// The specs look elsewhere.
+}
+
+/** Creates a connection that adds each request to the runs; the server runs on when it is closed. */
+function createConnection(runs: ServerRun[]): CallConnection {
+	return {
+		send(request, listener) {
+			runs.push({requestId: request.requestId, listener, isOpen: true});
+		},
+		sendChunk: () => true,
+		sendLastChunk: ignore,
+		setPaused: ignore,
+		close: ignore,
+	};
+}
+
+/** A guard before a server with the given slots, and what reached the server. */
+export function createTestGuard(slots: number): {
+	guard: Guard;
+	server: LocalServer;
+	runs: ServerRun[];
+} {
+	const runs: ServerRun[] = [];
+	const server = LocalServer.create(2500);
+	server.adopt({id: 'i-1', service: 'shop', slots}, performance.now());
+	const guard = Guard.create({
+		server,
+		pool: {acquire: () => createConnection(runs), closeIdleBefore: ignore},
+		codec: createTestCodec(),
+		incarnation: testIncarnation,
+		readMember: () => testMember,
+		events: {
+			handleArrival: ignore,
+			handleStart: ignore,
+			handleUnreachable: ignore,
+			handleOutcome: ignore,
+		},
+	});
+	return {guard, server, runs};
+}
--- a/src/sidecar/guard/guard.test.ts
+++ b/src/sidecar/guard/guard.test.ts
@@ -3,93 +3,49 @@
 import test from 'ava';
 import {type ExchangeListener} from '../link/exchange.ts';
 import {type CallHead, type RefusalReason} from '../link/messages.ts';
-import {type HeadCodec, type ServerAnswerHead} from '../types.ts';
-import {Guard} from './guard.ts';
-import {LocalServer} from './local-server.ts';
-import {type ConnectionListener} from './server-connection.ts';
-
-const answer: ServerAnswerHead = {
-	requestId: undefined,
-	status: 200,
-	isNotRun: false,
-	isMisdirected: false,
-	closes: false,
-	keepAliveMs: undefined,
-	headers: [],
-};
-const codec: HeadCodec = {
-	serverIdHeader: 'id',
-	decodeRequest: () => ({requestId: '', deadlineMs: undefined, headers: []}),
-	encodeServerRequest: () => '',
-	decodeAnswer: () => answer,
-};
-
-type Run = {readonly requestId: string; readonly listener: ConnectionListener};
+import {
+	createTestGuard,
+	createTestHead,
+	createTestNonce,
+	testAnswer,
+	testIncarnation,
+} from './fixtures.ts';
 
 /** A guard before a server with two slots that answers when the test says so. */
 class Scene {
-	readonly runs: Run[] = [];
 	readonly refused = new Map<string, RefusalReason>();
-	readonly server = LocalServer.create(2500);
-	readonly guard: Guard;
+	/** Requests that were told as possibly run. */
+	readonly failed = new Set<string>();
+	readonly #parts = createTestGuard(2);
 	#finished = 0;
 
-	constructor() {
-		this.server.adopt({id: 'i-1', service: 'shop', slots: 2}, performance.now());
-		this.guard = Guard.create({
-			server: this.server,
-			pool: {
-				acquire: requestId => this.#connect(requestId),
-				closeIdleBefore() {
-					// Connections are not kept here.
-				},
-			},
-			codec,
-			incarnation: 'g1',
-			readMember: () => undefined,
-			events: {
-				handleArrival() {
-					// Not counted here.
-				},
-				handleStart() {
-					// Not counted here.
-				},
-				handleUnreachable() {
-					// The server always accepts.
-				},
-				handleOutcome() {
-					// The listeners tell.
-				},
-			},
-		});
+	get guard() {
+		return this.#parts.guard;
+	}
+
+	get server() {
+		return this.#parts.server;
+	}
+
+	get runs() {
+		return this.#parts.runs;
 	}
 
 	ask(requestId: string, more: Partial<CallHead> = {}): void {
-		const head: CallHead = {
-			nonce: requestId,
-			requestId,
-			method: 'GET',
-			path: '/',
-			headers: [],
-			remainingMs: 5000,
-			service: 'shop',
-			serverId: 'i-1',
-			callerService: 'shop',
-			route: 'r',
-			isOnce: false,
-			priority: 2,
-			isWhole: true,
-			isInner: false,
-			isRepeat: false,
-			...more,
-		};
+		const head = createTestHead(requestId, more);
 		this.guard.accept(head, Buffer.alloc(0), this.#createListener(requestId));
 	}
 
+	/** Asks what became of a request whose connection was lost. */
+	resume(requestId: string): void {
+		const listener = this.#createListener(requestId);
+		this.guard.resume(createTestNonce(requestId), testIncarnation, listener);
+	}
+
 	/** Ends the oldest run with an answer. */
 	async finishOne(): Promise<void> {
 		const run = this.runs[this.#finished++]!;
-		run.listener.handleHead(answer);
+		run.listener.handleHead(testAnswer);
 		run.listener.handleEnd();
 		await Promise.resolve();
 	}
@@ -115,26 +71,8 @@
 			handleRefusal: head => {
 				this.refused.set(requestId, head.reason);
 			},
-			handleFailure() {
-				// Nothing fails here.
-			},
-		};
-	}
-
-	#connect(_requestId: string) {
-		return {
-			send: (request: {requestId: string}, listener: ConnectionListener) => {
-				this.runs.push({requestId: request.requestId, listener});
-			},
-			sendChunk: () => true,
-			sendLastChunk() {
-				// Bodies are whole here.
-			},
-			setPaused() {
-				// Answers are whole here.
-			},
-			close() {
-				// Nothing is cancelled here.
+			handleFailure: () => {
+				this.failed.add(requestId);
 			},
 		};
 	}
@@ -198,3 +136,26 @@
 	t.is(scene.refused.get('waits'), 'stopping');
 	t.is(scene.guard.countActive(), 0);
 });
+
+test('a request that ran is never told as not run, however late its entry asks', async t => {
+	const scene = new Scene();
+	scene.ask('ran');
+	await scene.finishOne();
+	// The end is kept for two seconds.
+	await new Promise(resolve => {
+		setTimeout(resolve, 2300);
+	});
+	scene.resume('ran');
+	t.false(scene.refused.has('ran'));
+	t.true(scene.failed.has('ran'));
+});
+
+test('a request that never came is barred when its entry asks', t => {
+	const scene = new Scene();
+	scene.resume('lost');
+	t.is(scene.refused.get('lost'), 'forgotten');
+	scene.refused.clear();
+	scene.ask('lost');
+	t.is(scene.refused.get('lost'), 'forgotten');
+	t.is(scene.runs.length, 0);
+});
--- a/src/sidecar/guard/guard.ts
+++ b/src/sidecar/guard/guard.ts
@@ -117,11 +117,12 @@
 			return this.#resumeCall(call, listener);
 		}
 
-		if (incarnation === this.options.incarnation) {
-			this.#calls.bar(nonce, performance.now());
+		if (incarnation !== this.options.incarnation) {
+			listener.handleFailure({reason: 'the guard has restarted'});
+		} else if (this.#calls.bar(nonce) === 'neverSent') {
 			listener.handleRefusal({reason: 'forgotten', hasArrived: false, member: undefined});
 		} else {
-			listener.handleFailure({reason: 'the guard has restarted'});
+			listener.handleFailure({reason: 'the end of the request is not kept any more'});
 		}
 
 		return endedExchange;
@@ -198,6 +199,11 @@
 	}
 
 	#start(call: GuardedCall): void {
+		if (!this.#calls.begin(call)) {
+			call.refuse('forgotten');
+			return;
+		}
+
 		this.#running++;
 		this.options.events.handleStart(call.head);
 		call.start(call.head.serverId, performance.now());
@@ -235,7 +241,7 @@
 	#handleEnded(call: GuardedCall, outcome: CallOutcome): void {
 		switch (outcome.kind) {
 			case 'answered': {
-				this.#running--;
+				this.#finish(call, true);
 				if (!outcome.head.isNotRun) {
 					this.serviceMs += (outcome.ranMs - this.serviceMs) * serviceTimeWeight;
 				}
@@ -244,7 +250,7 @@
 			}
 
 			case 'failed': {
-				this.#running--;
+				this.#finish(call, outcome.hasSent);
 				if (!outcome.hasSent) {
 					this.options.events.handleUnreachable();
 				}
@@ -254,7 +260,7 @@
 
 			case 'cancelled': {
 				if (outcome.hasRun) {
-					this.#running--;
+					this.#finish(call, true);
 					this.#checkSilence(outcome.ranMs);
 				} else {
 					this.#line.remove(call);
@@ -275,6 +281,11 @@
 		});
 	}
 
+	#finish(call: GuardedCall, mayHaveRun: boolean): void {
+		this.#running--;
+		this.#calls.finish(call, mayHaveRun);
+	}
+
 	/** A request that heard nothing for long may have gone into a connection that is dead, as others may be. */
 	#checkSilence(ranMs: number): void {
 		if (ranMs > Math.max(minSilenceMs, this.serviceMs * silenceFactor)) {
@@ -282,7 +293,7 @@
 		}
 	}
 
-	/** Forgets old ends and verdicts, and gives up on requests whose entry does not come back. */
+	/** Forgets old ends, and gives up on requests whose entry does not come back. */
 	#sweep(): void {
 		const nowMs = performance.now();
 		for (const call of this.#calls.listAbandoned(nowMs)) {
--- a/src/sidecar/guard/run-proof-model.test.ts
+++ b/src/sidecar/guard/run-proof-model.test.ts
@@ -12,45 +12,17 @@
 import {type Exchange, type ExchangeListener} from '../link/exchange.ts';
 import {type LinkListener} from '../link/link.ts';
 import {type CallHead, type ReplyNews, type ResumeHead} from '../link/messages.ts';
-import {type HeadCodec, type Member} from '../types.ts';
-import {Guard} from './guard.ts';
-import {LocalServer} from './local-server.ts';
+import {
+	createTestGuard,
+	createTestHead,
+	type ServerRun,
+	testAnswer,
+	testIncarnation,
+	testMember,
+} from './fixtures.ts';
+import {type Guard} from './guard.ts';
 import {type ConnectionListener} from './server-connection.ts';
 
-const incarnation = 'g1';
-const member: Member = {
-	instance: 'beside',
-	link: {host: '10.0.0.1', port: 1},
-	dataCentre: 'a',
-	region: 'r',
-	service: 'orders',
-	serverId: 'i-1',
-	slots: 1,
-	state: 'ready',
-	epoch: 1,
-};
-const codec: HeadCodec = {
-	decodeRequest: () => ({requestId: '', deadlineMs: undefined, headers: []}),
-	encodeServerRequest: () => '',
-	serverIdHeader: 'id',
-	decodeAnswer: status => ({
-		requestId: undefined,
-		status,
-		isNotRun: false,
-		isMisdirected: false,
-		closes: false,
-		keepAliveMs: undefined,
-		headers: [],
-	}),
-};
-
-/** A server run that the test ends as it likes. */
-type ServerRun = {
-	readonly requestId: string;
-	readonly listener: ConnectionListener;
-	isOpen: boolean;
-};
-
 /** One link with messages under way in both directions. */
 class TestLink implements Exchange {
 	readonly toGuard: Array<() => void> = [];
@@ -139,49 +111,20 @@
 		this.toGuard.push(() => {
 			this.guard.orphan(this.nonce, this.#guardListener);
 		});
-		this.entryListener.handleLost(incarnation);
+		this.entryListener.handleLost(testIncarnation);
 	}
 }
 
 /** One world: an entry, a guard with one slot, and a server that the test drives. */
 class World {
 	readonly links: TestLink[] = [];
-	readonly runs: ServerRun[] = [];
 	readonly refused = new Set<string>();
 	readonly answered = new Map<string, string>();
 	readonly sends: Send[] = [];
-	readonly guard: Guard;
+	readonly #parts = createTestGuard(1);
 	readonly #view: MemberView;
 
 	constructor() {
-		const server = LocalServer.create(2500);
-		server.adopt({id: 'i-1', service: 'orders', slots: 1}, performance.now());
-		this.guard = Guard.create({
-			server,
-			pool: {
-				acquire: requestId => this.#connect(requestId),
-				closeIdleBefore() {
-					// Connections are not kept here.
-				},
-			},
-			codec,
-			incarnation,
-			readMember: () => member,
-			events: {
-				handleArrival() {
-					// Not counted here.
-				},
-				handleStart() {
-					// Not counted here.
-				},
-				handleUnreachable() {
-					// The server always accepts.
-				},
-				handleOutcome() {
-					// Not counted here.
-				},
-			},
-		});
 		const pool = {
 			open: (head: CallHead, _body: Uint8Array, listener: LinkListener) =>
 				this.#link(head.nonce, listener).open(head),
@@ -192,27 +135,19 @@
 				// Links are not kept here.
 			},
 		};
-		this.#view = MemberView.create(member, {kind: 'link', pool}, distances.dataCentre);
+		this.#view = MemberView.create(testMember, {kind: 'link', pool}, distances.dataCentre);
+	}
+
+	get guard(): Guard {
+		return this.#parts.guard;
+	}
+
+	get runs(): ServerRun[] {
+		return this.#parts.runs;
 	}
 
 	send(requestId: string): void {
-		const head: CallHead = {
-			nonce: `n.${requestId}`,
-			requestId,
-			method: 'POST',
-			path: '/',
-			headers: [],
-			remainingMs: 60_000,
-			service: 'orders',
-			serverId: 'i-1',
-			callerService: 'shop',
-			route: 'orders',
-			isOnce: true,
-			priority: 0,
-			isWhole: true,
-			isInner: false,
-			isRepeat: false,
-		};
+		const head = createTestHead(requestId, {isOnce: true, remainingMs: 60_000});
 		const send = Send.create(this.#view, head, {
 			handleNews() {
 				// News don't matter here.
@@ -266,24 +201,6 @@
 		this.links.push(link);
 		return link;
 	}
-
-	#connect(_requestId: string) {
-		return {
-			send: (request: {requestId: string}, listener: ConnectionListener) => {
-				this.runs.push({requestId: request.requestId, listener, isOpen: true});
-			},
-			sendChunk: () => true,
-			sendLastChunk() {
-				// Bodies are whole here.
-			},
-			setPaused() {
-				// Answers are whole here.
-			},
-			close() {
-				// The server may run on after its connection is closed.
-			},
-		};
-	}
 }
 
 const steps = fc.array(
@@ -326,7 +243,7 @@
 
 		case 'answer': {
 			endRun(run, listener => {
-				listener.handleHead(codec.decodeAnswer(200, []));
+				listener.handleHead(testAnswer);
 				listener.handleData(Buffer.from(run!.requestId));
 				listener.handleEnd();
 			});
--- a/src/sidecar/guard/server-connection.test.ts
+++ b/src/sidecar/guard/server-connection.test.ts
@@ -2,23 +2,15 @@
 import {Buffer} from 'node:buffer';
 import net, {type AddressInfo} from 'node:net';
 import test from 'ava';
-import {type HeadCodec} from '../types.ts';
+import {createTestCodec, testAnswer} from './fixtures.ts';
 import {ServerConnection} from './server-connection.ts';
 
-const codec: HeadCodec = {
-	serverIdHeader: 'id',
-	decodeRequest: () => ({requestId: '', deadlineMs: undefined, headers: []}),
-	encodeServerRequest: () => '',
-	decodeAnswer: (status, rawHeaders) => ({
-		requestId: rawHeaders[rawHeaders.indexOf('Id') + 1],
-		status,
-		isNotRun: false,
-		isMisdirected: false,
-		closes: rawHeaders.includes('close'),
-		keepAliveMs: undefined,
-		headers: [],
-	}),
-};
+const codec = createTestCodec((status, rawHeaders) => ({
+	...testAnswer,
+	requestId: rawHeaders[rawHeaders.indexOf('Id') + 1],
+	status,
+	closes: rawHeaders.includes('close'),
+}));
 
 /** What became of one request, and whether the connection could be used again. */
 type Outcome = {readonly kind: 'whole' | 'failed'; readonly body: string; readonly isKept: boolean};
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -2,6 +2,7 @@
 import {randomBytes} from 'node:crypto';
 import type http from 'node:http';
 import {type Result} from 'neverthrow';
+import {formatNonce} from '../once/nonce.ts';
 import {type Logger} from '../reporting/logger.ts';
 import {createControlHandler, createReadyHandler, listenForRequests} from './control-server.ts';
 import {type EntryContext} from './entry/entry-context.ts';
@@ -30,6 +31,9 @@
 	type SidecarSettings,
 } from './types.ts';
 
+/** Hexadecimal digits for the count in a nonce; enough for weeks at a thousand sends a second. */
+const nonceCountDigits = 8;
+
 /** What the sidecar needs of the world around it. */
 export type Surroundings = {
 	readonly codec: HeadCodec;
@@ -243,11 +247,17 @@
 			handleMember: member => {
 				this.#handleMember(member);
 			},
-			createNonce: () => `${this.#incarnation}.${this.#sentNonces++}`,
+			createNonce: () => this.#createNonce(),
 			random,
 		};
 	}
 
+	/** Names one send: its time, then this life of the sidecar and a count. */
+	#createNonce(): string {
+		const count = (this.#sentNonces++).toString(16).padStart(nonceCountDigits, '0');
+		return formatNonce(Date.now(), `${this.#incarnation}${count}`);
+	}
+
 	#createLinkServer(): LinkServer {
 		return LinkServer.create({
 			guard: this.#serverSide.guard,
