Serve twins with one piece: pauses between retries, waits, fixtures; drop what nothing reads

Read-through: two modules kept their own doubling pause, two their own wait (Node has one), two their own text of a failure; the order of a call's head stood twice. Dropped: settings, statuses, sums and times that nothing reads, and news on the guard's side, which never came. The mix of callers goes through those that called instead of all services on each reply. Nothing behaves differently.

--- a/src/sidecar/entry/caller-answer.ts
+++ b/src/sidecar/entry/caller-answer.ts
@@ -4,9 +4,7 @@
 
 /** Answers of the entry itself, which no server gave. */
 export const ownStatuses = {
-	badRequest: 400,
 	noRoute: 404,
-	tooLarge: 413,
 	/** May have run; nothing is promised. */
 	failed: 502,
 	/** Has not run and never will. */
--- a/src/sidecar/guard/guard.test.ts
+++ b/src/sidecar/guard/guard.test.ts
@@ -1,5 +1,6 @@
 /** Pattern: more requests than slots, of different rank and patience, and a server that leaves. */
 import {Buffer} from 'node:buffer';
+import {setTimeout as wait} from 'node:timers/promises';
 import test from 'ava';
 import {type ExchangeListener} from '../link/exchange.ts';
 import {type CallHead, type RefusalReason} from '../link/messages.ts';
@@ -56,9 +57,6 @@
 
 	#createListener(requestId: string): ExchangeListener {
 		return {
-			handleNews() {
-				// News don't matter here.
-			},
 			handleAnswer() {
 				// The runs tell.
 			},
@@ -106,9 +104,7 @@
 	const scene = new Scene();
 	scene.ask('first');
 	scene.ask('waits', {remainingMs: 600});
-	await new Promise(resolve => {
-		setTimeout(resolve, 450);
-	});
+	await wait(450);
 	t.is(scene.refused.get('waits'), 'late');
 });
 
@@ -142,9 +138,7 @@
 	scene.ask('ran');
 	await scene.finishOne();
 	// The end is kept for two seconds.
-	await new Promise(resolve => {
-		setTimeout(resolve, 2300);
-	});
+	await wait(2300);
 	scene.resume('ran');
 	t.false(scene.refused.has('ran'));
 	t.true(scene.failed.has('ran'));
--- a/src/sidecar/guard/run-proof-model.test.ts
+++ b/src/sidecar/guard/run-proof-model.test.ts
@@ -11,7 +11,7 @@
 import {distances, MemberView} from '../knowledge/member-view.ts';
 import {type Exchange, type ExchangeListener} from '../link/exchange.ts';
 import {type LinkListener} from '../link/link.ts';
-import {type CallHead, type ReplyNews, type ResumeHead} from '../link/messages.ts';
+import {type CallHead, type ResumeHead} from '../link/messages.ts';
 import {
 	createTestGuard,
 	createTestHead,
@@ -41,9 +41,6 @@
 		};
 
 		this.#guardListener = {
-			handleNews(_news: ReplyNews) {
-				// News don't matter here.
-			},
 			handleAnswer(head, body) {
 				sendBack(() => {
 					entryListener.handleAnswer(head, body);
--- a/src/sidecar/knowledge/announcer.test.ts
+++ b/src/sidecar/knowledge/announcer.test.ts
@@ -1,4 +1,5 @@
 /** Pattern: a store whose answers are lost, or that carries writes out late. */
+import {setTimeout as wait} from 'node:timers/promises';
 import {err, ok, type Result} from 'neverthrow';
 import test from 'ava';
 import {Logger} from '../../reporting/logger.ts';
@@ -41,9 +42,7 @@
 }
 
 async function settle(): Promise<void> {
-	return new Promise(resolve => {
-		setTimeout(resolve, 1000);
-	});
+	await wait(1000);
 }
 
 const lost: WriteResult = err({kind: 'unavailable', reason: 'lost', mayHaveRun: true});
--- a/src/sidecar/knowledge/announcer.ts
+++ b/src/sidecar/knowledge/announcer.ts
@@ -1,12 +1,12 @@
 /** Keeps the own row in the shared table equal to what the sidecar wants to announce. */
 import {type Logger} from '../../reporting/logger.ts';
-import {type Row, type SharedTable} from '../ports.ts';
+import {formatFailure, type Row, type SharedTable} from '../ports.ts';
 import {type Member} from '../types.ts';
 import {decodeMember, encodeMember} from './member-codec.ts';
+import {RetryPause} from './retry-pause.ts';
 
-/** Pause after a write that failed, doubled up to the longest; jittered so that instances spread. */
-const firstRetryMs = 150;
-const maxRetryMs = 1500;
+/** Longer than those of the reads, since peers hear of the change directly. */
+const retryBounds = {firstMs: 150, maxMs: 1500} as const;
 
 export class Announcer {
 	/**
@@ -30,7 +30,7 @@
 	#rowText: string | undefined;
 	#epoch = 0;
 	#isWriting = false;
-	#retryMs = firstRetryMs;
+	readonly #pause = RetryPause.create(retryBounds, () => Math.random());
 	#isKnown = false;
 	#isClosed = false;
 	#isFailing = false;
@@ -111,7 +111,7 @@
 		if (result.isOk()) {
 			this.#rowVersion = result.value;
 			this.#rowText = text;
-			this.#retryMs = firstRetryMs;
+			this.#pause.reset();
 			this.#isFailing = false;
 			void this.#write();
 			return;
@@ -129,17 +129,12 @@
 			this.handleFailure();
 		}
 
-		const reason = failure.kind === 'unavailable' ? failure.reason : failure.kind;
 		this.logger.warn(
-			{reason, state: wanted.state, service: wanted.service},
+			{reason: formatFailure(failure), state: wanted.state, service: wanted.service},
 			'announcement not written',
 		);
-		setTimeout(
-			() => {
-				void this.#write();
-			},
-			this.#retryMs * (0.5 + Math.random()),
-		);
-		this.#retryMs = Math.min(maxRetryMs, this.#retryMs * 2);
+		setTimeout(() => {
+			void this.#write();
+		}, this.#pause.take());
 	}
 }
--- a/src/sidecar/knowledge/directory.ts
+++ b/src/sidecar/knowledge/directory.ts
@@ -14,7 +14,6 @@
 
 	readonly #views = new Map<string, MemberView>();
 	readonly #services = new Map<string, MemberView[]>();
-	#serviceNames: readonly string[] = [];
 
 	private constructor(private readonly createView: (member: Member) => MemberView) {}
 
@@ -31,9 +30,9 @@
 		return this.#services.get(service) ?? [];
 	}
 
-	/** Lists the services of all members. */
-	listServices(): readonly string[] {
-		return this.#serviceNames;
+	/** Counts the services of all members. */
+	countServices(): number {
+		return this.#services.size;
 	}
 
 	findMember(instance: string): MemberView | undefined {
@@ -78,8 +77,6 @@
 			views.push(view);
 			this.#services.set(view.member.service, views);
 		}
-
-		this.#serviceNames = [...this.#services.keys()];
 	}
 }
 
--- a/src/sidecar/knowledge/table-follower.ts
+++ b/src/sidecar/knowledge/table-follower.ts
@@ -1,10 +1,17 @@
 /** Follows one table of the store: reads it once, then its changes, for as long as the process runs. */
+import {setTimeout as wait} from 'node:timers/promises';
 import {type Logger} from '../../reporting/logger.ts';
-import {type Row, type SharedTable, type StoreFailure, type TableName} from '../ports.ts';
-
-/** Pause after a call that failed, doubled up to the longest; jittered so that instances spread. */
-const firstRetryMs = 100;
-const maxRetryMs = 1000;
+import {
+	formatFailure,
+	type Row,
+	type SharedTable,
+	type StoreFailure,
+	type TableName,
+} from '../ports.ts';
+import {RetryPause} from './retry-pause.ts';
+
+/** A store that is back is met within about a second. */
+const retryBounds = {firstMs: 100, maxMs: 1000} as const;
 
 export type FollowerOptions = {
 	readonly table: SharedTable;
@@ -29,11 +36,9 @@
 		return new TableFollower(options);
 	}
 
-	/** When the store last answered, on the steady clock; undefined before the first answer. */
-	lastContactMs: number | undefined;
 	#isLost = false;
 	#version: number | undefined;
-	#retryMs = firstRetryMs;
+	readonly #pause = RetryPause.create(retryBounds, () => Math.random());
 	#isStopped = false;
 
 	private constructor(private readonly options: FollowerOptions) {}
@@ -57,7 +62,7 @@
 				this.#version === undefined ? await this.#readAll() : await this.#readChanges();
 			if (failure === undefined) {
 				this.#handleContact();
-				await waitMs(this.options.pauseMs);
+				await wait(this.options.pauseMs);
 			} else if (failure.kind === 'compacted') {
 				this.#version = undefined;
 				this.options.logger.warn(
@@ -66,8 +71,7 @@
 				);
 			} else {
 				this.#handleLoss(failure);
-				await waitMs(this.#retryMs * (0.5 + Math.random()));
-				this.#retryMs = Math.min(maxRetryMs, this.#retryMs * 2);
+				await wait(this.#pause.take());
 			}
 		}
 	}
@@ -99,8 +103,7 @@
 	}
 
 	#handleContact(): void {
-		this.lastContactMs = performance.now();
-		this.#retryMs = firstRetryMs;
+		this.#pause.reset();
 		if (this.#isLost) {
 			this.#isLost = false;
 			this.options.logger.info({table: this.options.name}, 'store is back');
@@ -110,14 +113,8 @@
 	#handleLoss(failure: StoreFailure): void {
 		if (!this.#isLost) {
 			this.#isLost = true;
-			const reason = failure.kind === 'unavailable' ? failure.reason : failure.kind;
+			const reason = formatFailure(failure);
 			this.options.logger.warn({table: this.options.name, reason}, 'store is lost');
 		}
 	}
 }
-
-async function waitMs(ms: number): Promise<void> {
-	return new Promise(resolve => {
-		setTimeout(resolve, ms);
-	});
-}
--- /dev/null
+++ b/src/sidecar/link/codec.test.ts
@@ -0,0 +1,108 @@
+import {Buffer} from 'node:buffer';
+import test from 'ava';
+import fc from 'fast-check';
+import {
+	decodeAnswer,
+	decodeCall,
+	decodeRefusal,
+	encodeAnswer,
+	encodeCall,
+	encodeRefusal,
+} from './codec.ts';
+import {encodeFrame, type Frame, FrameReader, frameTypes} from './frames.ts';
+import {type CallHead, type ReplyNews} from './messages.ts';
+
+const news: ReplyNews = {
+	load: {running: 3, waiting: 1, limit: 24},
+	configVersion: 7,
+	pressure: [
+		{
+			instance: 'one',
+			service: 'shop',
+			region: 'east',
+			openShare: 0.5,
+			repeatableShare: 1,
+			ageMs: 40,
+		},
+	],
+	costs: new Map([['shop', {slotMs: 80.5, calls: 1}]]),
+	isInner: undefined,
+};
+
+const callHeads: fc.Arbitrary<CallHead> = fc.record({
+	nonce: fc.string(),
+	requestId: fc.string(),
+	method: fc.constantFrom('GET', 'POST'),
+	path: fc.string(),
+	headers: fc.array(fc.string()),
+	remainingMs: fc.nat(),
+	service: fc.string(),
+	serverId: fc.string(),
+	callerService: fc.string(),
+	route: fc.string(),
+	isOnce: fc.boolean(),
+	priority: fc.nat(),
+	isWhole: fc.boolean(),
+	isInner: fc.boolean(),
+	isRepeat: fc.boolean(),
+});
+
+test('the head of a call comes back as it was', t => {
+	fc.assert(
+		fc.property(callHeads, head => {
+			t.deepEqual(decodeCall(encodeCall(head)), head);
+		}),
+		{seed: 1, numRuns: 200},
+	);
+});
+
+test('news ride on answers and refusals as they were', t => {
+	const head = {status: 200, headers: ['A', '1'], isWhole: true, isNotRun: false, serviceMs: 12};
+	t.deepEqual(decodeAnswer(encodeAnswer(head, news)), {head, news});
+	const inner = {...news, costs: undefined, isInner: true};
+	const refusal = {reason: 'full', hasArrived: false, member: undefined} as const;
+	t.deepEqual(decodeRefusal(encodeRefusal(refusal, inner)), {head: refusal, news: inner});
+});
+
+test('frames come back whole, however the bytes are cut', t => {
+	const bytes = Buffer.concat([
+		encodeFrame(frameTypes.open, 'héad', Buffer.from('body')),
+		encodeFrame(frameTypes.cancel, ''),
+		encodeFrame(frameTypes.data, '', Buffer.alloc(100, 1)),
+	]);
+	fc.assert(
+		fc.property(fc.array(fc.nat(bytes.length), {maxLength: 6}), cuts => {
+			const reader = FrameReader.create();
+			const frames: Frame[] = [];
+			let start = 0;
+			for (const end of [...cuts.toSorted((first, second) => first - second), bytes.length]) {
+				t.true(
+					reader.read(bytes.subarray(start, end), frame => {
+						frames.push({...frame, body: Buffer.from(frame.body)});
+					}),
+				);
+				start = end;
+			}
+
+			t.deepEqual(
+				frames.map(({type, head, body}) => [type, head, body.length]),
+				[
+					[frameTypes.open, 'héad', 4],
+					[frameTypes.cancel, '', 0],
+					[frameTypes.data, '', 100],
+				],
+			);
+		}),
+		{seed: 2, numRuns: 200},
+	);
+});
+
+test('bytes that are no frames are told as such', t => {
+	const reader = FrameReader.create();
+	const frames: Frame[] = [];
+	const isSound = reader.read(Buffer.from('GET / HTTP/1.1\r\n\r\n'), frame => {
+		frames.push(frame);
+	});
+	t.false(isSound);
+	t.deepEqual(frames, []);
+});
--- a/src/sidecar/link/codec.ts
+++ b/src/sidecar/link/codec.ts
@@ -3,7 +3,7 @@
  * links that are billed by volume.
  */
 import {type Cost, type CostVector} from '../overload/cost-book.ts';
-import {type Member} from '../types.ts';
+import {type Member, type RawHeaders} from '../types.ts';
 import {
 	type AnswerHead,
 	type CallHead,
@@ -72,8 +72,23 @@
 	return {head: {reason}, news: decodeNews(news)};
 }
 
+type EncodedCall = [
+	nonce: string,
+	requestId: string,
+	method: string,
+	path: string,
+	headers: RawHeaders,
+	remainingMs: number,
+	service: string,
+	serverId: string,
+	callerService: string,
+	route: string,
+	flags: number,
+	priority: number,
+];
+
 export function encodeCall(head: CallHead): string {
-	return JSON.stringify([
+	const encoded: EncodedCall = [
 		head.nonce,
 		head.requestId,
 		head.method,
@@ -84,12 +99,10 @@
 		head.serverId,
 		head.callerService,
 		head.route,
-		(head.isOnce ? 1 : 0) +
-			(head.isWhole ? 2 : 0) +
-			(head.isRepeat ? 4 : 0) +
-			(head.isInner ? 8 : 0),
+		encodeFlags(head),
 		head.priority,
-	]);
+	];
+	return JSON.stringify(encoded);
 }
 
 export function decodeCall(text: string): CallHead {
@@ -106,20 +119,7 @@
 		route,
 		flags,
 		priority,
-	] = JSON.parse(text) as [
-		string,
-		string,
-		string,
-		string,
-		string[],
-		number,
-		string,
-		string,
-		string,
-		string,
-		number,
-		number,
-	];
+	] = JSON.parse(text) as EncodedCall;
 	return {
 		nonce,
 		requestId,
@@ -131,14 +131,23 @@
 		serverId,
 		callerService,
 		route,
-		isOnce: flags % 2 === 1,
-		isWhole: Math.floor(flags / 2) % 2 === 1,
-		isRepeat: Math.floor(flags / 4) % 2 === 1,
-		isInner: flags >= 8,
+		...decodeFlags(flags),
 		priority,
 	};
 }
 
+/** Flags of a call, the first in the lowest bit. */
+type CallFlags = Pick<CallHead, 'isOnce' | 'isWhole' | 'isRepeat' | 'isInner'>;
+
+function encodeFlags({isOnce, isWhole, isRepeat, isInner}: CallFlags): number {
+	return (isOnce ? 1 : 0) + (isWhole ? 2 : 0) + (isRepeat ? 4 : 0) + (isInner ? 8 : 0);
+}
+
+function decodeFlags(flags: number): CallFlags {
+	const hasBit = (bit: number) => Math.floor(flags / bit) % 2 === 1;
+	return {isOnce: hasBit(1), isWhole: hasBit(2), isRepeat: hasBit(4), isInner: hasBit(8)};
+}
+
 type EncodedPressure = [
 	instance: string,
 	service: string,
--- a/src/sidecar/link/exchange.ts
+++ b/src/sidecar/link/exchange.ts
@@ -1,9 +1,8 @@
 /** How an entry talks to a guard, whether over a link or within the same process. */
-import {type AnswerHead, type FailureHead, type RefusalHead, type ReplyNews} from './messages.ts';
+import {type AnswerHead, type FailureHead, type RefusalHead} from './messages.ts';
 
 /** What a guard tells of one request; exactly one of the last four ends it. */
 export type ExchangeListener = {
-	handleNews(news: ReplyNews): void;
 	/** The head of an answer; data and an end follow unless it is whole. */
 	handleAnswer(head: AnswerHead, body: Uint8Array): void;
 	handleData(chunk: Uint8Array): void;
--- a/src/sidecar/link/link-server.ts
+++ b/src/sidecar/link/link-server.ts
@@ -99,10 +99,6 @@
 		this.#frames.send(frameTypes.hello, options.incarnation);
 	}
 
-	handleNews(): void {
-		// News travel from guards to entries.
-	}
-
 	handleAnswer(head: AnswerHead, body: Uint8Array): void {
 		const text = encodeAnswer(head, this.options.readNews(this.#route, this.#callerService));
 		const isWritable = this.#frames.send(frameTypes.answer, text, body);
--- a/src/sidecar/link/link.ts
+++ b/src/sidecar/link/link.ts
@@ -5,13 +5,15 @@
 import {type Exchange, type ExchangeListener} from './exchange.ts';
 import {type Frame, frameTypes} from './frames.ts';
 import {FrameSocket} from './frame-socket.ts';
-import {type CallHead, type ResumeHead} from './messages.ts';
+import {type CallHead, type ReplyNews, type ResumeHead} from './messages.ts';
 
 /** The slowest way between regions takes 60 ms there and back; a lost packet costs some 200 ms more. */
 const connectTimeoutMs = 500;
 
 /** What becomes of an exchange on a link, besides what the guard tells. */
 export type LinkListener = ExchangeListener & {
+	/** What the reply tells besides its answer. */
+	handleNews(news: ReplyNews): void;
 	/** Nothing was sent; the peer can't be reached. */
 	handleUnreachable(reason: string): void;
 	/** The connection was lost after the request was sent. */
--- a/src/sidecar/news-desk.ts
+++ b/src/sidecar/news-desk.ts
@@ -72,7 +72,7 @@
 			configVersion: this.options.readConfigVersion(),
 			pressure: this.board.listNews(nowMs),
 			costs: this.#replies++ % costsEvery === 0 ? this.#computeCosts(route) : undefined,
-			isInner: this.#mix.isInner(route, callerService, this.options.directory.listServices()),
+			isInner: this.#mix.isInner(route, callerService, this.options.directory.countServices()),
 		};
 	}
 
@@ -127,7 +127,7 @@
 		}
 
 		this.costs.learn(route, service, costs);
-		const isInner = this.#mix.isInner(route, service, this.options.directory.listServices());
+		const isInner = this.#mix.isInner(route, service, this.options.directory.countServices());
 		if (isInner !== undefined) {
 			this.model.setInner(route, isInner);
 		}
--- a/src/sidecar/overload/caller-mix.test.ts
+++ b/src/sidecar/overload/caller-mix.test.ts
@@ -9,7 +9,7 @@
 		mix.record('prices', 'patrons');
 	}
 
-	t.true(mix.isInner('prices', 'patrons', services));
+	t.true(mix.isInner('prices', 'patrons', services.length));
 });
 
 test('a route asked beside all services is made of requests of callers', t => {
@@ -19,7 +19,7 @@
 	}
 
 	for (const service of services) {
-		t.false(mix.isInner('lookup', service, services));
+		t.false(mix.isInner('lookup', service, services.length));
 	}
 });
 
@@ -31,14 +31,14 @@
 		mix.record('lookup', 'patrons');
 	}
 
-	t.true(mix.isInner('lookup', 'patrons', services));
-	t.false(mix.isInner('lookup', 'atelier', services));
+	t.true(mix.isInner('lookup', 'patrons', services.length));
+	t.false(mix.isInner('lookup', 'atelier', services.length));
 });
 
 test('too few requests tell nothing', t => {
 	const mix = CallerMix.create(() => 4);
 	mix.record('prices', 'patrons');
-	t.is(mix.isInner('prices', 'patrons', services), undefined);
+	t.is(mix.isInner('prices', 'patrons', services.length), undefined);
 });
 
 test('a route that two services call, one of them seldom, is inner for both', t => {
@@ -47,6 +47,6 @@
 		mix.record('index', index % 10 === 0 ? 'catalogue' : 'atelier');
 	}
 
-	t.true(mix.isInner('index', 'catalogue', services));
-	t.true(mix.isInner('index', 'atelier', services));
+	t.true(mix.isInner('index', 'catalogue', services.length));
+	t.true(mix.isInner('index', 'atelier', services.length));
 });
--- a/src/sidecar/overload/caller-mix.ts
+++ b/src/sidecar/overload/caller-mix.ts
@@ -20,7 +20,7 @@
 	 * @example
 	 * const mix = CallerMix.create(service => directory.listService(service).length);
 	 * mix.record('r-prices', 'patrons');
-	 * const isInner = mix.isInner('r-prices', 'patrons', ['patrons', 'catalogue']);
+	 * const isInner = mix.isInner('r-prices', 'patrons', 4);
 	 */
 	static create(countInstances: (service: string) => number): CallerMix {
 		return new CallerMix(countInstances);
@@ -48,24 +48,25 @@
 	/**
 	 * Whether requests of a route from a service's instances are calls of its servers for the most part.
 	 *
-	 * @param services - all services that are known; with a single one there is nothing to compare
+	 * @param serviceCount - services that are known; with a single one there is nothing to compare
 	 * @returns undefined while too little has come to tell
 	 */
-	isInner(route: string, callerService: string, services: readonly string[]): boolean | undefined {
+	isInner(route: string, callerService: string, serviceCount: number): boolean | undefined {
 		const mix = this.#mixes.get(route);
 		const count = mix?.counts.get(callerService) ?? 0;
-		if (mix === undefined || count < minRequests || services.length < 2) {
+		if (mix === undefined || count < minRequests || serviceCount < 2) {
 			return undefined;
 		}
 
 		const others: number[] = [];
-		for (const service of services) {
+		for (const service of mix.counts.keys()) {
 			if (service !== callerService) {
 				others.push(this.#computeRate(mix, service));
 			}
 		}
 
-		return this.#computeRate(mix, callerService) > innerFactor * readUsual(others);
+		const usual = readUsual(others, serviceCount - 1 - others.length);
+		return this.#computeRate(mix, callerService) > innerFactor * usual;
 	}
 
 	/** Requests per instance of a service. */
@@ -77,10 +78,16 @@
 /**
  * Reads what comes from beside a service whose servers don't call the route: the second lowest rate,
  * since several services may call it and chance may spare one.
+ *
+ * @param silent - services from which nothing has come
  */
-function readUsual(rates: readonly number[]): number {
+function readUsual(rates: readonly number[], silent: number): number {
+	if (silent > 1 || rates.length === 0) {
+		return 0;
+	}
+
 	const sorted = rates.toSorted((first, second) => first - second);
-	return sorted[Math.min(1, sorted.length - 1)] ?? 0;
+	return sorted[Math.min(1 - Math.max(0, silent), sorted.length - 1)]!;
 }
 
 function halve(mix: Mix): void {
--- a/src/sidecar/ports.ts
+++ b/src/sidecar/ports.ts
@@ -24,6 +24,11 @@
 	/** The history that was asked for is gone; read the rows anew. */
 	| {readonly kind: 'compacted'};
 
+/** Formats why the store gave no result, for a log line. */
+export function formatFailure(failure: StoreFailure): string {
+	return failure.kind === 'unavailable' ? failure.reason : failure.kind;
+}
+
 /** Where rows live: what the operators write, and what sidecars announce. */
 export type TableName = 'operator' | 'members';
 
--- a/src/sidecar/reporting/request-log.ts
+++ b/src/sidecar/reporting/request-log.ts
@@ -51,7 +51,6 @@
 	readonly route: string;
 	readonly status: number;
 	count: number;
-	sumMs: number;
 	readonly buckets: number[];
 };
 
@@ -133,12 +132,11 @@
 		let counted = this.counts.get(key);
 		if (counted === undefined) {
 			const buckets = latencyBucketsMs.map(() => 0);
-			counted = {route: record.route, status: record.status, count: 0, sumMs: 0, buckets};
+			counted = {route: record.route, status: record.status, count: 0, buckets};
 			this.counts.set(key, counted);
 		}
 
 		counted.count++;
-		counted.sumMs += record.tookMs;
 		for (const [index, bound] of latencyBucketsMs.entries()) {
 			if (record.tookMs <= bound) {
 				counted.buckets[index]!++;
--- a/src/sidecar/stop-sequence.ts
+++ b/src/sidecar/stop-sequence.ts
@@ -1,4 +1,5 @@
 /** A planned stop: callers go elsewhere, what is under way ends whole, then the process may end. */
+import {setTimeout as wait} from 'node:timers/promises';
 import {type Logger} from '../reporting/logger.ts';
 import {type EntryServer} from './entry/entry-server.ts';
 import {type ServerSide} from './server-side.ts';
@@ -49,7 +50,7 @@
 		logger.info({active: entry.active}, 'sidecar stops');
 		serverSide.setStopping();
 		for (;;) {
-			await waitMs(checkMs);
+			await wait(checkMs);
 			const nowMs = performance.now();
 			const passedMs = nowMs - startedAtMs;
 			const active = entry.active + serverSide.guard.countActive();
@@ -66,9 +67,3 @@
 		logger.info({active: entry.active}, 'sidecar has stopped');
 	}
 }
-
-async function waitMs(ms: number): Promise<void> {
-	return new Promise(resolve => {
-		setTimeout(resolve, ms);
-	});
-}
--- a/src/sidecar/types.ts
+++ b/src/sidecar/types.ts
@@ -82,11 +82,8 @@
 /** Settings of one sidecar. */
 export type SidecarSettings = {
 	readonly instance: string;
-	readonly ip: string;
 	readonly dataCentre: string;
 	readonly region: string;
-	/** Region of each data centre. */
-	readonly regions: ReadonlyMap<string, string>;
 	readonly callerAddress: SocketAddress;
 	readonly readyAddress: SocketAddress;
 	readonly controlAddress: SocketAddress;
@@ -96,8 +93,6 @@
 	/** Service of the backend server beside the sidecar. */
 	readonly service: string;
 	readonly storeAddress: SocketAddress;
-	/** Whether the whole system starts for the first time. */
-	readonly isFirstStart: boolean;
 	/** Time for which a leaving server may get work after its report was acknowledged. */
 	readonly drainMs: number;
 	/** Time from the stop signal to the kill. */
@@ -105,7 +100,6 @@
 	readonly retryRatio: number;
 	readonly retryWindowMs: number;
 	readonly retrySlack: number;
-	readonly rowBytes: number;
 };
 
 export type SocketAddress = {readonly host: string; readonly port: number};
