Close links that a send has replaced, and replace none for a request that merely takes long

Cause: a request without an answer for 0.9 s, or four times the member's mean latency, got a second link, and the first was never closed: each long request left a socket at both ends until the process ended. The mean of a member is that of its short requests, so certificate-browse (750 ms) came there often, and each time all idle links to the peer were closed as well. Now the usual time of the route counts, a replaced link is closed when the send ends, if it still carries that send, and the guard is asked by the incarnation that the first link named, so that a request which never came is known as not run.

--- a/src/sidecar/entry/entry-call.ts
+++ b/src/sidecar/entry/entry-call.ts
@@ -141,7 +141,7 @@
 		});
 		history.recordSend(view);
 		this.#send = Send.create(view, callHead, this.#createListener(view));
-		this.#send.start(this.ctx.guard, body);
+		this.#send.start(this.ctx.guard, body, history.readUsualMs());
 		if (!isWhole && !this.#reply.isDone) {
 			streamBody(request, this.#send);
 		}
--- a/src/sidecar/entry/send-history.ts
+++ b/src/sidecar/entry/send-history.ts
@@ -94,6 +94,11 @@
 		return isRepeatable && this.hasFurtherServers() && this.#spend(remainingMs);
 	}
 
+	/** Usual time of such requests at the server, in milliseconds; 0 while it is not known. */
+	readUsualMs(): number {
+		return this.ctx.costs.readOwn(this.route.name, this.service);
+	}
+
 	#spend(remainingMs: number): boolean {
 		const {budget, costs} = this.ctx;
 		const level: CallLevel = costs.isLeaf(this.route.name, this.service) ? 'leaf' : 'inner';
--- a/src/sidecar/entry/send.ts
+++ b/src/sidecar/entry/send.ts
@@ -7,7 +7,7 @@
 import {type MemberView} from '../knowledge/member-view.ts';
 import {type Guard} from '../guard/guard.ts';
 import {type Exchange} from '../link/exchange.ts';
-import {type LinkListener} from '../link/link.ts';
+import {type LinkExchange, type LinkListener} from '../link/link.ts';
 import {
 	type AnswerHead,
 	type CallHead,
@@ -22,7 +22,7 @@
 const maxResumes = 4;
 /** A guard that is silent for this long may be waiting, or its link may be dead: ask. */
 const minSilenceMs = 900;
-/** Times the usual latency of the member after which silence is unusual. */
+/** Times the usual time of the route, or latency of the member, after which silence is unusual. */
 const silenceFactor = 4;
 
 /** What a send tells the call that it belongs to; one of the last four ends it. */
@@ -50,13 +50,14 @@
 
 	readonly startedAtMs = performance.now();
 	#exchange: Exchange | undefined;
+	/** The links of the exchange, the present one last. */
+	readonly #links: Array<{readonly link: LinkExchange; readonly listener: LinkListener}> = [];
 	#isEnded = false;
 	#hasAnswerBegun = false;
 	#resumes = 0;
 	/** Grows when a listener is replaced; what older ones hear is ignored. */
 	#generation = 0;
 	#timer: NodeJS.Timeout | undefined;
-	#incarnation: string | undefined;
 
 	private constructor(
 		readonly view: MemberView,
@@ -64,8 +65,12 @@
 		private readonly listener: SendListener,
 	) {}
 
-	/** Sends the request; the listener may hear the end before this returns. */
-	start(guard: Guard, body: Uint8Array): void {
+	/**
+	 * Sends the request; the listener may hear the end before this returns.
+	 *
+	 * @param usualMs - usual time of such requests at the server, 0 when it is not known
+	 */
+	start(guard: Guard, body: Uint8Array, usualMs: number): void {
 		this.view.recordSend();
 		const {way} = this.view;
 		switch (way.kind) {
@@ -75,8 +80,9 @@
 			}
 
 			case 'link': {
-				this.#exchange = way.pool.open(this.head, body, this.#createListener());
-				this.#watchSilence();
+				const listener = this.#createListener();
+				this.#setLink(way.pool.open(this.head, body, listener), listener);
+				this.#watchSilence(usualMs);
 				break;
 			}
 		}
@@ -110,9 +116,19 @@
 		this.#isEnded = true;
 		clearTimeout(this.#timer);
 		this.view.recordEnd();
+		// A replaced link may still be open; nothing comes over it any more.
+		for (const {link, listener} of this.#links.slice(0, -1)) {
+			link.abandon(listener);
+		}
+
 		return true;
 	}
 
+	#setLink(link: LinkExchange, listener: LinkListener): void {
+		this.#exchange = link;
+		this.#links.push({link, listener});
+	}
+
 	#createListener(): LinkListener {
 		const generation = this.#generation;
 		const isCurrent = () => !this.#isEnded && generation === this.#generation;
@@ -150,9 +166,8 @@
 					this.#handleUnreachable();
 				}
 			},
-			handleLost: incarnation => {
+			handleLost: () => {
 				if (isCurrent()) {
-					this.#incarnation ??= incarnation;
 					this.#resume();
 				}
 			},
@@ -208,13 +223,17 @@
 
 		this.#resumes++;
 		this.#generation++;
-		const question = {nonce: this.head.nonce, incarnation: this.#incarnation ?? ''};
-		this.#exchange = way.pool.resume(question, this.#createListener());
+		// The guard that the request went to, which is the one at the end of the first link.
+		const incarnation = this.#links[0]!.link.incarnation ?? '';
+		const question = {nonce: this.head.nonce, incarnation};
+		const listener = this.#createListener();
+		this.#setLink(way.pool.resume(question, listener), listener);
 	}
 
 	/** Replaces a link on which nothing comes for unusually long. */
-	#watchSilence(): void {
-		const silenceMs = Math.max(minSilenceMs, this.view.latencyMs * silenceFactor);
+	#watchSilence(usualMs: number): void {
+		const expectedMs = Math.max(usualMs, this.view.latencyMs);
+		const silenceMs = Math.max(minSilenceMs, expectedMs * silenceFactor);
 		clearTimeout(this.#timer);
 		this.#timer = setTimeout(() => {
 			const {way} = this.view;
--- a/src/sidecar/guard/run-proof-model.test.ts
+++ b/src/sidecar/guard/run-proof-model.test.ts
@@ -10,7 +10,7 @@
 import {Send} from '../entry/send.ts';
 import {distances, MemberView} from '../knowledge/member-view.ts';
 import {type Exchange, type ExchangeListener} from '../link/exchange.ts';
-import {type LinkListener} from '../link/link.ts';
+import {type LinkExchange, type LinkListener} from '../link/link.ts';
 import {type CallHead, type ResumeHead} from '../link/messages.ts';
 import {
 	createTestGuard,
@@ -24,7 +24,8 @@
 import {type ConnectionListener} from './server-connection.ts';
 
 /** One link with messages under way in both directions. */
-class TestLink implements Exchange {
+class TestLink implements LinkExchange {
+	readonly incarnation = testIncarnation;
 	readonly toGuard: Array<() => void> = [];
 	readonly toEntry: Array<() => void> = [];
 	isCut = false;
@@ -97,6 +98,15 @@
 		// Answers are whole here.
 	}
 
+	/** The entry ends a link that it has replaced; the guard hears of it later. */
+	abandon(): void {
+		this.isCut = true;
+		this.toEntry.length = 0;
+		this.toGuard.push(() => {
+			this.guard.orphan(this.nonce, this.#guardListener);
+		});
+	}
+
 	/** The entry sees the loss at once; the guard when what was under way has come or is lost. */
 	cut(isRequestLost: boolean): void {
 		this.isCut = true;
@@ -108,7 +118,7 @@
 		this.toGuard.push(() => {
 			this.guard.orphan(this.nonce, this.#guardListener);
 		});
-		this.entryListener.handleLost(testIncarnation);
+		this.entryListener.handleLost();
 	}
 }
 
@@ -169,7 +179,7 @@
 			},
 		});
 		this.sends.push(send);
-		send.start(this.guard, Buffer.alloc(0));
+		send.start(this.guard, Buffer.alloc(0), 0);
 	}
 
 	/** Delivers all that is under way, and ends all runs. */
--- a/src/sidecar/link/link-pool.ts
+++ b/src/sidecar/link/link-pool.ts
@@ -1,7 +1,6 @@
 /** The entry's side of links: one pool of connections for each peer. */
 import {type SocketAddress} from '../types.ts';
-import {type Exchange} from './exchange.ts';
-import {Link, type LinkListener, type LinkOwner} from './link.ts';
+import {Link, type LinkExchange, type LinkListener, type LinkOwner} from './link.ts';
 import {type CallHead, type ResumeHead} from './messages.ts';
 
 /** Idle connections kept for each peer, beyond which they are closed after use. */
@@ -40,12 +39,12 @@
 	private constructor(private readonly address: SocketAddress) {}
 
 	/** Sends a request to the guard of the peer. */
-	open(head: CallHead, body: Uint8Array, listener: LinkListener): Exchange {
+	open(head: CallHead, body: Uint8Array, listener: LinkListener): LinkExchange {
 		return this.#acquire().open(head, body, listener);
 	}
 
 	/** Asks over a new connection what became of a request whose connection was lost. */
-	resume(question: ResumeHead, listener: LinkListener): Exchange {
+	resume(question: ResumeHead, listener: LinkListener): LinkExchange {
 		return this.#connect().resume(question, listener);
 	}
 
--- a/src/sidecar/link/link.ts
+++ b/src/sidecar/link/link.ts
@@ -17,11 +17,19 @@
 	/** Nothing was sent; the peer can't be reached. */
 	handleUnreachable(reason: string): void;
 	/** The connection was lost after the request was sent. */
-	handleLost(incarnation: string | undefined): void;
+	handleLost(): void;
 	/** The peer takes more of the body. */
 	handleDrain(): void;
 };
 
+/** An exchange over a link. */
+export type LinkExchange = Exchange & {
+	/** Incarnation of the guard at the other end; undefined until it has named itself. */
+	readonly incarnation: string | undefined;
+	/** Ends the link without a word, if it still carries the exchange of a listener. */
+	abandon(listener: LinkListener): void;
+};
+
 /** What a link tells the pool that owns it. */
 export type LinkOwner = {handleIdle(link: Link): void; handleClosed(link: Link): void};
 
@@ -30,7 +38,7 @@
 	| {readonly kind: 'exchange'; readonly listener: LinkListener}
 	| {readonly kind: 'sync'; readonly onDone: (state: string | undefined) => void};
 
-export class Link implements Exchange {
+export class Link implements LinkExchange {
 	/**
 	 * Opens a connection; requests may be sent at once and go out when it is established.
 	 *
@@ -76,14 +84,18 @@
 		});
 	}
 
-	open(head: CallHead, body: Uint8Array, listener: LinkListener): Exchange {
+	get incarnation(): string | undefined {
+		return this.#incarnation;
+	}
+
+	open(head: CallHead, body: Uint8Array, listener: LinkListener): this {
 		this.#state = {kind: 'exchange', listener};
 		this.#isCancelled = false;
 		this.#frames.send(frameTypes.open, encodeCall(head), body);
 		return this;
 	}
 
-	resume(question: ResumeHead, listener: LinkListener): Exchange {
+	resume(question: ResumeHead, listener: LinkListener): this {
 		this.#state = {kind: 'exchange', listener};
 		this.#frames.send(frameTypes.resume, JSON.stringify(question));
 		return this;
@@ -125,6 +137,12 @@
 		this.#frames.setPaused(isPaused && !this.#isCancelled);
 	}
 
+	abandon(listener: LinkListener): void {
+		if (this.#state.kind === 'exchange' && this.#state.listener === listener) {
+			this.close();
+		}
+	}
+
 	close(): void {
 		this.#frames.close();
 	}
@@ -228,7 +246,7 @@
 
 			case 'exchange': {
 				if (this.#isConnected) {
-					state.listener.handleLost(this.#incarnation);
+					state.listener.handleLost();
 				} else {
 					state.listener.handleUnreachable('no connection');
 				}
--- a/src/sidecar/overload/cost-book.ts
+++ b/src/sidecar/overload/cost-book.ts
@@ -55,6 +55,11 @@
 		return this.#learnt.get(`${route} ${service}`);
 	}
 
+	/** Time in a slot of the service that runs a route, in milliseconds; 0 while it is not known. */
+	readOwn(route: string, service: string): number {
+		return this.read(route, service)?.get(service)?.slotMs ?? 0;
+	}
+
 	/** Whether a route is known to make no calls. */
 	isLeaf(route: string, service: string): boolean {
 		return this.read(route, service)?.size === 1;
