--- a/src/sidecar/knowledge/peer-sync.test.ts
+++ b/src/sidecar/knowledge/peer-sync.test.ts
@@ -64,9 +64,9 @@
 
 test('a peer that left by its own word is asked until it is back', async t => {
 	const state: PeerState = {version: -1, own: back};
-	const {sync, readState, countAsked} = createSync(() => {
-		return countAsked() < 2 ? undefined : JSON.stringify(state);
-	});
+	const {sync, readState, countAsked} = createSync(() =>
+		countAsked() < 2 ? undefined : JSON.stringify(state),
+	);
 	tell(sync, leaving);
 	t.is(readState(), 'leaving');
 	sync.start();
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -9,6 +9,7 @@
 import {SendNonces} from './entry/send-nonces.ts';
 import {ConfigKeeper} from './knowledge/config-keeper.ts';
 import {Directory} from './knowledge/directory.ts';
+import {createMemberHandler} from './knowledge/member-handler.ts';
 import {ViewFactory} from './knowledge/member-views.ts';
 import {type MemberView} from './knowledge/member-view.ts';
 import {PeerSync} from './knowledge/peer-sync.ts';
@@ -62,22 +63,10 @@
 	readonly #log: RequestLog;
 	readonly #follower: StoreFollower;
 	readonly #stopSequence: StopSequence;
+	readonly #handleMember: (member: Member) => void;
 	readonly #closeLinks: () => void;
 	#servers: http.Server[] = [];
 
-	readonly #handleMember = (member: Member): void => {
-		if (member.instance === this.settings.instance) {
-			// Of the own server the sidecar knows more than any announcement says.
-			this.#serverSide.handleOwnMember(member);
-			return;
-		}
-
-		if (this.#directory.apply(member)) {
-			const {instance, service, state, serverId, epoch} = member;
-			this.logger.info({instance, service, state, serverId, epoch}, 'member has changed');
-		}
-	};
-
 	private constructor(
 		private settings: SidecarSettings,
 		private readonly surroundings: Surroundings,
@@ -93,6 +82,14 @@
 		this.#config = this.#createConfigKeeper();
 		this.#serverSide = this.#createServerSide();
 		this.#newsDesk = this.#createNewsDesk();
+		this.#handleMember = createMemberHandler({
+			instance: settings.instance,
+			directory: this.#directory,
+			logger,
+			handleOwn: member => {
+				this.#serverSide.handleOwnMember(member);
+			},
+		});
 		this.#follower = this.#createFollower();
 		this.#sync = this.#createSync();
 		this.#entry = EntryServer.create(this.#createEntryContext());
