Lose a connection, not the process, over a frame of a peer that is no reply

Cause: a reply that could not be decoded threw inside the socket's handler of the entry and ended the sidecar. The guard's side caught such frames. Before: the new spec ended with an uncaught SyntaxError.

--- a/src/sidecar/knowledge/member-views.ts
+++ b/src/sidecar/knowledge/member-views.ts
@@ -1,4 +1,5 @@
 /** Builds the views of members: how far they are and which connections lead there. */
+import {type Logger} from '../../reporting/logger.ts';
 import {type GuardLoad} from '../link/messages.ts';
 import {LinkPool} from '../link/link-pool.ts';
 import {type Member, type SidecarSettings} from '../types.ts';
@@ -8,11 +9,15 @@
 	/**
 	 * @param readOwnLoad - load of the own guard, which needs no reports
 	 * @example
-	 * const views = ViewFactory.create(settings, readOwnLoad);
+	 * const views = ViewFactory.create(settings, logger, readOwnLoad);
 	 * const view = views.createView(member);
 	 */
-	static create(settings: SidecarSettings, readOwnLoad: () => GuardLoad): ViewFactory {
-		return new ViewFactory(settings, readOwnLoad);
+	static create(
+		settings: SidecarSettings,
+		logger: Logger,
+		readOwnLoad: () => GuardLoad,
+	): ViewFactory {
+		return new ViewFactory(settings, logger, readOwnLoad);
 	}
 
 	/** Members at the same address share their connections. */
@@ -20,6 +25,7 @@
 
 	private constructor(
 		private readonly settings: SidecarSettings,
+		private readonly logger: Logger,
 		private readonly readOwnLoad: () => GuardLoad,
 	) {}
 
@@ -30,7 +36,7 @@
 		}
 
 		const key = `${member.link.host}:${member.link.port}`;
-		const pool = this.#pools.get(key) ?? LinkPool.create(member.link);
+		const pool = this.#pools.get(key) ?? this.#createPool(member);
 		this.#pools.set(key, pool);
 		return MemberView.create(member, {kind: 'link', pool}, computeDistance(member, settings));
 	}
@@ -41,6 +47,13 @@
 			pool.close();
 		}
 	}
+
+	#createPool(member: Member): LinkPool {
+		return LinkPool.create(member.link, reason => {
+			const {instance} = member;
+			this.logger.warn({peer: instance, reason}, 'frame of a peer not understood');
+		});
+	}
 }
 
 function computeDistance(member: Member, settings: SidecarSettings): Distance {
--- a/src/sidecar/link/codec.ts
+++ b/src/sidecar/link/codec.ts
@@ -4,6 +4,7 @@
  */
 import {type Cost, type CostVector} from '../overload/cost-book.ts';
 import {type Member, type RawHeaders} from '../types.ts';
+import {type Frame, frameTypes} from './frames.ts';
 import {
 	type AnswerHead,
 	type CallHead,
@@ -72,6 +73,60 @@
 	return {head: {reason}, news: decodeNews(news)};
 }
 
+/** A decoded reply of a guard. */
+export type Reply =
+	| {readonly kind: 'answer'; readonly head: AnswerHead; readonly news: ReplyNews}
+	| {readonly kind: 'refusal'; readonly head: RefusalHead; readonly news: ReplyNews}
+	| {readonly kind: 'failure'; readonly head: FailureHead; readonly news: ReplyNews}
+	| {readonly kind: 'data'}
+	| {readonly kind: 'end'}
+	| {readonly kind: 'unreadable'; readonly reason: string};
+
+/**
+ * Decodes what a guard sends in an exchange. A frame that is no reply is told as such, since a peer of
+ * another version or a fault on the way must not end the process.
+ *
+ * @example
+ * decodeReply({type: frameTypes.failed, head: 'no JSON', body}).kind; // 'unreadable'
+ */
+export function decodeReply({type, head}: Pick<Frame, 'type' | 'head'>): Reply {
+	try {
+		switch (type) {
+			case frameTypes.answer: {
+				return {kind: 'answer', ...decodeAnswer(head)};
+			}
+
+			case frameTypes.refused: {
+				return {kind: 'refusal', ...decodeRefusal(head)};
+			}
+
+			case frameTypes.failed: {
+				return {kind: 'failure', ...decodeFailure(head)};
+			}
+
+			case frameTypes.data: {
+				return {kind: 'data'};
+			}
+
+			case frameTypes.end: {
+				return {kind: 'end'};
+			}
+
+			case frameTypes.open:
+			case frameTypes.cancel:
+			case frameTypes.resume:
+			case frameTypes.sync:
+			case frameTypes.state:
+			case frameTypes.hello: {
+				return {kind: 'unreadable', reason: `frame of type ${type} is no reply`};
+			}
+		}
+	} catch (error) {
+		const reason = `head of a frame of type ${type}: ${(error as Error).message}`;
+		return {kind: 'unreadable', reason};
+	}
+}
+
 type EncodedCall = [
 	nonce: string,
 	requestId: string,
--- a/src/sidecar/link/link-pool.ts
+++ b/src/sidecar/link/link-pool.ts
@@ -11,12 +11,13 @@
 /** Connections to one peer. */
 export class LinkPool {
 	/**
+	 * @param handleBadFrame - hears of a frame of the peer that could not be understood
 	 * @example
-	 * const pool = LinkPool.create({host: '10.1.0.9', port: 8300});
+	 * const pool = LinkPool.create({host: '10.1.0.9', port: 8300}, logBadFrame);
 	 * const exchange = pool.open(head, body, listener);
 	 */
-	static create(address: SocketAddress): LinkPool {
-		return new LinkPool(address);
+	static create(address: SocketAddress, handleBadFrame: (reason: string) => void): LinkPool {
+		return new LinkPool(address, handleBadFrame);
 	}
 
 	#idle: Link[] = [];
@@ -34,9 +35,15 @@
 			this.#links.delete(link);
 			this.#idle = this.#idle.filter(each => each !== link);
 		},
+		handleBadFrame: reason => {
+			this.handleBadFrame(reason);
+		},
 	};
 
-	private constructor(private readonly address: SocketAddress) {}
+	private constructor(
+		private readonly address: SocketAddress,
+		private readonly handleBadFrame: (reason: string) => void,
+	) {}
 
 	/** Sends a request to the guard of the peer. */
 	open(head: CallHead, body: Uint8Array, listener: LinkListener): LinkExchange {
--- a/src/sidecar/link/link.test.ts
+++ b/src/sidecar/link/link.test.ts
@@ -47,13 +47,15 @@
 	return {listener, ended};
 }
 
-test('a link that is free again is not closed by the exchange that it carried before', async t => {
+/** Starts a peer that sends a frame in return for the first bytes on each connection. */
+async function startPeer(createFrame: () => Uint8Array) {
 	const sockets: net.Socket[] = [];
+	const badFrames: string[] = [];
 	const server = net.createServer(socket => {
 		sockets.push(socket);
 		socket.write(encodeFrame(frameTypes.hello, 'g1'));
 		socket.once('data', () => {
-			socket.write(encodeFrame(frameTypes.refused, refusal));
+			socket.write(createFrame());
 		});
 		socket.on('error', () => {
 			// The pool was closed.
@@ -62,8 +64,21 @@
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
 	const {port} = server.address() as AddressInfo;
-	const pool = LinkPool.create({host: '127.0.0.1', port});
+	const pool = LinkPool.create({host: '127.0.0.1', port}, reason => {
+		badFrames.push(reason);
+	});
+	const close = () => {
+		pool.close();
+		server.close();
+	};
+
+	return {pool, badFrames, countSockets: () => sockets.length, close};
+}
 
+test('a link that is free again is not closed by the exchange that it carried before', async t => {
+	const {pool, countSockets, close} = await startPeer(() =>
+		encodeFrame(frameTypes.refused, refusal),
+	);
 	const first = listen();
 	const link = pool.open(createTestHead('one'), Buffer.alloc(0), first.listener);
 	t.is(await first.ended, 'refused');
@@ -74,7 +89,22 @@
 	t.is(await Promise.race([second.ended, wait(100, 'open')]), 'open');
 	link.abandon(second.listener);
 	t.is(await second.ended, 'lost');
-	t.is(sockets.length, 1);
-	pool.close();
-	server.close();
+	t.is(countSockets(), 1);
+	close();
+});
+
+test('a frame that is no reply loses the connection, and the reason is told', async t => {
+	const heads = ['', 'no JSON', '{}', '[200]', '[]'];
+	const types = [frameTypes.answer, frameTypes.refused, frameTypes.failed, frameTypes.sync];
+	for (const type of types) {
+		for (const head of heads) {
+			const {pool, badFrames, close} = await startPeer(() => encodeFrame(type, head));
+			const {listener, ended} = listen();
+			pool.open(createTestHead('one'), Buffer.alloc(0), listener);
+			t.is(await ended, 'lost');
+			t.is(badFrames.length, 1);
+			t.regex(badFrames[0]!, new RegExp(`of type ${type}`, 'v'));
+			close();
+		}
+	}
 });
--- a/src/sidecar/link/link.ts
+++ b/src/sidecar/link/link.ts
@@ -1,7 +1,7 @@
 /** One connection to a peer, from the entry's side; it carries one exchange at a time. */
 import net from 'node:net';
 import {type SocketAddress} from '../types.ts';
-import {decodeAnswer, decodeFailure, decodeRefusal, encodeCall} from './codec.ts';
+import {decodeReply, encodeCall} from './codec.ts';
 import {type Exchange, type ExchangeListener} from './exchange.ts';
 import {type Frame, frameTypes} from './frames.ts';
 import {FrameSocket} from './frame-socket.ts';
@@ -31,7 +31,12 @@
 };
 
 /** What a link tells the pool that owns it. */
-export type LinkOwner = {handleIdle(link: Link): void; handleClosed(link: Link): void};
+export type LinkOwner = {
+	handleIdle(link: Link): void;
+	handleClosed(link: Link): void;
+	/** The peer sent what no reply is; the link is closed, as if the connection were lost. */
+	handleBadFrame(reason: string): void;
+};
 
 type LinkState =
 	| {readonly kind: 'idle'}
@@ -174,51 +179,45 @@
 	}
 
 	#handleReply(frame: Frame, listener: LinkListener): void {
-		switch (frame.type) {
-			case frameTypes.answer: {
-				const {head, news} = decodeAnswer(frame.head);
-				if (head.isWhole) {
+		const reply = decodeReply(frame);
+		switch (reply.kind) {
+			case 'answer': {
+				if (reply.head.isWhole) {
 					this.#free();
 				}
 
-				listener.handleNews(news);
-				listener.handleAnswer(head, frame.body);
+				listener.handleNews(reply.news);
+				listener.handleAnswer(reply.head, frame.body);
 				break;
 			}
 
-			case frameTypes.data: {
+			case 'data': {
 				listener.handleData(frame.body);
 				break;
 			}
 
-			case frameTypes.end: {
+			case 'end': {
 				this.#free();
 				listener.handleEnd();
 				break;
 			}
 
-			case frameTypes.refused: {
-				const {head, news} = decodeRefusal(frame.head);
+			case 'refusal': {
 				this.#free();
-				listener.handleNews(news);
-				listener.handleRefusal(head);
+				listener.handleNews(reply.news);
+				listener.handleRefusal(reply.head);
 				break;
 			}
 
-			case frameTypes.failed: {
-				const {head, news} = decodeFailure(frame.head);
+			case 'failure': {
 				this.#free();
-				listener.handleNews(news);
-				listener.handleFailure(head);
+				listener.handleNews(reply.news);
+				listener.handleFailure(reply.head);
 				break;
 			}
 
-			case frameTypes.open:
-			case frameTypes.cancel:
-			case frameTypes.resume:
-			case frameTypes.sync:
-			case frameTypes.state:
-			case frameTypes.hello: {
+			case 'unreadable': {
+				this.owner.handleBadFrame(reply.reason);
 				this.close();
 				break;
 			}
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -73,7 +73,7 @@
 		private readonly logger: Logger,
 	) {
 		this.#log = RequestLog.create(logger);
-		const views = ViewFactory.create(settings, () => this.#serverSide.guard.readLoad());
+		const views = ViewFactory.create(settings, logger, () => this.#serverSide.guard.readLoad());
 		this.#directory = Directory.create(member => views.createView(member));
 		this.#closeLinks = () => {
 			views.close();
