Share the slices of the bench's scenarios, and one relay of bodies

Five scenarios started their beds and looped over variants in their own words; useVariantBeds and VariantRuns do it once, and end beds that had started when a later one fails. relayBody and relayAndCopy were twins.

--- a/bench/scenarios/chain.ts
+++ b/bench/scenarios/chain.ts
@@ -150,27 +150,7 @@
 	return total;
 }
 
-/** Starts one test bed for each variant. */
-export async function startVariantBeds(
-	seed: number,
-	kinds: readonly VariantKind[],
-): Promise<ReadonlyMap<VariantKind, TestBed>> {
-	const beds = new Map<VariantKind, TestBed>();
-	for (const kind of kinds) {
-		const bed = await TestBed.start({
-			servers: listChainServers(),
-			policy: createChainPolicy(kind),
-			seed,
-		});
-		beds.set(kind, bed);
-	}
-
-	return beds;
-}
-
-/** Ends all test beds. */
-export async function stopBeds(beds: ReadonlyMap<VariantKind, TestBed>): Promise<void> {
-	for (const bed of beds.values()) {
-		await bed.stop();
-	}
+/** Starts the test bed of the chain for one variant. */
+export async function startChainBed(kind: VariantKind, seed: number): Promise<TestBed> {
+	return TestBed.start({servers: listChainServers(), policy: createChainPolicy(kind), seed});
 }
--- a/bench/scenarios/crest.ts
+++ b/bench/scenarios/crest.ts
@@ -6,8 +6,9 @@
 import {type TestBed} from '../harness/test-bed.ts';
 import {LoadGenerator} from '../load/load-generator.ts';
 import {type CallSample} from '../load/types.ts';
-import {listChainKinds, measureCapacity, scale, startVariantBeds, stopBeds} from './chain.ts';
-import {variantKinds, type Figures, type Scenario, type VariantKind} from './types.ts';
+import {listChainKinds, measureCapacity, scale, startChainBed} from './chain.ts';
+import {type Figures, type Scenario} from './types.ts';
+import {type Counts, useVariantBeds, VariantRuns} from './variants.ts';
 
 /** Demand before the rise as a share of the capacity. */
 const baseShare = 0.7;
@@ -24,15 +25,18 @@
 /** When demand passes the capacity. */
 const crestFromMs = beforeMs + (riseMs * (1 / baseShare - 1)) / (crestFactor - 1);
 
-type Counts = {
+type CrestCounts = Counts & {
 	whole: number;
 	sent: number;
 	important: number;
 	importantWhole: number;
-	lateMs: number;
 	ms: number;
 };
 
+function createCounts(): CrestCounts {
+	return {whole: 0, sent: 0, important: 0, importantWhole: 0, lateMs: 0, ms: 0};
+}
+
 /** Factor on the base rate: flat, a linear rise, flat again. */
 function computeRateFactor(atMs: number): number {
 	const risen = Math.min(1, Math.max(0, (atMs - beforeMs) / riseMs));
@@ -40,7 +44,7 @@
 }
 
 /** Adds what came of the calls that were due at the crest. */
-function addSamples(counts: Counts, samples: readonly CallSample[]): void {
+function addSamples(counts: CrestCounts, samples: readonly CallSample[]): void {
 	counts.ms += sliceMs - crestFromMs;
 	for (const sample of samples) {
 		if (sample.dueAtMs < crestFromMs) {
@@ -57,7 +61,7 @@
 	}
 }
 
-async function runSlice(bed: TestBed, capacity: number, seed: number, counts: Counts) {
+async function runSlice(bed: TestBed, capacity: number, seed: number, counts: CrestCounts) {
 	const load = await LoadGenerator.create({
 		ports: bed.listCallerPorts(),
 		seed,
@@ -79,7 +83,7 @@
 	}).run();
 }
 
-function createFigures(counts: Counts, capacity: number): Figures {
+function createFigures(counts: CrestCounts, capacity: number): Figures {
 	return {
 		importantShare: counts.importantWhole / counts.important,
 		goodputShare: (counts.whole * 1000) / counts.ms / capacity,
@@ -87,53 +91,46 @@
 	};
 }
 
+/** Computes the mean demand at the crest as a multiple of the capacity, that of the least loaded variant. */
+function computeOverload(runs: VariantRuns<CrestCounts>, capacity: number): number {
+	const rates = runs.listCounts().map(({sent, ms}) => (sent * 1000) / ms);
+	return Math.min(...rates) / capacity;
+}
+
 export const scenario: Scenario = {
 	async run({seed}) {
-		const beds = await startVariantBeds(seed, variantKinds);
-		try {
-			const capacity = await measureCapacity(beds.get('adaptive')!);
-			const counts = new Map<VariantKind, Counts>();
-			for (const [kind, bed] of beds) {
-				counts.set(kind, {whole: 0, sent: 0, important: 0, importantWhole: 0, lateMs: 0, ms: 0});
-				await runWarmUp(bed, capacity, seed);
-			}
-
-			for (let slice = 0; slice < slices; slice++) {
-				for (const [kind, bed] of beds) {
-					await runSlice(bed, capacity, seed * 100 + slice, counts.get(kind)!);
+		return useVariantBeds(
+			async kind => startChainBed(kind, seed),
+			async beds => {
+				const capacity = await measureCapacity(beds.get('adaptive')!);
+				for (const bed of beds.values()) {
+					await runWarmUp(bed, capacity, seed);
 				}
-			}
-
-			const variants: Partial<Record<VariantKind, Figures>> = {};
-			let lateMs = 0;
-			let sentPerSecond = Number.POSITIVE_INFINITY;
-			for (const [kind, own] of counts) {
-				variants[kind] = createFigures(own, capacity);
-				lateMs = Math.max(lateMs, own.lateMs);
-				sentPerSecond = Math.min(sentPerSecond, (own.sent * 1000) / own.ms);
-			}
 
-			const overload = sentPerSecond / capacity;
-			return {
-				scenario: 'crest',
-				seed,
-				premise: {
-					holds: lateMs <= maxLateMs && overload > 1.5,
-					details: {
-						capacityPerSecond: capacity,
-						meanOverload: overload,
-						baseShare,
-						crestFactor,
-						riseMs,
-						importantPart,
-						lateP99Ms: lateMs,
-						...scale,
+				const runs = VariantRuns.create(beds, createCounts);
+				await runs.runSlices(slices, async (bed, counts, slice) =>
+					runSlice(bed, capacity, seed * 100 + slice, counts),
+				);
+				const overload = computeOverload(runs, capacity);
+				return {
+					scenario: 'crest',
+					seed,
+					premise: {
+						holds: runs.lateMs <= maxLateMs && overload > 1.5,
+						details: {
+							capacityPerSecond: capacity,
+							meanOverload: overload,
+							baseShare,
+							crestFactor,
+							riseMs,
+							importantPart,
+							lateP99Ms: runs.lateMs,
+							...scale,
+						},
 					},
-				},
-				variants,
-			};
-		} finally {
-			await stopBeds(beds);
-		}
+					variants: runs.createFigures(counts => createFigures(counts, capacity)),
+				};
+			},
+		);
 	},
 };
--- a/bench/scenarios/goodput.ts
+++ b/bench/scenarios/goodput.ts
@@ -4,8 +4,9 @@
 import {type TestBed} from '../harness/test-bed.ts';
 import {LoadGenerator} from '../load/load-generator.ts';
 import {type CallSample} from '../load/types.ts';
-import {listChainKinds, measureCapacity, scale, startVariantBeds, stopBeds} from './chain.ts';
-import {variantKinds, type Figures, type Scenario, type VariantKind} from './types.ts';
+import {listChainKinds, measureCapacity, scale, startChainBed} from './chain.ts';
+import {type Figures, type Scenario} from './types.ts';
+import {type Counts, useVariantBeds, VariantRuns} from './variants.ts';
 
 const overloadFactor = 2.5;
 /** Important demand as a share of the capacity. */
@@ -16,16 +17,19 @@
 const warmUpMs = 1000;
 const maxLateMs = 50;
 
-type Counts = {
+type ShareCounts = Counts & {
 	whole: number;
 	important: number;
 	importantWhole: number;
-	lateMs: number;
 	ms: number;
 };
 
+function createCounts(): ShareCounts {
+	return {whole: 0, important: 0, importantWhole: 0, lateMs: 0, ms: 0};
+}
+
 /** Adds what came of the calls of one slice after its warm-up. */
-function addSamples(counts: Counts, samples: readonly CallSample[]): void {
+function addSamples(counts: ShareCounts, samples: readonly CallSample[]): void {
 	counts.ms += sliceMs - warmUpMs;
 	for (const sample of samples) {
 		if (sample.dueAtMs < warmUpMs) {
@@ -45,7 +49,7 @@
 	bed: TestBed,
 	capacity: number,
 	seed: number,
-	counts: Counts,
+	counts: ShareCounts,
 ): Promise<void> {
 	const load = await LoadGenerator.create({
 		ports: bed.listCallerPorts(),
@@ -57,7 +61,7 @@
 	addSamples(counts, load.samples);
 }
 
-function createFigures(counts: Counts, capacity: number): Figures {
+function createFigures(counts: ShareCounts, capacity: number): Figures {
 	return {
 		goodputShare: (counts.whole * 1000) / counts.ms / capacity,
 		importantShare: counts.importantWhole / counts.important,
@@ -67,48 +71,30 @@
 
 export const scenario: Scenario = {
 	async run({seed}) {
-		const beds = await startVariantBeds(seed, variantKinds);
-		try {
-			const capacity = await measureCapacity(beds.get('adaptive')!);
-			const counts = new Map<VariantKind, Counts>();
-			for (let slice = 0; slice < slices; slice++) {
-				for (const [kind, bed] of beds) {
-					const own = counts.get(kind) ?? {
-						whole: 0,
-						important: 0,
-						importantWhole: 0,
-						lateMs: 0,
-						ms: 0,
-					};
-					counts.set(kind, own);
-					await runSlice(bed, capacity, seed + slice, own);
-				}
-			}
-
-			const variants: Partial<Record<VariantKind, Figures>> = {};
-			let lateMs = 0;
-			for (const [kind, own] of counts) {
-				variants[kind] = createFigures(own, capacity);
-				lateMs = Math.max(lateMs, own.lateMs);
-			}
-
-			return {
-				scenario: 'goodput',
-				seed,
-				premise: {
-					holds: lateMs <= maxLateMs,
-					details: {
-						capacityPerSecond: capacity,
-						overloadFactor,
-						importantPart,
-						lateP99Ms: lateMs,
-						...scale,
+		return useVariantBeds(
+			async kind => startChainBed(kind, seed),
+			async beds => {
+				const capacity = await measureCapacity(beds.get('adaptive')!);
+				const runs = VariantRuns.create(beds, createCounts);
+				await runs.runSlices(slices, async (bed, counts, slice) =>
+					runSlice(bed, capacity, seed + slice, counts),
+				);
+				return {
+					scenario: 'goodput',
+					seed,
+					premise: {
+						holds: runs.lateMs <= maxLateMs,
+						details: {
+							capacityPerSecond: capacity,
+							overloadFactor,
+							importantPart,
+							lateP99Ms: runs.lateMs,
+							...scale,
+						},
 					},
-				},
-				variants,
-			};
-		} finally {
-			await stopBeds(beds);
-		}
+					variants: runs.createFigures(counts => createFigures(counts, capacity)),
+				};
+			},
+		);
 	},
 };
--- a/bench/scenarios/recovery.ts
+++ b/bench/scenarios/recovery.ts
@@ -6,8 +6,9 @@
 import {type TestBed} from '../harness/test-bed.ts';
 import {LoadGenerator} from '../load/load-generator.ts';
 import {type CallSample} from '../load/types.ts';
-import {listChainKinds, measureCapacity, scale, startVariantBeds, stopBeds} from './chain.ts';
-import {variantKinds, type Figures, type Scenario, type VariantKind} from './types.ts';
+import {listChainKinds, measureCapacity, scale, startChainBed} from './chain.ts';
+import {type Figures, type Scenario, type VariantKind} from './types.ts';
+import {useVariantBeds} from './variants.ts';
 
 const normalLoad = 0.7;
 const importantPart = 0.3;
@@ -95,40 +96,40 @@
 
 export const scenario: Scenario = {
 	async run({seed}) {
-		const beds = await startVariantBeds(seed, variantKinds);
-		try {
-			const capacity = await measureCapacity(beds.get('adaptive')!);
-			const variants: Partial<Record<VariantKind, Figures>> = {};
-			let lateMs = 0;
-			let noneTriggerShare = 1;
-			for (const [kind, bed] of beds) {
-				const run = await runVariant(bed, capacity, seed);
-				variants[kind] = run.figures;
-				lateMs = Math.max(lateMs, run.lateMs);
-				noneTriggerShare = kind === 'none' ? run.triggerShare : noneTriggerShare;
-			}
+		return useVariantBeds(
+			async kind => startChainBed(kind, seed),
+			async beds => {
+				const capacity = await measureCapacity(beds.get('adaptive')!);
+				const variants: Partial<Record<VariantKind, Figures>> = {};
+				let lateMs = 0;
+				let noneTriggerShare = 1;
+				for (const [kind, bed] of beds) {
+					const run = await runVariant(bed, capacity, seed);
+					variants[kind] = run.figures;
+					lateMs = Math.max(lateMs, run.lateMs);
+					noneTriggerShare = kind === 'none' ? run.triggerShare : noneTriggerShare;
+				}
 
-			return {
-				scenario: 'recovery',
-				seed,
-				premise: {
-					holds: lateMs <= maxLateMs && noneTriggerShare < servedShare,
-					details: {
-						capacityPerSecond: capacity,
-						normalLoad,
-						slowFactor,
-						surgeFactor,
-						clientRetries,
-						lateP99Ms: lateMs,
-						noneTriggerShare,
-						metastable: variants.none?.recovered === false,
-						...scale,
+				return {
+					scenario: 'recovery',
+					seed,
+					premise: {
+						holds: lateMs <= maxLateMs && noneTriggerShare < servedShare,
+						details: {
+							capacityPerSecond: capacity,
+							normalLoad,
+							slowFactor,
+							surgeFactor,
+							clientRetries,
+							lateP99Ms: lateMs,
+							noneTriggerShare,
+							metastable: variants.none?.recovered === false,
+							...scale,
+						},
 					},
-				},
-				variants,
-			};
-		} finally {
-			await stopBeds(beds);
-		}
+					variants,
+				};
+			},
+		);
 	},
 };
--- a/bench/scenarios/short-behind-long.ts
+++ b/bench/scenarios/short-behind-long.ts
@@ -9,8 +9,8 @@
 import {computeQuantile, LoadGenerator, type LoadResult} from '../load/load-generator.ts';
 import {type CallKind} from '../load/types.ts';
 import {type PolicyInput} from '../../src/policy/schema.ts';
-import {stopBeds} from './chain.ts';
-import {variantKinds, type Figures, type Scenario, type VariantKind} from './types.ts';
+import {type Figures, type Scenario, type VariantKind} from './types.ts';
+import {type Counts, useVariantBeds, VariantRuns} from './variants.ts';
 
 const slotScale = 5;
 const slots = 120 / slotScale;
@@ -86,16 +86,27 @@
 	};
 }
 
-type Counts = {
+type LatencyCounts = Counts & {
 	readonly aloneMs: number[];
 	readonly besideMs: number[];
 	shortSent: number;
 	shortWhole: number;
 	longAlonePerSecond: number;
 	longPerSecond: number;
-	lateMs: number;
 };
 
+function createCounts(): LatencyCounts {
+	return {
+		aloneMs: [],
+		besideMs: [],
+		shortSent: 0,
+		shortWhole: 0,
+		longAlonePerSecond: 0,
+		longPerSecond: 0,
+		lateMs: 0,
+	};
+}
+
 async function runLoad(bed: TestBed, kinds: readonly CallKind[], durationMs: number, seed: number) {
 	return LoadGenerator.create({ports: bed.listCallerPorts(), seed, kinds, durationMs}).run();
 }
@@ -129,7 +140,7 @@
 	return {sent, whole};
 }
 
-async function runVariant(bed: TestBed, counts: Counts, seed: number): Promise<void> {
+async function runVariant(bed: TestBed, counts: LatencyCounts, seed: number): Promise<void> {
 	const shortAlone = await runLoad(bed, [shortKind], shortAloneMs, seed);
 	addShort(counts.aloneMs, shortAlone);
 	const longAlone = await runLoad(bed, [longKind], longAloneMs, seed);
@@ -142,7 +153,7 @@
 	counts.lateMs = Math.max(shortAlone.lateP99Ms, longAlone.lateP99Ms, both.lateP99Ms);
 }
 
-function createFigures(counts: Counts): Figures {
+function createFigures(counts: LatencyCounts): Figures {
 	const alone = computeQuantile(counts.aloneMs, 0.99);
 	const beside = computeQuantile(counts.besideMs, 0.99);
 	return {
@@ -155,56 +166,32 @@
 	};
 }
 
-async function startBeds(seed: number): Promise<ReadonlyMap<VariantKind, TestBed>> {
-	const beds = new Map<VariantKind, TestBed>();
-	for (const kind of variantKinds) {
-		beds.set(kind, await TestBed.start({servers: listServers(), policy: createPolicy(kind), seed}));
-	}
-
-	return beds;
-}
-
 export const scenario: Scenario = {
 	async run({seed}) {
-		const beds = await startBeds(seed);
-		try {
-			const variants: Partial<Record<VariantKind, Figures>> = {};
-			let lateMs = 0;
-			for (const [kind, bed] of beds) {
-				const counts: Counts = {
-					aloneMs: [],
-					besideMs: [],
-					shortSent: 0,
-					shortWhole: 0,
-					longAlonePerSecond: 0,
-					longPerSecond: 0,
-					lateMs: 0,
-				};
-				await runVariant(bed, counts, seed);
-				variants[kind] = createFigures(counts);
-				lateMs = Math.max(lateMs, counts.lateMs);
-			}
-
-			return {
-				scenario: 'short-behind-long',
-				seed,
-				premise: {
-					holds: lateMs <= maxLateMs,
-					details: {
-						servers,
-						slots,
-						slotScale,
-						shortMs,
-						longMs,
-						shortLoad,
-						longLoad,
-						lateP99Ms: lateMs,
+		return useVariantBeds(
+			async kind => TestBed.start({servers: listServers(), policy: createPolicy(kind), seed}),
+			async beds => {
+				const runs = VariantRuns.create(beds, createCounts);
+				await runs.runSlices(1, async (bed, counts) => runVariant(bed, counts, seed));
+				return {
+					scenario: 'short-behind-long',
+					seed,
+					premise: {
+						holds: runs.lateMs <= maxLateMs,
+						details: {
+							servers,
+							slots,
+							slotScale,
+							shortMs,
+							longMs,
+							shortLoad,
+							longLoad,
+							lateP99Ms: runs.lateMs,
+						},
 					},
-				},
-				variants,
-			};
-		} finally {
-			await stopBeds(beds);
-		}
+					variants: runs.createFigures(createFigures),
+				};
+			},
+		);
 	},
 };
--- a/bench/scenarios/slowed.ts
+++ b/bench/scenarios/slowed.ts
@@ -8,8 +8,8 @@
 import {TestBed, type RunningServer} from '../harness/test-bed.ts';
 import {type ServerSpec} from '../harness/types.ts';
 import {computeQuantile, LoadGenerator} from '../load/load-generator.ts';
-import {stopBeds} from './chain.ts';
-import {variantKinds, type Figures, type Scenario, type VariantKind} from './types.ts';
+import {type Figures, type Scenario, type VariantKind} from './types.ts';
+import {type Counts, useVariantBeds, VariantRuns} from './variants.ts';
 
 /** Slots and connections are those of Lachance's catalogue, divided by this. */
 const slotScale = 5;
@@ -30,13 +30,17 @@
 /** Least ratio of the baseline `none` for the premise to hold. */
 const minNoneRatio = 2;
 
-type Samples = {
+type Samples = Counts & {
 	readonly healthyMs: number[];
 	readonly slowedMs: number[];
 	whole: number;
 	all: number;
 };
 
+function createSamples(): Samples {
+	return {healthyMs: [], slowedMs: [], whole: 0, all: 0, lateMs: 0};
+}
+
 /** Lists four servers, two in each data centre. */
 function listServers(): ServerSpec[] {
 	const servers: ServerSpec[] = [];
@@ -105,13 +109,12 @@
 }
 
 /** Runs the same load healthy and slowed, one right after the other. */
-async function runRound(bed: TestBed, samples: Samples, seed: number): Promise<number> {
+async function runRound(bed: TestBed, samples: Samples, seed: number): Promise<void> {
 	const server = bed.findServer('catalogue-0');
-	let lateMs = 0;
 	for (const phase of ['healthyMs', 'slowedMs'] as const) {
 		await bed.setBehaviour(server, {slowFactor: phase === 'slowedMs' ? slowFactor : 1});
 		const load = await runSlice(bed, seed, sliceMs);
-		lateMs = Math.max(lateMs, load.lateP99Ms);
+		samples.lateMs = Math.max(samples.lateMs, load.lateP99Ms);
 		for (const sample of load.samples) {
 			if (sample.dueAtMs >= settleMs) {
 				samples.all++;
@@ -120,8 +123,6 @@
 			}
 		}
 	}
-
-	return lateMs;
 }
 
 function createFigures(samples: Samples): Figures {
@@ -137,21 +138,6 @@
 	};
 }
 
-async function startBeds(seed: number): Promise<ReadonlyMap<VariantKind, TestBed>> {
-	const beds = new Map<VariantKind, TestBed>();
-	for (const kind of variantKinds) {
-		const spec = {servers: listServers(), policy: createPolicy(kind), seed};
-		try {
-			beds.set(kind, await TestBed.start(spec));
-		} catch (error) {
-			await stopBeds(beds);
-			throw error;
-		}
-	}
-
-	return beds;
-}
-
 /** Measures how much slower a slowed server answers when called direct. */
 async function measureSlowdown(bed: TestBed): Promise<number> {
 	const server = bed.findServer('catalogue-0');
@@ -164,41 +150,32 @@
 
 export const scenario: Scenario = {
 	async run({seed}) {
-		const beds = await startBeds(seed);
-		try {
-			const samples = new Map<VariantKind, Samples>();
-			for (const [kind, bed] of beds) {
-				samples.set(kind, {healthyMs: [], slowedMs: [], whole: 0, all: 0});
-				await runSlice(bed, seed, warmUpMs);
-			}
-
-			const directRatio = await measureSlowdown(beds.get('none')!);
-			let lateMs = 0;
-			for (let round = 0; round < rounds; round++) {
-				for (const [kind, bed] of beds) {
-					const late = await runRound(bed, samples.get(kind)!, seed * 100 + round);
-					lateMs = Math.max(lateMs, late);
+		return useVariantBeds(
+			async kind => TestBed.start({servers: listServers(), policy: createPolicy(kind), seed}),
+			async beds => {
+				for (const bed of beds.values()) {
+					await runSlice(bed, seed, warmUpMs);
 				}
-			}
-
-			const variants: Partial<Record<VariantKind, Figures>> = {};
-			for (const [kind, own] of samples) {
-				variants[kind] = createFigures(own);
-			}
 
-			const noneRatio = Number(variants.none?.p99Ratio ?? 0);
-			const isSlowed = directRatio >= minDirectRatio && noneRatio >= minNoneRatio;
-			return {
-				scenario: 'slowed',
-				seed,
-				premise: {
-					holds: lateMs <= maxLateMs && isSlowed,
-					details: {lateP99Ms: lateMs, directRatio, ratePerSecond, slowFactor, slotScale},
-				},
-				variants,
-			};
-		} finally {
-			await stopBeds(beds);
-		}
+				const directRatio = await measureSlowdown(beds.get('none')!);
+				const runs = VariantRuns.create(beds, createSamples);
+				await runs.runSlices(rounds, async (bed, samples, round) =>
+					runRound(bed, samples, seed * 100 + round),
+				);
+				const {lateMs} = runs;
+				const variants = runs.createFigures(createFigures);
+				const noneRatio = Number(variants.none?.p99Ratio ?? 0);
+				const isSlowed = directRatio >= minDirectRatio && noneRatio >= minNoneRatio;
+				return {
+					scenario: 'slowed',
+					seed,
+					premise: {
+						holds: lateMs <= maxLateMs && isSlowed,
+						details: {lateP99Ms: lateMs, directRatio, ratePerSecond, slowFactor, slotScale},
+					},
+					variants,
+				};
+			},
+		);
 	},
 };
--- a/src/daemon/entry/entry-call.ts
+++ b/src/daemon/entry/entry-call.ts
@@ -17,7 +17,6 @@
 import {relayBody} from '../http/relay.ts';
 import {type RequestBody} from '../http/request-body.ts';
 import {convertToEndToEnd} from '../http/request-headers.ts';
-import {relayAndCopy} from '../once/answer-collector.ts';
 import {type Attempt, type AttemptHead} from './attempt.ts';
 import {
 	AttemptRunner,
@@ -283,10 +282,10 @@
 			});
 		}
 
-		const end =
-			once === undefined
-				? await relayBody(attempt.exchange, response)
-				: await relayAndCopy(attempt.exchange, response, once.collector);
+		const end = await relayBody(attempt.exchange, response, {
+			outlivesReceiver: once !== undefined,
+			copy: once?.collector,
+		});
 		return end.kind === 'whole' ? head.outcome : {kind: 'unknown', reason: 'truncated'};
 	}
 
--- a/src/daemon/guard/guarded-call.ts
+++ b/src/daemon/guard/guarded-call.ts
@@ -13,7 +13,6 @@
 import {relayBody} from '../http/relay.ts';
 import {chooseSentBody, readRequestBody, type RequestBody} from '../http/request-body.ts';
 import {convertToEndToEnd} from '../http/request-headers.ts';
-import {relayAndCopy} from '../once/answer-collector.ts';
 import {type GuardTurn} from '../once/guard-once.ts';
 import {answerRepeat} from '../once/once-answers.ts';
 import {type GuardTask} from './guard-task.ts';
@@ -257,7 +256,10 @@
 
 		const collector = this.#once.createCollector();
 		collector?.start(status, headers);
-		const end = await relayAndCopy(exchange, this.#response, collector);
+		const end = await relayBody(exchange, this.#response, {
+			outlivesReceiver: true,
+			copy: collector,
+		});
 		const record = collector?.finish();
 		this.#once.finish(end.kind === 'whole' ? record : undefined);
 		return end;
--- a/src/daemon/once/answer-collector.ts
+++ b/src/daemon/once/answer-collector.ts
@@ -2,9 +2,8 @@
  * Keeps a copy of an answer while it is relayed, within a byte budget that all calls share.
  */
 import {Buffer} from 'node:buffer';
-import {type OutgoingHttpHeaders, type ServerResponse} from 'node:http';
+import {type OutgoingHttpHeaders} from 'node:http';
 import {type AnswerRecord} from '../../once/types.ts';
-import {type BodyEnd, type Exchange} from '../http/exchange.ts';
 
 /** Bytes of answers that one daemon copies at the same time. */
 const maxCollectedBytes = 8_388_608;
@@ -113,39 +112,3 @@
 		this.#chunks = undefined;
 	}
 }
-
-/**
- * Relays an answer's body and copies it, to its end even when the receiver has gone.
- *
- * @example
- * const end = await relayAndCopy(exchange, response, collector);
- */
-export async function relayAndCopy(
-	exchange: Exchange,
-	response: ServerResponse,
-	collector: AnswerCollector | undefined,
-): Promise<BodyEnd> {
-	return new Promise(resolve => {
-		const resume = () => {
-			exchange.resume();
-		};
-
-		response.on('drain', resume);
-		response.once('close', resume);
-		exchange.relayTo({
-			receiveData(chunk) {
-				collector?.add(chunk);
-				return response.destroyed || response.write(chunk);
-			},
-			receiveEnd(end) {
-				if (end.kind === 'whole') {
-					response.end();
-				} else {
-					response.destroy();
-				}
-
-				resolve(end);
-			},
-		});
-	});
-}
