End chains of calls that are longer than the policy allows

retries.maxDepth was checked in the policy and read by nobody. The depth of a call now rides with its context (primrosevalve-depth; a release that names none begins a chain); a call beyond the bound is answered with 508, not run, and not tried again.

--- a/src/call/headers.test.ts
+++ b/src/call/headers.test.ts
@@ -16,6 +16,7 @@
 	caller: 'café',
 	importance: importance.critical,
 	deadlineMs: 1500,
+	depth: 2,
 	retryAllowance: 3,
 	sizeClass: 'short',
 	idempotent: false,
@@ -37,6 +38,12 @@
 	t.regex(error.message, /primrosevalve-deadline.*soon/v);
 });
 
+test('a call of a release that names no depth begins a chain', t => {
+	const headers = encodeContext(context) as Record<string, string>;
+	delete headers['primrosevalve-depth'];
+	t.is(decodeContext(headers)._unsafeUnwrap().depth, 1);
+});
+
 test('a report survives the header codec', t => {
 	const report = {
 		server: 'catalogue-1',
--- a/src/call/headers.ts
+++ b/src/call/headers.ts
@@ -28,6 +28,7 @@
 	caller: 'primrosevalve-caller',
 	importance: 'primrosevalve-importance',
 	deadline: 'primrosevalve-deadline',
+	depth: 'primrosevalve-depth',
 	allowance: 'primrosevalve-allowance',
 	allowanceLeft: 'primrosevalve-allowance-left',
 	size: 'primrosevalve-size',
@@ -55,6 +56,10 @@
 
 const maxDeadlineMs = 3_600_000;
 const maxAllowance = 1000;
+/** Policies allow chains of at most 32 calls. */
+const maxDepth = 1000;
+/** Depth of a call whose sender names none: releases before the header. */
+const firstDepth = 1;
 const guardStates: readonly GuardState[] = ['cold', 'serving', 'draining'];
 const reasonTexts: ReadonlySet<string> = new Set(Object.values(notRunReasons));
 
@@ -117,6 +122,7 @@
 		[headerNames.caller]: encodeURIComponent(context.caller),
 		[headerNames.importance]: String(context.importance),
 		[headerNames.deadline]: String(Math.max(0, Math.floor(context.deadlineMs))),
+		[headerNames.depth]: String(context.depth),
 		[headerNames.allowance]: String(context.retryAllowance),
 		[headerNames.size]: context.sizeClass,
 		[headerNames.idempotent]: context.idempotent ? '1' : '0',
@@ -188,6 +194,7 @@
 		caller,
 		importance: level,
 		deadlineMs,
+		depth: readCount(headers, headerNames.depth, maxDepth) ?? firstDepth,
 		retryAllowance,
 		sizeClass: headers[headerNames.size] === 'long' ? 'long' : 'short',
 		idempotent: headers[headerNames.idempotent] === '1',
--- a/src/call/types.ts
+++ b/src/call/types.ts
@@ -33,6 +33,8 @@
 	readonly importance: Importance;
 	/** Time left in milliseconds when this context was made. */
 	readonly deadlineMs: number;
+	/** Length of the chain of calls that ends with this one; 1 for a caller's own. */
+	readonly depth: number;
 	/** Retries and hedges that this call and all below it may still spend. */
 	readonly retryAllowance: number;
 	readonly sizeClass: SizeClass;
@@ -68,6 +70,8 @@
 	/** The idempotency key was used before for a request with other content. */
 	keyMismatch: 'key-mismatch',
 	parentEnded: 'parent-ended',
+	/** The chain of calls is longer than the policy allows; services may call one another in a circle. */
+	tooDeep: 'too-deep',
 } as const;
 
 export type NotRunReason = (typeof notRunReasons)[keyof typeof notRunReasons];
--- a/src/daemon/entry/attempt.test.ts
+++ b/src/daemon/entry/attempt.test.ts
@@ -48,6 +48,7 @@
 				caller: 'anonymous',
 				importance: importance.normal,
 				deadlineMs: 1000,
+				depth: 1,
 				retryAllowance: 2,
 				sizeClass: 'short',
 				idempotent: true,
--- a/src/daemon/entry/classify-call.ts
+++ b/src/daemon/entry/classify-call.ts
@@ -71,6 +71,12 @@
 		return err(forbidden);
 	}
 
+	const {maxDepth} = matcher.policy.retries;
+	if (computeDepth(origin) > maxDepth) {
+		const detail = `the chain of calls to service "${target.service}" is longer than ${maxDepth}`;
+		return err(createRefusal(508, detail, 'too-deep'));
+	}
+
 	const rule = matcher.findCallRule(target.service, request.method ?? 'GET', target.path);
 	return ok(createCall(input, target, rule, request.method ?? 'GET'));
 }
@@ -84,6 +90,7 @@
 	[401, 'Unauthorized'],
 	[403, 'Forbidden'],
 	[404, 'Not Found'],
+	[508, 'Loop Detected'],
 ]);
 
 /** Splits `/SERVICE/PATH`. */
@@ -153,6 +160,7 @@
 			caller: findCallerName(origin),
 			importance: computeImportance(input, rule),
 			deadlineMs: deadlineAtMs - nowMs,
+			depth: computeDepth(origin),
 			retryAllowance: retries.perRequest,
 			sizeClass: rule.sizeClass === 'long' ? 'long' : 'short',
 			idempotent: !rule.once && (rule.idempotent || isSafeMethod(method)),
@@ -161,6 +169,11 @@
 	};
 }
 
+/** Computes the length of the chain of calls that ends with one of this origin. */
+function computeDepth(origin: CallOrigin): number {
+	return origin.kind === 'server' ? origin.parent.context.depth + 1 : 1;
+}
+
 /**
  * Finds the name under which an origin's calls are counted and claimed.
  *
--- a/src/daemon/guard/guard-task.test.ts
+++ b/src/daemon/guard/guard-task.test.ts
@@ -35,6 +35,7 @@
 		caller: 'anonymous',
 		importance: importance.normal,
 		deadlineMs: 20_000,
+		depth: 1,
 		retryAllowance: 0,
 		sizeClass: 'short',
 		idempotent: true,
--- a/src/retry/retry-decision.ts
+++ b/src/retry/retry-decision.ts
@@ -69,7 +69,8 @@
 		case 'cancelled':
 		case 'wrong-instance':
 		case 'key-mismatch':
-		case 'parent-ended': {
+		case 'parent-ended':
+		case 'too-deep': {
 			return 'never';
 		}
 	}
