--- a/bench/fakes/sim-daemon.ts
+++ b/bench/fakes/sim-daemon.ts
@@ -4,7 +4,6 @@
  */
 import {Gossip} from '../../src/membership/gossip.ts';
 import {
-	type Endpoint,
 	type GossipAction,
 	type GossipRequest,
 	type GossipResponse,
@@ -13,7 +12,6 @@
 import {gossipPeriodMs} from '../../src/membership/settings.ts';
 import {type Member} from '../../src/membership/types.ts';
 import {builtInVersion} from '../../src/policy/built-in.ts';
-import {type PolicyStore} from '../../src/policy/policy-store.ts';
 import {
 	PolicySpread,
 	spreadLimits,
@@ -21,32 +19,10 @@
 	type SpreadAction,
 	type SpreadEvent,
 } from '../../src/policy/spread.ts';
-import {type PolicyVersion} from '../../src/policy/types.ts';
-import {type SimClock} from './sim-clock.ts';
-import {type SimNetwork} from './sim-network.ts';
-
-/** Bytes of HTTP around one message, as measured on the control port. */
-export const httpOverheadBytes = 350;
-
-export type SimParts = {
-	readonly clock: SimClock;
-	readonly network: SimNetwork;
-	readonly random: () => number;
-	readonly store: PolicyStore;
-	/** Time of one operation of the table. */
-	readonly tableDelayMs: number;
-	readonly canReachTable: () => boolean;
-	/** Endpoints of a few daemons, as the platform's table would name them. */
-	readonly listSeeds: () => readonly Endpoint[];
-	/** Finds the daemon that listens at an endpoint now. */
-	readonly findDaemon: (endpoint: Endpoint) => SimDaemon | undefined;
-	/** Called when a version comes into force; throws on a step backwards. */
-	readonly onAdopt?: (daemon: SimDaemon, version: PolicyVersion) => void;
-	/** Called when a daemon starts to serve. */
-	readonly onReady?: (daemon: SimDaemon) => void;
-};
-
-export class SimDaemon {
+import {httpOverheadBytes, type SimParts} from './sim-parts.ts';
+import {SimProcess} from './sim-process.ts';
+
+export class SimDaemon extends SimProcess {
 	/**
 	 * @example
 	 * const daemon = SimDaemon.create(member, parts);
@@ -59,17 +35,15 @@
 	readonly gossip: Gossip;
 	readonly spread: PolicySpread;
 	readonly stats = {bytes: 0, messages: 0, handleMs: 0, tableReads: 0, disagreements: 0};
-	isRunning = true;
-	isFrozen = false;
 	isSuperseded = false;
 	#nextExchangeId = 1;
 	readonly #open = new Map<number, (response: GossipResponse) => void>();
-	readonly #parked: Array<() => void | Promise<void>> = [];
 
 	private constructor(
 		member: Member,
 		private readonly parts: SimParts,
 	) {
+		super();
 		const {random, clock} = parts;
 		const policy = {version: 0, digest: builtInVersion.digest};
 		this.gossip = Gossip.create({self: member, policy, random});
@@ -92,26 +66,9 @@
 		this.#runGossip(this.gossip.handle({kind: 'announce', state}, this.parts.clock.nowMs));
 	}
 
-	/** Stops the process without a word. */
-	kill(): void {
-		this.isRunning = false;
-	}
-
-	freeze(): void {
-		this.isFrozen = true;
-	}
-
-	/** Lets a frozen process go on with all that waited for it. */
-	async thaw(): Promise<void> {
-		this.isFrozen = false;
-		for (const task of this.#parked.splice(0)) {
-			await task();
-		}
-	}
-
 	/** Receives a request from the network. */
 	receive(request: GossipRequest, respond: (response: GossipResponse) => void): void {
-		this.#run(() => {
+		this.run(() => {
 			const exchangeId = this.#nextExchangeId++;
 			this.#open.set(exchangeId, respond);
 			this.#handleGossip({kind: 'request', exchangeId, request});
@@ -123,7 +80,7 @@
 			return;
 		}
 
-		this.#run(() => {
+		this.run(() => {
 			this.#tick();
 		});
 		this.parts.clock.schedule(gossipPeriodMs, () => {
@@ -146,23 +103,6 @@
 		this.#handleSpread({kind: 'tick', isPoller});
 	}
 
-	/** Runs a step of the process, or keeps it until a frozen process goes on. */
-	#run(step: () => void | Promise<void>): void {
-		if (!this.isRunning) {
-			return;
-		}
-
-		if (!this.isFrozen) {
-			void step();
-			return;
-		}
-
-		// A frozen process loses its timers' ticks but keeps what its sockets hold.
-		if (this.#parked.length < 50) {
-			this.#parked.push(step);
-		}
-	}
-
 	#handleGossip(event: Parameters<Gossip['handle']>[0]): void {
 		const startMs = performance.now();
 		const actions = this.gossip.handle(event, this.parts.clock.nowMs);
@@ -213,7 +153,7 @@
 		const {exchangeId, request} = action;
 		let isSettled = false;
 		const settle = (event: Parameters<Gossip['handle']>[0]): void => {
-			this.#run(() => {
+			this.run(() => {
 				if (!isSettled) {
 					isSettled = true;
 					this.#handleGossip(event);
@@ -310,12 +250,12 @@
 		}
 
 		this.parts.network.send(this.member, peer.member, () => {
-			peer.#run(() => {
+			peer.run(() => {
 				const {inForce} = peer.spread;
 				peer.#countBytes(inForce);
 				this.parts.network.send(peer.member, this.member, () => {
 					this.#countBytes(inForce);
-					this.#run(() => {
+					this.run(() => {
 						this.#handleSpread({kind: 'fetched', version: inForce, source});
 					});
 				});
@@ -325,7 +265,7 @@
 
 	#handleLater(event: SpreadEvent): void {
 		this.parts.clock.schedule(1, () => {
-			this.#run(() => {
+			this.run(() => {
 				this.#handleSpread(event);
 			});
 		});
@@ -335,7 +275,7 @@
 		this.stats.tableReads++;
 		this.parts.clock.schedule(this.parts.tableDelayMs, async () => {
 			const event = this.parts.canReachTable() ? await read() : failure;
-			this.#run(() => {
+			this.run(() => {
 				this.#handleSpread(event);
 			});
 		});
--- a/bench/fuzz/fuzz-run.ts
+++ b/bench/fuzz/fuzz-run.ts
@@ -3,29 +3,11 @@
  */
 import {type Policy} from '../../src/policy/schema.ts';
 import {validatePolicy} from '../../src/policy/validate.ts';
-import {type TableFault} from '../fakes/memory-table.ts';
-import {SimFleet, createRandom, type SimPlace} from '../fakes/sim-fleet.ts';
-import {type SimDaemon} from '../fakes/sim-daemon.ts';
+import {SimFleet, createRandom} from '../fakes/sim-fleet.ts';
+import {createFaultCounts, type FaultKind, pickOne} from './fault-kinds.ts';
+import {fleetSize, FleetFaults, places} from './fleet-faults.ts';
 import {Oracle} from './oracle.ts';
-
-export const faultKinds = [
-	'loss',
-	'duplication',
-	'delay',
-	'partition',
-	'platformCut',
-	'kill',
-	'replace',
-	'replaceFrozen',
-	'freeze',
-	'leave',
-	'tableOutage',
-	'lostAnswer',
-	'lateEffect',
-	'race',
-] as const;
-
-export type FaultKind = (typeof faultKinds)[number];
+import {TableFaults} from './table-faults.ts';
 
 export type FuzzReport = {
 	readonly seed: number;
@@ -38,14 +20,6 @@
 	readonly violations: readonly string[];
 };
 
-const places: readonly SimPlace[] = [
-	{region: 'qc-est', dataCentre: 'est-a'},
-	{region: 'qc-est', dataCentre: 'est-b'},
-	{region: 'qc-ouest', dataCentre: 'ouest-a'},
-	{region: 'qc-ouest', dataCentre: 'ouest-b'},
-];
-const fleetSize = 16;
-const minRunning = 10;
 const stepsPerEpoch = 40;
 /** Simulated time without faults after which all daemons must agree. */
 const settleMs = 90_000;
@@ -66,27 +40,24 @@
 	readonly #fleet: SimFleet;
 	readonly #oracle: Oracle;
 	readonly #random: () => number;
-	readonly #faults = Object.fromEntries(faultKinds.map(kind => [kind, 0])) as Record<
-		FaultKind,
-		number
-	>;
-
+	readonly #faults = createFaultCounts();
 	#steps = 0;
 	#applied = 0;
 	#nextChange = 1;
-	#nextServer = fleetSize;
-	#tableFaults: TableFault[] = [];
-	#isTableDown = false;
+	readonly #fleetFaults: FleetFaults;
+	readonly #tableFaults: TableFaults;
 
 	private constructor(private readonly seed: number) {
 		this.#fleet = SimFleet.create(seed);
 		this.#random = createRandom(seed + 1);
+		this.#fleetFaults = FleetFaults.create(this.#fleet, this.#faults, this.#random);
+		this.#tableFaults = TableFaults.create(this.#faults, this.#random);
 		this.#oracle = Oracle.create(this.#fleet);
 		this.#fleet.onAdopt = (daemon, version) => {
 			this.#oracle.recordAdoption(daemon, version);
 		};
 
-		this.#fleet.table.pickFault = operation => this.#pickTableFault(operation);
+		this.#fleet.table.pickFault = operation => this.#tableFaults.pick(operation);
 	}
 
 	/** Runs steps with faults, ends all faults, and checks that the daemons agree again. */
@@ -123,7 +94,7 @@
 	async #runStep(): Promise<void> {
 		this.#steps++;
 		const steps = this.#listSteps();
-		await this.#pick(steps)();
+		await pickOne(steps, this.#random)();
 		await this.#runChecked(200 + this.#random() * 4000);
 	}
 
@@ -133,20 +104,20 @@
 			async () => this.#apply(),
 			async () => this.#race(),
 			() => {
-				this.#kill();
+				this.#fleetFaults.kill();
 			},
 			() => {
-				this.#replace();
+				this.#fleetFaults.replace();
 			},
 			() => {
-				this.#replaceFrozen();
+				this.#fleetFaults.replaceFrozen();
 			},
 			() => {
-				this.#freeze();
+				this.#fleetFaults.freeze();
 			},
-			async () => this.#thaw(),
+			async () => this.#fleetFaults.thaw(),
 			() => {
-				this.#leave();
+				this.#fleetFaults.leave();
 			},
 			() => {
 				this.#cut();
@@ -158,10 +129,10 @@
 				this.#setLinkFaults();
 			},
 			() => {
-				this.#setTableFaults();
+				this.#tableFaults.plan();
 			},
 			() => {
-				this.#startFresh();
+				this.#fleetFaults.startFresh();
 			},
 			() => {
 				this.#fleet.table.applyLateWrites();
@@ -183,8 +154,7 @@
 		network.heal();
 		this.#fleet.platformCuts.clear();
 		Object.assign(network.faults, {lossShare: 0, duplicateShare: 0, jitterMs: 0});
-		this.#tableFaults = [];
-		this.#isTableDown = false;
+		this.#tableFaults.clear();
 		for (const daemon of this.#fleet.running) {
 			await daemon.thaw();
 		}
@@ -241,75 +211,8 @@
 		return validatePolicy({services: [{name: 'catalogue', slotsPerServer}]})._unsafeUnwrap();
 	}
 
-	#kill(): void {
-		if (this.#fleet.running.length > minRunning) {
-			this.#faults.kill++;
-			this.#pick(this.#fleet.running).kill();
-		}
-	}
-
-	/** Kills a daemon and starts another at its address, under the same server name or a new one. */
-	#replace(): void {
-		const victim = this.#pick(this.#fleet.running);
-		victim.kill();
-		this.#faults.replace++;
-		this.#startInPlace(victim);
-	}
-
-	/** Replaces a frozen daemon, which later goes on without knowing. */
-	#replaceFrozen(): void {
-		const victim = this.#pick(this.#fleet.running);
-		victim.freeze();
-		this.#faults.replaceFrozen++;
-		const {server, region, dataCentre} = victim.member;
-		this.#fleet.start(server, `10.2.0.${this.#nextServer++}`, {region, dataCentre}, 1);
-	}
-
-	#startInPlace(victim: SimDaemon): void {
-		const {server, address, region, dataCentre} = victim.member;
-		const name = this.#random() < 0.5 ? server : `server-${this.#nextServer++}`;
-		const skewMs = (this.#random() - 0.5) * 20_000;
-		this.#fleet.start(name, address, {region, dataCentre}, skewMs);
-	}
-
-	#startFresh(): void {
-		if (this.#fleet.running.length < fleetSize) {
-			const number = this.#nextServer++;
-			this.#fleet.start(`server-${number}`, `10.1.0.${number}`, this.#pick(places));
-		}
-	}
-
-	#freeze(): void {
-		this.#faults.freeze++;
-		this.#pick(this.#fleet.running).freeze();
-	}
-
-	async #thaw(): Promise<void> {
-		for (const daemon of this.#fleet.running) {
-			if (daemon.isFrozen && this.#random() < 0.7) {
-				await daemon.thaw();
-			}
-		}
-	}
-
-	#leave(): void {
-		const leaver = this.#pick(this.#fleet.running);
-		if (this.#fleet.running.length <= minRunning || leaver.isFrozen) {
-			return;
-		}
-
-		this.#faults.leave++;
-		leaver.announce('leaving');
-		this.#fleet.clock.schedule(3000, () => {
-			if (leaver.isRunning) {
-				leaver.announce('dead');
-				leaver.kill();
-			}
-		});
-	}
-
 	#cut(): void {
-		const a = this.#pick(places).dataCentre;
+		const a = pickOne(places, this.#random).dataCentre;
 		for (const {dataCentre} of places) {
 			if (dataCentre !== a && this.#random() < 0.6) {
 				this.#faults.partition++;
@@ -326,41 +229,13 @@
 	#healSome(): void {
 		this.#fleet.network.heal();
 		this.#fleet.platformCuts.clear();
-		this.#isTableDown = false;
+		this.#tableFaults.endOutage();
 	}
 
 	#setLinkFaults(): void {
 		const {faults} = this.#fleet.network;
-		faults.lossShare = this.#random() < 0.5 ? 0 : this.#pick(lossShares);
+		faults.lossShare = this.#random() < 0.5 ? 0 : pickOne(lossShares, this.#random);
 		faults.duplicateShare = this.#random() < 0.5 ? 0 : 0.1;
 		faults.jitterMs = this.#random() < 0.5 ? 0 : 300;
 	}
-
-	#setTableFaults(): void {
-		if (this.#random() < 0.3) {
-			this.#isTableDown = true;
-			return;
-		}
-
-		const kinds: TableFault[] = ['lostAnswer', 'lostRequest', 'lateEffect', 'unreachable', 'none'];
-		for (let count = 0; count < 6; count++) {
-			this.#tableFaults.push(this.#pick(kinds));
-		}
-	}
-
-	#pickTableFault(operation: 'read' | 'write'): TableFault {
-		if (this.#isTableDown) {
-			this.#faults.tableOutage++;
-			return 'unreachable';
-		}
-
-		const fault = operation === 'write' ? (this.#tableFaults.shift() ?? 'none') : 'none';
-		this.#faults.lostAnswer += fault === 'lostAnswer' || fault === 'lostRequest' ? 1 : 0;
-		this.#faults.lateEffect += fault === 'lateEffect' ? 1 : 0;
-		return fault;
-	}
-
-	#pick<T>(items: readonly T[]): T {
-		return items[Math.floor(this.#random() * items.length)]!;
-	}
 }
