Split the entry's task and call, the gossip and the world of once calls

The refusals of the entry stand in one file, the ends of gossip's exchanges and the ways to the guards in their own. Specs are the same and pass.

--- a/bench/fuzz/once/types.ts
+++ b/bench/fuzz/once/types.ts
@@ -16,6 +16,8 @@
 /** Owner of messages that nobody's crash or freeze holds up. */
 export const network = 'network';
 export const maxNonces = 1000;
+/** Time that passes with each message. */
+export const stepMs = 2000;
 
 /**
  * Names a request's caller and key.
--- a/bench/fuzz/once/world.ts
+++ b/bench/fuzz/once/world.ts
@@ -4,31 +4,16 @@
  * Every message between them waits at a gate until the test lets it pass, so a test decides about every
  * order of events.
  */
-import {Buffer} from 'node:buffer';
 import {errAsync, okAsync, type ResultAsync} from 'neverthrow';
 import {computeRowKey, decodeClaim} from '../../../src/once/claim-row.ts';
-import {NonceRegistry} from '../../../src/once/nonce-registry.ts';
-import {
-	type Holder,
-	type KillVerdict,
-	type OnceRequest,
-	type SendEnd,
-} from '../../../src/once/types.ts';
+import {type Holder, type KillVerdict, type OnceRequest} from '../../../src/once/types.ts';
 import {PlatformError} from '../../../src/store/errors.ts';
 import {type TableRow, type TableWrite} from '../../../src/store/types.ts';
 import {Gates} from './gates.ts';
-import {
-	createAnswer,
-	formatRequest,
-	maxNonces,
-	network,
-	type Attempt,
-	type TableFault,
-} from './types.ts';
+import {GuardWays} from './guard-ways.ts';
+import {formatRequest, network, stepMs, type Attempt, type TableFault} from './types.ts';
 import {WorldEntry} from './world-entry.ts';
 
-const stepMs = 2000;
-
 /** Everything outside the code under test. */
 export class World {
 	/**
@@ -54,8 +39,7 @@
 	readonly faults = {crashes: 0, freezes: 0, restarts: 0, cuts: 0, tableFaults: 0, lateEffects: 0};
 	private readonly entries = new Map<string, WorldEntry>();
 	private readonly gates = Gates.create();
-	private connections: Array<() => void> = [];
-	private readonly guards = [NonceRegistry.create(maxNonces), NonceRegistry.create(maxNonces)];
+	private readonly guards = GuardWays.create(this);
 	private sequence = 0;
 
 	private constructor(entryNames: readonly string[]) {
@@ -151,17 +135,12 @@
 
 	/** Cuts the connections of all calls between entries and guards. */
 	cutConnections(): void {
-		for (const cut of this.connections) {
-			cut();
-		}
-
-		this.faults.cuts += this.connections.length;
-		this.connections = [];
+		this.faults.cuts += this.guards.cutConnections();
 	}
 
 	/** Replaces a guard by a new instance; calls that wait there are lost. */
 	restartGuard(index: number): void {
-		this.guards[index] = NonceRegistry.create(maxNonces);
+		this.guards.restart(index);
 		this.faults.restarts++;
 	}
 
@@ -204,91 +183,10 @@
 
 	private async runAttempt(entry: WorldEntry, attempt: Attempt): Promise<void> {
 		attempt.result = await entry.ledger.run(attempt.request, async nonce =>
-			this.sendToGuards(entry, attempt, nonce),
+			this.guards.send(entry, attempt, nonce),
 		);
 	}
 
-	/** Sends to one guard after the other, as long as they prove that they did not run the call. */
-	private async sendToGuards(entry: WorldEntry, attempt: Attempt, nonce: string): Promise<SendEnd> {
-		this.sentKeys.add(formatRequest(attempt.request));
-		let end: SendEnd = {kind: 'notRun', reason: 'no-server'};
-		for (const index of this.guards.keys()) {
-			end = await this.sendToGuard(entry, attempt, nonce, index);
-			if (end.kind !== 'notRun' || end.reason === 'cancelled') {
-				return end;
-			}
-		}
-
-		return end;
-	}
-
-	/** The way from an entry to a guard, whose connection may be cut. */
-	private async sendToGuard(
-		entry: WorldEntry,
-		attempt: Attempt,
-		nonce: string,
-		index: number,
-	): Promise<SendEnd> {
-		const guard = this.guards[index]!;
-		const cut = new Promise<undefined>(resolve => {
-			this.connections.push(() => {
-				resolve(undefined);
-			});
-		});
-		const end = await Promise.race([this.passGuard(attempt, nonce, guard), cut]);
-		await this.wait(entry.instanceId);
-		return end ?? this.killAtGuard(entry, nonce, guard);
-	}
-
-	/** The way through a guard to the backend server and back; undefined when the guard restarts. */
-	private async passGuard(
-		attempt: Attempt,
-		nonce: string,
-		guard: NonceRegistry,
-	): Promise<SendEnd | undefined> {
-		await this.wait(network);
-		if (!this.guards.includes(guard)) {
-			return undefined;
-		}
-
-		if (this.isShedding ?? (this.nowMs / stepMs) % 4 < 1) {
-			return {kind: 'notRun', reason: 'overload'};
-		}
-
-		if (!guard.startSend(nonce)) {
-			return guard.isKilled(nonce)
-				? {kind: 'notRun', reason: 'cancelled'}
-				: {kind: 'unknown', reason: 'nonce-used'};
-		}
-
-		attempt.runs++;
-		const name = formatRequest(attempt.request);
-		const run = (this.runs.get(name) ?? 0) + 1;
-		this.runs.set(name, run);
-		await this.wait(network);
-		guard.finishSend(nonce);
-		if (!this.guards.includes(guard)) {
-			return undefined;
-		}
-
-		const body = Buffer.from(createAnswer(attempt.request, run));
-		return {kind: 'answered', record: {kind: 'kept', answer: {status: 200, headers: [], body}}};
-	}
-
-	/** Asks a guard after a lost connection; one that restarted can't prove anything. */
-	private async killAtGuard(
-		entry: WorldEntry,
-		nonce: string,
-		guard: NonceRegistry,
-	): Promise<SendEnd> {
-		await this.wait(network);
-		const verdict = this.guards.includes(guard) ? guard.kill(nonce) : 'unreachable';
-		await this.wait(entry.instanceId);
-		return verdict === 'neverSent'
-			? {kind: 'notRun', reason: 'connect'}
-			: {kind: 'unknown', reason: 'connection-lost'};
-	}
-
 	private async deliverQuestion(holder: Holder, nonce: string): Promise<KillVerdict> {
 		await this.wait(network, () => !this.isFrozen(holder.instanceId));
 		const entry = this.entries.get(holder.address);
--- a/src/daemon/entry/classify-call.ts
+++ b/src/daemon/entry/classify-call.ts
@@ -9,12 +9,12 @@
 	type CallContext,
 	type Importance,
 	type ImportanceName,
-	type NotRunReason,
 } from '../../call/types.ts';
 import {type PolicyMatcher} from '../../policy/match.ts';
 import {type CallRule, type Policy} from '../../policy/schema.ts';
 import {readMonotonicMs} from '../clock.ts';
 import {type CallOrigin} from './call-origin.ts';
+import {type CallRefusal, createRefusal} from './call-refusals.ts';
 
 /** A call before its first attempt. */
 export type ClassifiedCall = {
@@ -27,14 +27,6 @@
 	readonly retryKind: Policy['retries']['kind'];
 };
 
-/** A call that policy does not let through. */
-export type CallRefusal = {
-	readonly status: number;
-	readonly title: string;
-	readonly detail: string;
-	readonly reason: NotRunReason;
-};
-
 export type ClassifyInput = {
 	readonly matcher: PolicyMatcher;
 	readonly policyVersion: number;
@@ -81,18 +73,6 @@
 	return ok(createCall(input, target, rule, request.method ?? 'GET'));
 }
 
-function createRefusal(status: number, detail: string, reason: NotRunReason): CallRefusal {
-	return {status, title: titles.get(status) ?? 'Refused', detail, reason};
-}
-
-const titles: ReadonlyMap<number, string> = new Map([
-	[400, 'Bad Request'],
-	[401, 'Unauthorized'],
-	[403, 'Forbidden'],
-	[404, 'Not Found'],
-	[508, 'Loop Detected'],
-]);
-
 /** Splits `/SERVICE/PATH`. */
 function parseTarget(url: string): Target | undefined {
 	const match = /^\/([a-z\d][a-z\d\-]{0,62})(\/.*)?$/v.exec(url);
--- a/src/daemon/entry/entry-call.ts
+++ b/src/daemon/entry/entry-call.ts
@@ -1,7 +1,6 @@
 /**
  * One call at the entry: attempts, retries and the relay of the whole answer.
  */
-import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {setTimeout as wait} from 'node:timers/promises';
 import {headerNames} from '../../call/headers.ts';
 import {RunProof, type Refusal} from '../../call/run-proof.ts';
@@ -15,31 +14,16 @@
 import {readMonotonicMs} from '../clock.ts';
 import {answerProblem, chooseRefusalStatus} from '../http/problem.ts';
 import {relayBody} from '../http/relay.ts';
-import {type RequestBody} from '../http/request-body.ts';
 import {convertToEndToEnd} from '../http/request-headers.ts';
 import {type Attempt, type AttemptHead} from './attempt.ts';
-import {
-	AttemptRunner,
-	readBodyLength,
-	type OnceSending,
-	type RunningAttempt,
-} from './attempt-runner.ts';
-import {type CallOrigin} from './call-origin.ts';
-import {type ClassifiedCall} from './classify-call.ts';
+import {type EarlyEnd, settleOutcome} from './early-end.ts';
+import {AttemptRunner, readBodyLength, type RunningAttempt} from './attempt-runner.ts';
+import {type EntryCallInput} from './entry-call-input.ts';
 import {type EntryTask} from './entry-task.ts';
 import {runHedged, type HedgeResult} from './hedged-attempt.ts';
 import {classifyLoad, findOverload, type OverloadPlace} from './load-outcome.ts';
 import {RetryAdvisor} from './retry-advisor.ts';
 
-export type EntryCallInput = {
-	readonly call: ClassifiedCall;
-	readonly origin: CallOrigin;
-	readonly body: RequestBody;
-	readonly request: IncomingMessage;
-	readonly response: ServerResponse;
-	readonly once?: OnceSending;
-};
-
 /** Time beyond the deadline in which a guard's own word on it may still arrive. */
 const deadlineGraceMs = 50;
 const noServers: ReadonlySet<string> = new Set();
@@ -62,7 +46,7 @@
 	readonly #proof: RunProof;
 	readonly #tried = new Set<string>();
 	#relayed: Attempt | undefined;
-	#ended: 'no' | 'deadline' | 'cancelled' = 'no';
+	#ended: EarlyEnd = 'no';
 	#wasSent = false;
 	/** Where the last attempt met an overload. */
 	#overload: OverloadPlace = 'none';
@@ -175,7 +159,7 @@
 			const decision = this.#advisor.chooseNext(head, attempts, this.#tried);
 			if (decision.kind === 'stop' || this.#ended !== 'no') {
 				return head.answer === undefined
-					? this.#refuse(this.#settleOutcome(head.outcome), head.detail)
+					? this.#refuse(settleOutcome(head.outcome, this.#ended), head.detail)
 					: this.#relay(head, winner.attempt);
 			}
 
@@ -184,7 +168,7 @@
 			this.#spendRetry();
 			await this.#waitBeforeRetry(decision);
 			if (this.#ended !== 'no') {
-				return this.#refuse(this.#settleOutcome(head.outcome), head.detail);
+				return this.#refuse(settleOutcome(head.outcome, this.#ended), head.detail);
 			}
 		}
 	}
@@ -289,23 +273,6 @@
 		return end.kind === 'whole' ? head.outcome : {kind: 'unknown', reason: 'truncated'};
 	}
 
-	/** A call that ended early is told as not run only on proof. */
-	#settleOutcome(outcome: Outcome): Refusal {
-		if (outcome.kind === 'answered') {
-			return {kind: 'failed', reason: `status ${outcome.status}`};
-		}
-
-		if (this.#ended !== 'no' && outcome.kind === 'unknown') {
-			return {kind: 'unknown', reason: this.#ended};
-		}
-
-		if (this.#ended !== 'no' && outcome.kind === 'notRun' && outcome.reason === 'cancelled') {
-			return {kind: 'notRun', reason: this.#ended};
-		}
-
-		return outcome;
-	}
-
 	#refuse(refusal: Refusal, detail: string): Outcome {
 		const {call, response} = this.#input;
 		const outcome = this.#proof.settle(refusal);
--- a/src/daemon/entry/entry-task.ts
+++ b/src/daemon/entry/entry-task.ts
@@ -6,7 +6,6 @@
 import {type Outcome} from '../../call/types.ts';
 import {type Member} from '../../membership/types.ts';
 import {type KillVerdict} from '../../once/types.ts';
-import {LatencyObjectives} from '../../policy/latency-objectives.ts';
 import {PolicyMatcher} from '../../policy/match.ts';
 import {type PolicyVersion} from '../../policy/types.ts';
 import {type Logger} from '../../reporting/logger.ts';
@@ -21,9 +20,12 @@
 import {type RequestBodyError} from '../errors.ts';
 import {type Identity} from '../identity.ts';
 import {type Task, type TaskMessage} from '../messages.ts';
-import {type CallOrigin} from './call-origin.ts';
-import {classifyCall, type CallRefusal, type ClassifiedCall} from './classify-call.ts';
-import {EntryCall, type EntryCallInput} from './entry-call.ts';
+import {CallCounter} from './call-counter.ts';
+import {type CallOrigin, findCaller} from './call-origin.ts';
+import {type CallRefusal, createBodyRefusal, refusals} from './call-refusals.ts';
+import {classifyCall, type ClassifiedCall} from './classify-call.ts';
+import {type EntryCallInput} from './entry-call-input.ts';
+import {EntryCall} from './entry-call.ts';
 import {LoadWatch} from './load-watch.ts';
 import {keysPath, mintKey} from './mint-key.ts';
 import {OnceCall} from './once-call.ts';
@@ -60,7 +62,7 @@
 	readonly peerKey: string;
 	readonly #options: EntryOptions;
 	#matcher: PolicyMatcher;
-	#objectives: LatencyObjectives;
+	readonly #counter: CallCounter;
 	#policyVersion: number;
 	#callerListener: Listener | undefined;
 	#localListener: Listener | undefined;
@@ -75,7 +77,7 @@
 		this.peerKey = options.peerKey;
 		this.#matcher = PolicyMatcher.create(policy.document);
 		this.load = LoadWatch.create(policy.document);
-		this.#objectives = LatencyObjectives.create(policy.document);
+		this.#counter = CallCounter.create(options, policy.document);
 		this.#policyVersion = policy.version;
 		this.router.applyPolicy(policy.document);
 		setInterval(() => {
@@ -99,7 +101,11 @@
 	/** Opens the caller port and the local port. */
 	async open(caller: ListenerOptions, local: ListenerOptions): Promise<void> {
 		this.#callerListener = await Listener.open(caller, (request, response) => {
-			void this.#handleRequest(request, response, this.#findCaller(request));
+			void this.#handleRequest(
+				request,
+				response,
+				findCaller(this.#matcher, request.headers.authorization),
+			);
 		});
 		this.#localListener = await Listener.open(local, (request, response) => {
 			this.#handleLocal(request, response);
@@ -127,7 +133,7 @@
 			case 'policy': {
 				this.#matcher = PolicyMatcher.create(message.policy.document);
 				this.load.applyPolicy(message.policy.document);
-				this.#objectives = LatencyObjectives.create(message.policy.document);
+				this.#counter.applyPolicy(message.policy.document);
 				this.#policyVersion = message.policy.version;
 				this.router.applyPolicy(message.policy.document);
 				this.#once?.applyLimits(message.policy.document.once);
@@ -176,17 +182,6 @@
 		return this.#once?.probeGuard(member, nonce) ?? 'unreachable';
 	}
 
-	#findCaller(request: IncomingMessage): CallOrigin | 'badToken' {
-		const {authorization} = request.headers;
-		if (authorization === undefined) {
-			return {kind: 'caller', policy: undefined};
-		}
-
-		const token = /^Bearer (\S{1,512})$/v.exec(authorization)?.[1];
-		const policy = token === undefined ? undefined : this.#matcher.findCallerByToken(token);
-		return policy === undefined ? 'badToken' : {kind: 'caller', policy};
-	}
-
 	/** A child call needs the token of a call that still runs; without one it is the server's own. */
 	#handleLocal(request: IncomingMessage, response: ServerResponse): void {
 		const token = request.headers[headerNames.context];
@@ -198,12 +193,7 @@
 
 		const parent = this.#options.running.findByToken(token);
 		if (parent === undefined) {
-			this.#refuse(response, {
-				status: 409,
-				title: 'Conflict',
-				detail: 'the call that this context names has ended',
-				reason: 'parent-ended',
-			});
+			this.#refuse(response, refusals.parentEnded);
 			return;
 		}
 
@@ -217,23 +207,13 @@
 	): Promise<void> {
 		const startedAtMs = readMonotonicMs();
 		if (origin === 'badToken') {
-			this.#refuse(response, {
-				status: 401,
-				title: 'Unauthorized',
-				detail: 'the bearer token is not known',
-				reason: 'bad-request',
-			});
+			this.#refuse(response, refusals.badToken);
 			return;
 		}
 
 		if (this.#isRefusing && origin.kind === 'caller') {
 			response.setHeader('connection', 'close');
-			this.#refuse(response, {
-				status: 503,
-				title: 'Service Unavailable',
-				detail: 'this entry is leaving',
-				reason: 'draining',
-			});
+			this.#refuse(response, refusals.leaving);
 			return;
 		}
 
@@ -260,7 +240,7 @@
 		this.#inFlight++;
 		try {
 			const outcome = await this.#runCall(call.value, origin, request, response);
-			this.#countCall(call.value, outcome, readMonotonicMs() - startedAtMs);
+			this.#counter.count(call.value, outcome, readMonotonicMs() - startedAtMs);
 		} finally {
 			this.#inFlight--;
 		}
@@ -292,45 +272,14 @@
 	}
 
 	#refuseBody(response: ServerResponse, error: RequestBodyError): Outcome {
-		const isTooLarge = error.kind === 'tooLarge';
 		if (!response.headersSent) {
 			response.setHeader('connection', 'close');
 		}
 
-		this.#refuse(response, {
-			status: isTooLarge ? 413 : 400,
-			title: isTooLarge ? 'Content Too Large' : 'Bad Request',
-			detail: error.message,
-			reason: 'bad-request',
-		});
+		this.#refuse(response, createBodyRefusal(error));
 		return {kind: 'notRun', reason: 'bad-request'};
 	}
 
-	#countCall(call: ClassifiedCall, outcome: Outcome, latencyMs: number): void {
-		this.#options.countJudged?.(call.context.policyVersion);
-		const {service, caller} = call.context;
-		const isGood =
-			outcome.kind === 'answered' &&
-			outcome.status < 500 &&
-			latencyMs <= this.#objectives.findLatencyMs(service, caller);
-		this.metrics.countCall({service, caller, outcome: outcome.kind, good: isGood, latencyMs});
-		if (isGood) {
-			return;
-		}
-
-		this.#options.logger.debug(
-			{
-				requestId: call.context.requestId,
-				service,
-				call: call.context.callName,
-				outcome: outcome.kind,
-				reason: 'reason' in outcome ? outcome.reason : String(outcome.status),
-				version: call.context.policyVersion,
-			},
-			'call ended without a whole answer',
-		);
-	}
-
 	#refuse(response: ServerResponse, refusal: CallRefusal): void {
 		answerProblem(response, {
 			status: refusal.status,
--- a/src/daemon/entry/mint-key.ts
+++ b/src/daemon/entry/mint-key.ts
@@ -9,7 +9,8 @@
 import {readMonotonicMs} from '../clock.ts';
 import {type EntryOnce} from '../once/entry-once.ts';
 import {type CallOrigin} from './call-origin.ts';
-import {findCallerName, findForbidden, type CallRefusal} from './classify-call.ts';
+import {type CallRefusal} from './call-refusals.ts';
+import {findCallerName, findForbidden} from './classify-call.ts';
 import {idempotencyKeyHeader} from './once-call.ts';
 
 /** Path on the caller port and on the local port, before the name of the service. */
--- a/src/daemon/entry/once-call.ts
+++ b/src/daemon/entry/once-call.ts
@@ -9,7 +9,8 @@
 import {answerProblem} from '../http/problem.ts';
 import {answerRepeat} from '../once/once-answers.ts';
 import {type EntryOnce} from '../once/entry-once.ts';
-import {EntryCall, type EntryCallInput} from './entry-call.ts';
+import {type EntryCallInput} from './entry-call-input.ts';
+import {EntryCall} from './entry-call.ts';
 import {type EntryTask} from './entry-task.ts';
 
 /** Header in which callers name their idempotency key. */
--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -4,13 +4,13 @@
  * The aggregate does no I/O: events go in, and the messages to send come out.
  */
 import {type PolicyHead} from '../policy/types.ts';
+import {ExchangeEnds} from './exchange-ends.ts';
 import {LocalView} from './local-view.ts';
 import {
 	type Envelope,
 	type GossipAction,
 	type GossipEvent,
 	type GossipRequest,
-	type GossipResponse,
 } from './messages.ts';
 import {Outbox} from './outbox.ts';
 import {PeerChoice} from './peer-choice.ts';
@@ -48,6 +48,7 @@
 	readonly #prober: Prober;
 	readonly #repair: TableRepair;
 	readonly #survey: Survey;
+	readonly #ends: ExchangeEnds;
 	#urgentTokens: number = gossipLimits.urgentPushesPerSecond;
 	#lastTickMs: number | undefined;
 	#nextPruneMs = 0;
@@ -59,6 +60,13 @@
 		this.#prober = Prober.create(parts);
 		this.#repair = TableRepair.create(parts);
 		this.#survey = Survey.create(this.#view, this.#outbox);
+		this.#ends = ExchangeEnds.create({
+			view: this.#view,
+			outbox: this.#outbox,
+			prober: this.#prober,
+			repair: this.#repair,
+			survey: this.#survey,
+		});
 	}
 
 	get self(): Member {
@@ -129,12 +137,12 @@
 
 			case 'response': {
 				this.#receive(event.response, nowMs);
-				this.#handleResponse(event.exchangeId, event.response, nowMs);
+				this.#ends.handleResponse(event.exchangeId, event.response, nowMs);
 				break;
 			}
 
 			case 'failed': {
-				this.#handleFailure(event.exchangeId, nowMs);
+				this.#ends.handleFailure(event.exchangeId, nowMs);
 				break;
 			}
 
@@ -213,84 +221,6 @@
 		}
 	}
 
-	#handleResponse(exchangeId: number, response: GossipResponse, nowMs: number): void {
-		const exchange = this.#outbox.settle(exchangeId);
-		switch (exchange?.kind) {
-			case 'ping': {
-				this.#prober.settlePing(exchange.target, response.from, nowMs);
-				break;
-			}
-
-			case 'relayedPing': {
-				const {target, askedBy} = exchange;
-				this.#prober.settlePing(target, response.from, nowMs);
-				this.#prober.answerProbe(askedBy, response.from.instanceId === target.instanceId);
-				break;
-			}
-
-			case 'probe': {
-				this.#prober.settleProbe(exchange.round, response, nowMs);
-				break;
-			}
-
-			case 'sync': {
-				this.#repair.settle(response, exchange.roundsLeft, nowMs);
-				break;
-			}
-
-			case 'rival': {
-				this.#settleRival(exchange.rival, response.from, nowMs);
-				break;
-			}
-
-			case 'survey': {
-				this.#survey.settle();
-				break;
-			}
-
-			case 'push':
-			case undefined: {
-				break;
-			}
-		}
-	}
-
-	#handleFailure(exchangeId: number, nowMs: number): void {
-		const exchange = this.#outbox.settle(exchangeId);
-		switch (exchange?.kind) {
-			case 'ping': {
-				this.#prober.handleSilence(exchange.target, nowMs);
-				break;
-			}
-
-			case 'relayedPing': {
-				this.#prober.answerProbe(exchange.askedBy, false);
-				break;
-			}
-
-			case 'probe': {
-				this.#prober.settleProbe(exchange.round, undefined, nowMs);
-				break;
-			}
-
-			case 'rival': {
-				this.#settleRival(exchange.rival, undefined, nowMs);
-				break;
-			}
-
-			case 'survey': {
-				this.#survey.settle();
-				break;
-			}
-
-			case 'push':
-			case 'sync':
-			case undefined: {
-				break;
-			}
-		}
-	}
-
 	#handleAnnouncement(state: AnnouncedState, nowMs: number): void {
 		const {self} = this.#view;
 		self.setState(state);
@@ -307,17 +237,6 @@
 		}
 	}
 
-	/** A rival that answers has replaced this instance; one that is gone is outranked. */
-	#settleRival(rival: Member, from: Member | undefined, nowMs: number): void {
-		if (from?.instanceId === rival.instanceId) {
-			this.#outbox.add({kind: 'superseded', by: rival});
-			return;
-		}
-
-		this.#view.self.raiseStart(rival);
-		this.#view.merge(this.self, nowMs);
-	}
-
 	#pushUrgent(): void {
 		for (const member of this.#peers.pickNear(gossipLimits.urgentFanout)) {
 			if (this.#urgentTokens <= 0) {
