--- a/src/sidecar/overload/open-share.test.ts
+++ b/src/sidecar/overload/open-share.test.ts
@@ -35,3 +35,10 @@
 		t.is(share, 1);
 	}
 });
+
+test('the share is whole again within two seconds after the deepest overload', t => {
+	const endMs = 5000;
+	const recoveryMs = 2000;
+	const shares = play(second => (second * 1000 < endMs ? 30 : 0.6), 10);
+	t.is(shares.at((endMs + recoveryMs) / 100), 1);
+});
