Tell news on a resumed request by its route, and share the fixtures of links

Cause: a resumed request comes over a new connection, and the guard's end of it knew no route; so the news on its answer were those of the route "". One answer in eight carries costs: an entry then learnt that the request's route costs nothing and makes no calls. The resume now names route and caller.

The specs of links shared listeners, news and the search for free ports by copies; they stand in one file.

--- a/src/sidecar/entry/send.ts
+++ b/src/sidecar/entry/send.ts
@@ -225,7 +225,8 @@
 		this.#generation++;
 		// The guard that the request went to, which is the one at the end of the first link.
 		const incarnation = this.#links[0]!.link.incarnation ?? '';
-		const question = {nonce: this.head.nonce, incarnation};
+		const {nonce, route, callerService} = this.head;
+		const question = {nonce, route, callerService, incarnation};
 		const listener = this.#createListener();
 		this.#setLink(way.pool.resume(question, listener), listener);
 	}
--- a/src/sidecar/link/link-server.ts
+++ b/src/sidecar/link/link-server.ts
@@ -9,6 +9,7 @@
 import {decodeCall, encodeAnswer, encodeFailure, encodeRefusal} from './codec.ts';
 import {
 	type AnswerHead,
+	type CallHead,
 	type FailureHead,
 	type RefusalHead,
 	type ReplyNews,
@@ -100,7 +101,7 @@
 	}
 
 	handleAnswer(head: AnswerHead, body: Uint8Array): void {
-		const text = encodeAnswer(head, this.options.readNews(this.#route, this.#callerService));
+		const text = encodeAnswer(head, this.#readNews());
 		const isWritable = this.#frames.send(frameTypes.answer, text, body);
 		if (head.isWhole) {
 			this.#nonce = undefined;
@@ -122,18 +123,22 @@
 
 	handleRefusal(head: RefusalHead): void {
 		this.#nonce = undefined;
-		this.#frames.send(
-			frameTypes.refused,
-			encodeRefusal(head, this.options.readNews(this.#route, this.#callerService)),
-		);
+		this.#frames.send(frameTypes.refused, encodeRefusal(head, this.#readNews()));
 	}
 
 	handleFailure(head: FailureHead): void {
 		this.#nonce = undefined;
-		this.#frames.send(
-			frameTypes.failed,
-			encodeFailure(head, this.options.readNews(this.#route, this.#callerService)),
-		);
+		this.#frames.send(frameTypes.failed, encodeFailure(head, this.#readNews()));
+	}
+
+	#setRequest({nonce, route, callerService}: Pick<CallHead, 'nonce' | 'route' | 'callerService'>) {
+		this.#nonce = nonce;
+		this.#route = route;
+		this.#callerService = callerService;
+	}
+
+	#readNews(): ReplyNews {
+		return this.options.readNews(this.#route, this.#callerService);
 	}
 
 	#handleFrame(frame: Frame): void {
@@ -149,9 +154,7 @@
 		switch (frame.type) {
 			case frameTypes.open: {
 				const head = decodeCall(frame.head);
-				this.#nonce = head.nonce;
-				this.#route = head.route;
-				this.#callerService = head.callerService;
+				this.#setRequest(head);
 				this.#exchange = this.options.guard.accept(head, Buffer.from(frame.body), this);
 				break;
 			}
@@ -172,9 +175,9 @@
 			}
 
 			case frameTypes.resume: {
-				const {nonce, incarnation} = JSON.parse(frame.head) as ResumeHead;
-				this.#nonce = nonce;
-				this.#exchange = this.options.guard.resume(nonce, incarnation, this);
+				const head = JSON.parse(frame.head) as ResumeHead;
+				this.#setRequest(head);
+				this.#exchange = this.options.guard.resume(head.nonce, head.incarnation, this);
 				break;
 			}
 
--- a/src/sidecar/link/link.test.ts
+++ b/src/sidecar/link/link.test.ts
@@ -6,18 +6,12 @@
 import test from 'ava';
 import {createTestHead} from '../guard/fixtures.ts';
 import {encodeRefusal} from './codec.ts';
+import {createTestListener, testNews} from './fixtures.ts';
 import {encodeFrame, frameTypes} from './frames.ts';
 import {LinkPool} from './link-pool.ts';
 import {type LinkListener} from './link.ts';
 
-const news = {
-	load: {running: 0, waiting: 0, limit: 1},
-	configVersion: 1,
-	pressure: [],
-	costs: undefined,
-	isInner: undefined,
-};
-const refusal = encodeRefusal({reason: 'full', hasArrived: false, member: undefined}, news);
+const refusal = encodeRefusal({reason: 'full', hasArrived: false, member: undefined}, testNews);
 
 /** A listener that tells of its first refusal or loss. */
 function listen(): {listener: LinkListener; ended: Promise<string>} {
@@ -25,25 +19,14 @@
 	const ended = new Promise<string>(done => {
 		resolve = done;
 	});
-	const ignore = () => {
-		// The end tells.
-	};
-
-	const listener: LinkListener = {
-		handleNews: ignore,
-		handleAnswer: ignore,
-		handleData: ignore,
-		handleEnd: ignore,
+	const listener = createTestListener({
 		handleRefusal() {
 			resolve('refused');
 		},
-		handleFailure: ignore,
-		handleUnreachable: ignore,
 		handleLost() {
 			resolve('lost');
 		},
-		handleDrain: ignore,
-	};
+	});
 	return {listener, ended};
 }
 
--- a/src/sidecar/link/messages.ts
+++ b/src/sidecar/link/messages.ts
@@ -95,4 +95,7 @@
 	readonly reason: string;
 };
 
-export type ResumeHead = {readonly nonce: string; readonly incarnation: string};
+/** Asks what became of a request; the rest is what news for its answer depend on. */
+export type ResumeHead = Pick<CallHead, 'nonce' | 'route' | 'callerService'> & {
+	readonly incarnation: string;
+};
