Count requests without a route as one series

The record of a request without a route took its path for the route, so each new path added a counter and twelve buckets, for ever: memory and the metrics page grew with whatever callers asked for. The path is logged in a field of its own now.

--- /dev/null
+++ b/src/sidecar/entry/request-record.test.ts
@@ -0,0 +1,30 @@
+/** Pattern: callers who ask for paths that no route has. */
+import {Buffer} from 'node:buffer';
+import {IncomingMessage, ServerResponse} from 'node:http';
+import {Socket} from 'node:net';
+import test from 'ava';
+import {createRecord} from './request-record.ts';
+
+test('a request without a route is recorded by its path, not as a route of its own', t => {
+	const request = new IncomingMessage(new Socket());
+	request.url = '/none/1?page=6';
+	const record = createRecord({
+		caller: {
+			request,
+			response: new ServerResponse(request),
+			head: {requestId: 'r1', deadlineMs: undefined, headers: []},
+			body: Buffer.alloc(0),
+			isWhole: true,
+		},
+		route: undefined,
+		service: '',
+		history: undefined,
+		status: 404,
+		outcome: 'version 1 has no such route',
+		tookMs: 1,
+		reportAgeMs: -1,
+		configVersion: 1,
+	});
+	t.is(record.route, '');
+	t.is(record.path, '/none/1?page=6');
+});
--- a/src/sidecar/entry/request-record.ts
+++ b/src/sidecar/entry/request-record.ts
@@ -29,7 +29,8 @@
 	const member = history?.lastView?.member;
 	return {
 		requestId: caller.head.requestId,
-		route: route?.name ?? caller.request.url ?? '',
+		route: route?.name ?? '',
+		path: route === undefined ? (caller.request.url ?? '') : '',
 		service,
 		status,
 		outcome,
--- a/src/sidecar/reporting/request-log.ts
+++ b/src/sidecar/reporting/request-log.ts
@@ -4,7 +4,10 @@
 /** What became of one request at the entry. */
 export type RequestRecord = {
 	readonly requestId: string;
+	/** Empty when the configuration has no route for the request. */
 	readonly route: string;
+	/** What a request without a route asked for; it is logged and never counted by. Empty otherwise. */
+	readonly path: string;
 	readonly service: string;
 	/** 0 when the caller left or the answer was cut short. */
 	readonly status: number;
