Drop from the wire and the code what nobody reads

hasArrived was false everywhere; isRepeat, the time at the server on answers and the reason serverRefused were written and never read; a few getters and an export had no caller. Each reply between sidecars is some bytes shorter.

--- a/src/sidecar/entry/call-head.ts
+++ b/src/sidecar/entry/call-head.ts
@@ -10,7 +10,6 @@
 	readonly service: string;
 	readonly serverId: string;
 	readonly remainingMs: number;
-	readonly isRepeat: boolean;
 	readonly isInner: boolean;
 };
 
@@ -26,7 +25,7 @@
 	details: SendDetails,
 ): CallHead {
 	const {request, head, isWhole} = caller;
-	const {route, service, serverId, remainingMs, isRepeat, isInner} = details;
+	const {route, service, serverId, remainingMs, isInner} = details;
 	return {
 		nonce: ctx.createNonce(),
 		requestId: head.requestId,
@@ -41,7 +40,6 @@
 		isOnce: route.callKind === 'once',
 		priority: route.priority,
 		isWhole,
-		isRepeat,
 		isInner,
 	};
 }
--- a/src/sidecar/entry/entry-call.ts
+++ b/src/sidecar/entry/entry-call.ts
@@ -133,7 +133,6 @@
 			service: this.#service,
 			serverId: view.member.serverId,
 			remainingMs: this.#answerByMs - nowMs,
-			isRepeat: history.arrivals > 0,
 			isInner: this.#isInner,
 		});
 		history.recordSend(view);
--- a/src/sidecar/entry/send.ts
+++ b/src/sidecar/entry/send.ts
@@ -191,10 +191,7 @@
 	#handleUnreachable(): void {
 		if (this.#resumes === 0) {
 			if (this.#end()) {
-				this.listener.handleRefusal(
-					{reason: 'unreachable', hasArrived: false, member: undefined},
-					false,
-				);
+				this.listener.handleRefusal({reason: 'unreachable', member: undefined}, false);
 			}
 
 			return;
--- a/src/sidecar/guard/fixtures.ts
+++ b/src/sidecar/guard/fixtures.ts
@@ -67,7 +67,6 @@
 		priority: 2,
 		isWhole: true,
 		isInner: false,
-		isRepeat: false,
 		...more,
 	};
 }
--- a/src/sidecar/guard/guard.ts
+++ b/src/sidecar/guard/guard.ts
@@ -87,7 +87,7 @@
 			const isOutdated =
 				reason === 'wrongServer' || reason === 'leaving' || reason === 'unreachable';
 			const member = isOutdated ? this.options.readMember() : undefined;
-			listener.handleRefusal({reason, hasArrived: false, member});
+			listener.handleRefusal({reason, member});
 			return endedExchange;
 		}
 
@@ -120,7 +120,7 @@
 		if (incarnation !== this.options.incarnation) {
 			listener.handleFailure({reason: 'the guard has restarted'});
 		} else if (this.#calls.bar(nonce) === 'neverSent') {
-			listener.handleRefusal({reason: 'forgotten', hasArrived: false, member: undefined});
+			listener.handleRefusal({reason: 'forgotten', member: undefined});
 		} else {
 			listener.handleFailure({reason: 'the end of the request is not kept any more'});
 		}
--- a/src/sidecar/guard/guarded-call.ts
+++ b/src/sidecar/guard/guarded-call.ts
@@ -126,7 +126,7 @@
 	/** Ends the call without sending it; the proof that it has not run. */
 	refuse(reason: RefusalReason): void {
 		this.#end({kind: 'refused', reason}, listener => {
-			listener.handleRefusal({reason, hasArrived: false, member: undefined});
+			listener.handleRefusal({reason, member: undefined});
 		});
 	}
 
@@ -142,7 +142,7 @@
 			if (hasRun) {
 				listener.handleFailure({reason: 'cancelled'});
 			} else {
-				listener.handleRefusal({reason: 'forgotten', hasArrived: false, member: undefined});
+				listener.handleRefusal({reason: 'forgotten', member: undefined});
 			}
 		});
 	}
@@ -215,8 +215,7 @@
 
 	#createAnswer(isWhole: boolean): AnswerHead {
 		const {status, headers, isNotRun} = this.#answer!;
-		const serviceMs = performance.now() - this.#startedAtMs;
-		return {status, headers, isNotRun, isWhole, serviceMs};
+		return {status, headers, isNotRun, isWhole};
 	}
 
 	#answerWhole(): void {
@@ -245,7 +244,7 @@
 			if (hasSent) {
 				listener.handleFailure({reason});
 			} else {
-				listener.handleRefusal({reason: 'unreachable', hasArrived: false, member: undefined});
+				listener.handleRefusal({reason: 'unreachable', member: undefined});
 			}
 		});
 	}
--- a/src/sidecar/guard/server-connection.ts
+++ b/src/sidecar/guard/server-connection.ts
@@ -75,7 +75,6 @@
 	#isCondemned = false;
 	#isConnected = false;
 	#isRequestSent = false;
-	#isClosed = false;
 	#isHeadRequest = false;
 	/** Whether the answer under way has no length. */
 	#isUnframed = false;
@@ -97,10 +96,6 @@
 		this.#listenToParser();
 	}
 
-	get isClosed(): boolean {
-		return this.#isClosed;
-	}
-
 	/**
 	 * Sends a request head and the body, or the part of it that is there.
 	 *
@@ -168,7 +163,6 @@
 		});
 		socket.on('close', () => {
 			this.#fail('the server closed the connection');
-			this.#isClosed = true;
 			this.#owner.handleClosed(this);
 		});
 	}
--- a/src/sidecar/guard/waiting-line.ts
+++ b/src/sidecar/guard/waiting-line.ts
@@ -35,11 +35,6 @@
 		return this.#waiting.shift();
 	}
 
-	/** Reads the least important, which is the first to give way. */
-	readLast(): T | undefined {
-		return this.#waiting.at(-1);
-	}
-
 	remove(call: T): void {
 		const index = this.#waiting.indexOf(call);
 		if (index !== -1) {
--- a/src/sidecar/link/codec.test.ts
+++ b/src/sidecar/link/codec.test.ts
@@ -44,7 +44,6 @@
 	priority: fc.nat(),
 	isWhole: fc.boolean(),
 	isInner: fc.boolean(),
-	isRepeat: fc.boolean(),
 });
 
 test('the head of a call comes back as it was', t => {
@@ -57,10 +56,10 @@
 });
 
 test('news ride on answers and refusals as they were', t => {
-	const head = {status: 200, headers: ['A', '1'], isWhole: true, isNotRun: false, serviceMs: 12};
+	const head = {status: 200, headers: ['A', '1'], isWhole: true, isNotRun: false};
 	t.deepEqual(decodeAnswer(encodeAnswer(head, news)), {head, news});
 	const inner = {...news, costs: undefined, isInner: true};
-	const refusal = {reason: 'full', hasArrived: false, member: undefined} as const;
+	const refusal = {reason: 'full', member: undefined} as const;
 	t.deepEqual(decodeRefusal(encodeRefusal(refusal, inner)), {head: refusal, news: inner});
 });
 
--- a/src/sidecar/link/codec.ts
+++ b/src/sidecar/link/codec.ts
@@ -22,44 +22,36 @@
 		head.headers,
 		head.isWhole ? 1 : 0,
 		head.isNotRun ? 1 : 0,
-		Math.round(head.serviceMs),
 		encodeNews(news),
 	]);
 }
 
 export function decodeAnswer(text: string): {head: AnswerHead; news: ReplyNews} {
-	const [status, headers, isWhole, isNotRun, serviceMs, news] = JSON.parse(text) as [
+	const [status, headers, isWhole, isNotRun, news] = JSON.parse(text) as [
 		number,
 		string[],
 		number,
 		number,
-		number,
 		EncodedNews,
 	];
 	return {
-		head: {status, headers, isWhole: isWhole === 1, isNotRun: isNotRun === 1, serviceMs},
+		head: {status, headers, isWhole: isWhole === 1, isNotRun: isNotRun === 1},
 		news: decodeNews(news),
 	};
 }
 
 export function encodeRefusal(head: RefusalHead, news: ReplyNews): string {
-	return JSON.stringify([
-		head.reason,
-		head.hasArrived ? 1 : 0,
-		head.member ?? null,
-		encodeNews(news),
-	]);
+	return JSON.stringify([head.reason, head.member ?? null, encodeNews(news)]);
 }
 
 export function decodeRefusal(text: string): {head: RefusalHead; news: ReplyNews} {
-	const [reason, hasArrived, member, news] = JSON.parse(text) as [
+	const [reason, member, news] = JSON.parse(text) as [
 		RefusalReason,
-		number,
 		Member | undefined,
 		EncodedNews,
 	];
 	return {
-		head: {reason, hasArrived: hasArrived === 1, member: member ?? undefined},
+		head: {reason, member: member ?? undefined},
 		news: decodeNews(news),
 	};
 }
@@ -192,15 +184,15 @@
 }
 
 /** Flags of a call, the first in the lowest bit. */
-type CallFlags = Pick<CallHead, 'isOnce' | 'isWhole' | 'isRepeat' | 'isInner'>;
+type CallFlags = Pick<CallHead, 'isOnce' | 'isWhole' | 'isInner'>;
 
-function encodeFlags({isOnce, isWhole, isRepeat, isInner}: CallFlags): number {
-	return (isOnce ? 1 : 0) + (isWhole ? 2 : 0) + (isRepeat ? 4 : 0) + (isInner ? 8 : 0);
+function encodeFlags({isOnce, isWhole, isInner}: CallFlags): number {
+	return (isOnce ? 1 : 0) + (isWhole ? 2 : 0) + (isInner ? 4 : 0);
 }
 
 function decodeFlags(flags: number): CallFlags {
 	const hasBit = (bit: number) => Math.floor(flags / bit) % 2 === 1;
-	return {isOnce: hasBit(1), isWhole: hasBit(2), isRepeat: hasBit(4), isInner: hasBit(8)};
+	return {isOnce: hasBit(1), isWhole: hasBit(2), isInner: hasBit(4)};
 }
 
 type EncodedPressure = [
--- a/src/sidecar/link/frames.ts
+++ b/src/sidecar/link/frames.ts
@@ -33,7 +33,7 @@
 export type FrameType = (typeof frameTypes)[keyof typeof frameTypes];
 
 /** Upper bound for one frame; larger bodies are cut into several. */
-export const maxFrameBytes = 4 * 1024 * 1024;
+const maxFrameBytes = 4 * 1024 * 1024;
 
 const lengthBytes = 4;
 const fixedBytes = 9;
--- a/src/sidecar/link/link.test.ts
+++ b/src/sidecar/link/link.test.ts
@@ -11,7 +11,7 @@
 import {LinkPool} from './link-pool.ts';
 import {type LinkListener} from './link.ts';
 
-const refusal = encodeRefusal({reason: 'full', hasArrived: false, member: undefined}, testNews);
+const refusal = encodeRefusal({reason: 'full', member: undefined}, testNews);
 
 /** A listener that tells of its first refusal or loss. */
 function listen(): {listener: LinkListener; ended: Promise<string>} {
--- a/src/sidecar/link/messages.ts
+++ b/src/sidecar/link/messages.ts
@@ -31,22 +31,11 @@
 	readonly isWhole: boolean;
 	/** Whether a server made the request, for work that was admitted before. */
 	readonly isInner: boolean;
-	/** Whether a server has had this request before. */
-	readonly isRepeat: boolean;
 };
 
 /** Why a guard refuses a request that it has not run. */
-export const refusalReasons = {
-	full: 'full',
-	late: 'late',
-	leaving: 'leaving',
-	wrongServer: 'wrongServer',
-	unreachable: 'unreachable',
-	serverRefused: 'serverRefused',
-	forgotten: 'forgotten',
-	stopping: 'stopping',
-} as const;
-export type RefusalReason = (typeof refusalReasons)[keyof typeof refusalReasons];
+export type RefusalReason =
+	'full' | 'late' | 'leaving' | 'wrongServer' | 'unreachable' | 'forgotten' | 'stopping';
 
 /** What every reply of a guard tells besides. */
 export type ReplyNews = {
@@ -79,14 +68,10 @@
 	readonly isWhole: boolean;
 	/** Whether the server says that the request was not run. */
 	readonly isNotRun: boolean;
-	/** Time at the server. */
-	readonly serviceMs: number;
 };
 
 export type RefusalHead = {
 	readonly reason: RefusalReason;
-	/** Whether the server itself turned the request away; such an arrival counts as a send. */
-	readonly hasArrived: boolean;
 	/** The guard's present announcement, where the refusal comes from an outdated view. */
 	readonly member: Member | undefined;
 };
