Read the bound on bodies where it is in force, and messages by Node's own reader

The entry's server kept a copy of max_body_bytes beside the configuration's; the check now asks the configuration, once for both places. Messages of the server are read by node:stream/consumers; one that breaks off has a log line.

--- a/src/sidecar/control-server.ts
+++ b/src/sidecar/control-server.ts
@@ -1,6 +1,6 @@
 /** Hears the backend server beside the sidecar, and answers whether the sidecar takes callers. */
-import {Buffer} from 'node:buffer';
 import http from 'node:http';
+import {text as readText} from 'node:stream/consumers';
 import {type Result} from 'neverthrow';
 import {type Logger} from '../reporting/logger.ts';
 import {type ServerMessage, type SocketAddress} from './types.ts';
@@ -28,31 +28,36 @@
 /** Creates the handler of the server's reports and leave messages. */
 export function createControlHandler(options: ControlOptions): http.RequestListener {
 	return (request, response) => {
-		const chunks: Uint8Array[] = [];
-		request.on('data', (chunk: Uint8Array) => {
-			chunks.push(chunk);
-		});
-		request.on('end', () => {
-			const body = Buffer.concat(chunks).toString('utf8');
-			const message = options.decodeMessage(request.url ?? '', body);
-			if (message.isErr()) {
-				options.logger.warn(
-					{reason: message.error.message},
-					'message of the server not understood',
-				);
-				answerJson(response, 400);
-				return;
-			}
-
-			options.handleMessage(message.value);
-			answerJson(response, 200);
-		});
-		request.on('error', () => {
-			// The server broke off and reports again.
-		});
+		void answerMessage(options, request, response);
 	};
 }
 
+async function answerMessage(
+	options: ControlOptions,
+	request: http.IncomingMessage,
+	response: http.ServerResponse,
+): Promise<void> {
+	let body: string;
+	try {
+		body = await readText(request);
+	} catch (error) {
+		// The server broke off and reports again.
+		const reason = (error as Error).message;
+		options.logger.warn({reason}, 'message of the server was cut short');
+		return;
+	}
+
+	const message = options.decodeMessage(request.url ?? '', body);
+	if (message.isErr()) {
+		options.logger.warn({reason: message.error.message}, 'message of the server not understood');
+		answerJson(response, 400);
+		return;
+	}
+
+	options.handleMessage(message.value);
+	answerJson(response, 200);
+}
+
 function answerJson(response: http.ServerResponse, status: number): void {
 	response.writeHead(status, {'Content-Type': 'application/json', 'Content-Length': 2});
 	response.end('{}');
--- a/src/sidecar/entry/entry-server.ts
+++ b/src/sidecar/entry/entry-server.ts
@@ -5,7 +5,7 @@
 import {type ClientLimits, type SocketAddress} from '../types.ts';
 import {EntryCall} from './entry-call.ts';
 import {type EntryContext} from './entry-context.ts';
-import {readBodyBytes} from './request-checks.ts';
+import {isBodyTooLong, readBodyBytes} from './request-checks.ts';
 
 /** Connections that may wait to be accepted; a full queue costs seconds. */
 const backlog = 1024;
@@ -32,8 +32,6 @@
 
 	readonly #server: http.Server;
 	#active = 0;
-	/** A longer body is not waited for. */
-	#maxBodyBytes = Number.POSITIVE_INFINITY;
 
 	private constructor(private readonly ctx: EntryContext) {
 		const options = {
@@ -65,11 +63,10 @@
 		});
 	}
 
-	/** Takes over what callers may send, and how long they may stay idle or take for a head. */
+	/** Takes over how long callers may stay idle or take for a head. */
 	setLimits(limits: ClientLimits): void {
 		this.#server.keepAliveTimeout = limits.idleTimeoutMs;
 		this.#server.headersTimeout = limits.headerTimeoutMs;
-		this.#maxBodyBytes = limits.maxBodyBytes;
 	}
 
 	/** Closes connections on which no request is under way. */
@@ -98,7 +95,8 @@
 
 		if (!hasBody) {
 			start(noBody, true);
-		} else if (readBodyBytes(headers) > this.#maxBodyBytes) {
+		} else if (isBodyTooLong(this.ctx, readBodyBytes(headers))) {
+			// It is rejected, and not waited for.
 			start(noBody, false);
 		} else {
 			receiveBody(request, start);
--- a/src/sidecar/entry/request-checks.ts
+++ b/src/sidecar/entry/request-checks.ts
@@ -49,7 +49,7 @@
 	}
 
 	const bodyBytes = Math.max(caller.body.length, readBodyBytes(request.headers));
-	if (bodyBytes > limits.maxBodyBytes) {
+	if (isBodyTooLong(ctx, bodyBytes)) {
 		const reason = formatBodyExcess(limits);
 		return {kind: 'rejected', status: ownStatuses.bodyTooLong, reason};
 	}
@@ -64,6 +64,11 @@
 		: {kind: 'passed', route};
 }
 
+/** Whether the configuration in force allows no body of that length; without one, any is allowed. */
+export function isBodyTooLong(ctx: Pick<EntryContext, 'readRoutes'>, bodyBytes: number): boolean {
+	return bodyBytes > (ctx.readRoutes()?.config.limits.maxBodyBytes ?? Number.POSITIVE_INFINITY);
+}
+
 /** Reads how long a body says that it is; 0 when it does not say. */
 export function readBodyBytes(headers: Pick<IncomingHttpHeaders, 'content-length'>): number {
 	const bytes = Number(headers['content-length'] ?? '0');
