Keep idle connections in one list, and the server's own refusals with it

The pools of links and of connections to the server kept, closed and forgot idle ones by the same lines.

--- a/src/sidecar/guard/guard.ts
+++ b/src/sidecar/guard/guard.ts
@@ -172,26 +172,11 @@
 	}
 
 	#findRefusal(head: CallHead): RefusalReason | undefined {
-		const {server} = this.options;
-		const {state} = server;
 		if (this.#calls.isBarred(head.nonce)) {
 			return 'forgotten';
 		}
 
-		if (this.isStopping) {
-			return 'stopping';
-		}
-
-		if (state?.id !== head.serverId || state.service !== head.service) {
-			return 'wrongServer';
-		}
-
-		const nowMs = performance.now();
-		if (server.canTakeWork(nowMs)) {
-			return undefined;
-		}
-
-		return server.readState(nowMs) === 'leaving' ? 'leaving' : 'unreachable';
+		return this.isStopping ? 'stopping' : this.options.server.findRefusal(head, performance.now());
 	}
 
 	#estimateWaitMs(call: GuardedCall, limit: number): number {
--- a/src/sidecar/guard/local-server.ts
+++ b/src/sidecar/guard/local-server.ts
@@ -131,6 +131,23 @@
 		}
 	}
 
+	/** Why the server can't take a request that was meant for a service and a start of a server. */
+	findRefusal(
+		meant: {readonly service: string; readonly serverId: string},
+		nowMs: number,
+	): 'wrongServer' | 'leaving' | 'unreachable' | undefined {
+		const state = this.#state;
+		if (state?.id !== meant.serverId || state.service !== meant.service) {
+			return 'wrongServer';
+		}
+
+		if (this.canTakeWork(nowMs)) {
+			return undefined;
+		}
+
+		return this.readState(nowMs) === 'leaving' ? 'leaving' : 'unreachable';
+	}
+
 	#applyLeave(message: ServerMessage & {kind: 'leave'}, nowMs: number): boolean {
 		const state = this.#state;
 		if (
--- a/src/sidecar/guard/server-pool.ts
+++ b/src/sidecar/guard/server-pool.ts
@@ -1,4 +1,5 @@
 /** Connections to the backend server, kept as long as the server keeps them. */
+import {IdleConnections} from '../idle-connections.ts';
 import {type HeadCodec, type SocketAddress} from '../types.ts';
 import {ServerConnection} from './server-connection.ts';
 
@@ -19,17 +20,15 @@
 		return new ServerPool(address, codec);
 	}
 
-	/** Idle connections, the one used last at the end. */
-	#idle: ServerConnection[] = [];
+	readonly #idle = IdleConnections.create<ServerConnection>();
 	#opened = 0;
 	readonly #timer: NodeJS.Timeout;
 	readonly #owner = {
 		handleIdle: (connection: ServerConnection) => {
-			connection.idleSinceMs = performance.now();
-			this.#idle.push(connection);
+			this.#idle.add(connection);
 		},
 		handleClosed: (connection: ServerConnection) => {
-			this.#idle = this.#idle.filter(each => each !== connection);
+			this.#idle.remove(connection);
 		},
 	};
 
@@ -51,9 +50,9 @@
 	/** Finds a connection for a request, or opens one. */
 	acquire(requestId: string, isOnce: boolean): ServerConnection {
 		const nowMs = performance.now();
-		const connection = this.#idle.at(-1);
+		const connection = this.#idle.readLast();
 		if (connection !== undefined && this.#isUsable(connection, {requestId, isOnce, nowMs})) {
-			this.#idle.pop();
+			this.#idle.takeLast();
 			return connection;
 		}
 
@@ -63,18 +62,12 @@
 
 	/** Closes connections that were idle before a moment, when one from then turned out to be dead. */
 	closeIdleBefore(momentMs: number): void {
-		const stale = this.#idle.filter(each => each.idleSinceMs < momentMs);
-		this.#idle = this.#idle.filter(each => each.idleSinceMs >= momentMs);
-		for (const connection of stale) {
-			connection.close();
-		}
+		this.#idle.closeBefore(momentMs);
 	}
 
 	/** Closes all idle connections, as when another server takes over the address. */
 	closeIdle(): void {
-		for (const connection of this.#idle.splice(0)) {
-			connection.close();
-		}
+		this.#idle.closeWhere(() => true);
 	}
 
 	#isUsable(
@@ -82,7 +75,7 @@
 		use: {requestId: string; isOnce: boolean; nowMs: number},
 	): boolean {
 		const idleMs = use.nowMs - connection.idleSinceMs;
-		const keepMs = (connection.keepAliveMs ?? defaultKeepMs) * keptShare;
+		const keepMs = computeKeepMs(connection);
 		const maxIdleMs = use.isOnce ? Math.min(freshForOnceMs, keepMs) : keepMs;
 		// A second answer to an earlier send of the same request could not be told from the first.
 		return idleMs <= maxIdleMs && connection.lastRequestId !== use.requestId;
@@ -90,12 +83,11 @@
 
 	#closeStale(): void {
 		const nowMs = performance.now();
-		for (const connection of this.#idle) {
-			const keepMs = (connection.keepAliveMs ?? defaultKeepMs) * keptShare;
-			if (nowMs - connection.idleSinceMs > keepMs) {
-				this.#idle = this.#idle.filter(each => each !== connection);
-				connection.close();
-			}
-		}
+		this.#idle.closeWhere(each => nowMs - each.idleSinceMs > computeKeepMs(each));
 	}
 }
+
+/** How long an idle connection is used, in milliseconds. */
+function computeKeepMs({keepAliveMs}: ServerConnection): number {
+	return (keepAliveMs ?? defaultKeepMs) * keptShare;
+}
--- a/src/sidecar/link/link-pool.ts
+++ b/src/sidecar/link/link-pool.ts
@@ -1,4 +1,5 @@
 /** The entry's side of links: one pool of connections for each peer. */
+import {IdleConnections} from '../idle-connections.ts';
 import {type SocketAddress} from '../types.ts';
 import {Link, type LinkExchange, type LinkListener, type LinkOwner} from './link.ts';
 import {type CallHead, type ResumeHead} from './messages.ts';
@@ -20,20 +21,19 @@
 		return new LinkPool(address, handleBadFrame);
 	}
 
-	#idle: Link[] = [];
+	readonly #idle = IdleConnections.create<Link>();
 	readonly #links = new Set<Link>();
 	readonly #owner: LinkOwner = {
 		handleIdle: link => {
 			if (this.#idle.length < maxIdle) {
-				link.idleSinceMs = performance.now();
-				this.#idle.push(link);
+				this.#idle.add(link);
 			} else {
 				link.close();
 			}
 		},
 		handleClosed: link => {
 			this.#links.delete(link);
-			this.#idle = this.#idle.filter(each => each !== link);
+			this.#idle.remove(link);
 		},
 		handleBadFrame: reason => {
 			this.handleBadFrame(reason);
@@ -68,17 +68,13 @@
 
 	/** Closes connections that were idle before a moment, when one from then turned out to be silent. */
 	closeIdleBefore(momentMs: number): void {
-		const stale = this.#idle.filter(link => link.idleSinceMs < momentMs);
-		this.#idle = this.#idle.filter(link => link.idleSinceMs >= momentMs);
-		for (const link of stale) {
-			link.close();
-		}
+		this.#idle.closeBefore(momentMs);
 	}
 
 	#acquire(): Link {
 		const nowMs = performance.now();
 		for (;;) {
-			const link = this.#idle.pop();
+			const link = this.#idle.takeLast();
 			if (link === undefined) {
 				return this.#connect();
 			}
