--- a/src/sidecar/knowledge/announcer.test.ts
+++ b/src/sidecar/knowledge/announcer.test.ts
@@ -1,7 +1,7 @@
 /** Pattern: a store whose answers are lost, or that carries writes out late. */
 import {setTimeout as wait} from 'node:timers/promises';
 import {err, ok, type Result} from 'neverthrow';
-import test from 'ava';
+import test, {type ExecutionContext} from 'ava';
 import {Logger} from '../../reporting/logger.ts';
 import {type SharedTable, type StoreFailure} from '../ports.ts';
 import {type Member} from '../types.ts';
@@ -58,49 +58,51 @@
 	const announcer = Announcer.create('one', table, logger, () => {
 		failures++;
 	});
+	t.teardown(() => {
+		announcer.close();
+	});
 	announcer.recordRow(undefined);
 	const announced = announcer.announce(member);
 	await settle();
 	t.is(decodeMember(row.value!)?.epoch, announced.epoch);
 	t.is(failures, 1);
 	t.false(announcer.isFailing);
-	announcer.close();
 });
 
-test('the last of several changes is what the table ends with', async t => {
+/** An announcer to a table that takes every write. */
+function createAnnouncer(t: ExecutionContext) {
 	const {row, table} = createTable(apply => apply());
 	const announcer = Announcer.create('one', table, logger, () => {
 		t.fail('no write fails');
 	});
+	t.teardown(() => {
+		announcer.close();
+	});
+	return {row, announcer};
+}
+
+test('the last of several changes is what the table ends with', async t => {
+	const {row, announcer} = createAnnouncer(t);
 	announcer.recordRow(undefined);
 	announcer.announce(member);
 	announcer.announce({...member, state: 'leaving'});
 	announcer.announce({...member, state: 'down'});
 	await settle();
 	t.is(decodeMember(row.value!)?.state, 'down');
-	announcer.close();
 });
 
 test('an epoch that a peer knows of an earlier life is outbid', async t => {
-	const {row, table} = createTable(apply => apply());
-	const announcer = Announcer.create('one', table, logger, () => {
-		t.fail('no write fails');
-	});
+	const {row, announcer} = createAnnouncer(t);
 	announcer.recordRow(undefined);
 	const announced = announcer.announce(member);
 	announcer.raise(announced.epoch + 5000);
 	await settle();
 	t.is(decodeMember(row.value!)?.epoch, announced.epoch + 5001);
-	announcer.close();
 });
 
 test('nothing is written before the own row was read', async t => {
-	const {row, table} = createTable(apply => apply());
-	const announcer = Announcer.create('one', table, logger, () => {
-		t.fail('no write fails');
-	});
+	const {row, announcer} = createAnnouncer(t);
 	announcer.announce(member);
 	await settle();
 	t.is(row.value, undefined);
-	announcer.close();
 });
--- a/src/sidecar/overload/admission.test.ts
+++ b/src/sidecar/overload/admission.test.ts
@@ -104,48 +104,23 @@
 	}
 });
 
-test('a route whose costs are unknown is judged by the service that runs it', t => {
+/** An admission that has heard that the deep service takes a tenth, and draws against its callers. */
+function createPressed(costs: CostBook): Admission {
 	const board = PressureBoard.create('east');
-	const admission = Admission.create({
-		costs: CostBook.create(),
-		board,
-		random: () => 0.99,
-	});
-	board.record(
-		{
-			instance: 'one',
-			service: 'commandes',
-			region: 'east',
-			openShare: 0.1,
-			repeatableShare: 1,
-			ageMs: 0,
-		},
-		0,
-	);
+	const report = {instance: 'one', service: 'commandes', region: 'east', repeatableShare: 1};
+	board.record({...report, openShare: 0.1, ageMs: 0}, 0);
+	return Admission.create({costs, board, random: () => 0.99});
+}
+
+test('a route whose costs are unknown is judged by the service that runs it', t => {
+	const admission = createPressed(CostBook.create());
 	admission.decide(status, 'commandes', 0);
 	t.is(admission.decide(status, 'commandes', 200).kind, 'shed');
 	t.is(admission.decide(lookup, 'catalogue', 200).kind, 'admitted');
 });
 
 test('a refused caller is told when to come back, within a second and a half', t => {
-	const board = PressureBoard.create('east');
-	const random = () => 0.99;
-	const admission = Admission.create({
-		costs: createCosts(),
-		board,
-		random,
-	});
-	board.record(
-		{
-			instance: 'one',
-			service: 'commandes',
-			region: 'east',
-			openShare: 0.1,
-			repeatableShare: 1,
-			ageMs: 0,
-		},
-		0,
-	);
+	const admission = createPressed(createCosts());
 	admission.decide(status, 'commandes', 0);
 	const verdict = admission.decide(status, 'commandes', 200);
 	t.true(verdict.kind === 'shed' && verdict.retryAfterMs > 300 && verdict.retryAfterMs < 1800);
