Bound answers without end, and reject answers that can't be relayed

Cause: http-parser-js limits only the head of one answer. Change: 256 KB without data of the expected answer close the connection; chunk sizes are checked; a header that can't be relayed fails its request only.

--- a/src/sidecar/guard/server-connection.test.ts
+++ b/src/sidecar/guard/server-connection.test.ts
@@ -132,3 +132,81 @@
 	});
 	t.is(outcome.kind, 'failed');
 });
+
+test('a chunked body with a garbled chunk size is not complete', async t => {
+	const outcome = await sendToServer(socket => {
+		socket.end(`${head('mine', 'Transfer-Encoding: chunked\r\n')}4\r\nbody\r\n\u0001?\r\n\r\n`);
+	});
+	t.is(outcome.kind, 'failed');
+});
+
+test('an answer with a header that cannot be relayed fails its request only', async t => {
+	const outcome = await sendToServer(socket => {
+		socket.end(`${head('mine', 'Content-Length: 4\r\nBad(Name: 1\r\nNul: \u0000\r\n')}body`);
+	});
+	t.is(outcome.kind, 'failed');
+});
+
+test('a late second copy of an answer is not taken for the answer to the next request', async t => {
+	const copy = `${head('first', 'Content-Length: 5\r\n')}first`;
+	const outcome = await sendToServer(socket => {
+		socket.write(copy);
+		setTimeout(() => {
+			socket.write(`${head('mine', 'Content-Length: 4\r\n')}body`);
+		}, 30);
+	});
+	t.deepEqual(outcome, {kind: 'whole', body: 'body', isKept: false});
+});
+
+/** Writes a text repeatedly until the other side closes; resolves to the number of bytes written. */
+async function writeWithoutEnd(socket: net.Socket, text: string): Promise<number> {
+	const block = text.repeat(Math.ceil(16_384 / text.length));
+	let written = 0;
+	while (!socket.destroyed && written < 64 * 1024 * 1024) {
+		written += block.length;
+		await new Promise<void>(resolve => {
+			socket.write(block, () => {
+				resolve();
+			});
+		});
+	}
+
+	return written;
+}
+
+const endlessAnswers = [
+	{name: 'bytes of a status line', start: '', text: 'HTTP/1.1'},
+	{name: 'header lines', start: 'HTTP/1.1 200 OK\r\nId: mine\r\n', text: 'X: y\r\n'},
+	{name: 'interim answers', start: '', text: 'HTTP/1.1 100 Continue\r\n\r\n'},
+	{
+		name: 'answers to other requests',
+		start: '',
+		text: 'HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 3\r\n\r\nabc',
+	},
+	{
+		name: 'bytes of an answer to another request',
+		start: 'HTTP/1.1 200 OK\r\nId: other\r\n\r\n',
+		text: 'x',
+	},
+	{name: 'digits of a chunk size', start: head('mine', 'Transfer-Encoding: chunked\r\n'), text: '0'},
+	{
+		name: 'trailers',
+		start: `${head('mine', 'Transfer-Encoding: chunked\r\n')}0\r\n`,
+		text: 'X: y\r\n',
+	},
+] as const;
+for (const {name, start, text} of endlessAnswers) {
+	test(`${name} without end close the connection and fail the request`, async t => {
+		let finishWriting: (bytes: number) => void;
+		const isWritten = new Promise<number>(resolve => {
+			finishWriting = resolve;
+		});
+		const outcome = await sendToServer(socket => {
+			socket.write(start);
+			void writeWithoutEnd(socket, text).then(finishWriting!);
+		});
+		t.deepEqual(outcome, {kind: 'failed', body: '', isKept: false});
+		// The limit, and what the buffers of the two sockets hold.
+		t.true((await isWritten) < 16 * 1024 * 1024);
+	});
+}
--- a/src/sidecar/guard/server-connection.ts
+++ b/src/sidecar/guard/server-connection.ts
@@ -8,9 +8,18 @@
 import net from 'node:net';
 import {HTTPParser} from 'http-parser-js';
 import {type HeadCodec, type ServerAnswerHead, type SocketAddress} from '../types.ts';
+import {createAnswerParser} from './answer-parser.ts';
 
 /** A server on the same machine usually accepts within a millisecond. */
 const connectTimeoutMs = 500;
+/**
+ * Bytes that a server may send without any body data of the expected answer: heads, chunk sizes, trailers,
+ * interim answers and answers to other requests. The parser itself only limits the head of one answer.
+ */
+const maxBytesWithoutData = 256 * 1024;
+/** Header names and values that can be relayed; node:http throws when it is given others. */
+const headerNamePattern = /^[\w!#$%&'*+.^`\|~\-]+$/v;
+const headerValuePattern = /^[\t\u{20}-\u{7e}\u{80}-\u{ff}]*$/v;
 
 /** Receives the events of the request on a connection. */
 export type ConnectionListener = {
@@ -47,6 +56,16 @@
 	return false;
 }
 
+/** @throws {Error} when a header can't be relayed */
+function checkHeaders(rawHeaders: readonly string[]): void {
+	for (let index = 0; index < rawHeaders.length; index += 2) {
+		const name = rawHeaders[index]!;
+		if (!headerNamePattern.test(name) || !headerValuePattern.test(rawHeaders[index + 1]!)) {
+			throw new Error(`invalid header ${JSON.stringify(name.slice(0, 40))}`);
+		}
+	}
+}
+
 export class ServerConnection {
 	/**
 	 * Opens a connection. A request may be sent at once; it is buffered until the connection is established.
@@ -68,7 +87,7 @@
 	readonly #socket: net.Socket;
 	readonly #codec: HeadCodec;
 	readonly #owner: ConnectionOwner;
-	readonly #parser = new HTTPParser(HTTPParser.RESPONSE);
+	readonly #parser = createAnswerParser();
 	#pending: PendingRequest | undefined;
 	#isAnswerMatched = false;
 	#isAnswerComplete = false;
@@ -79,6 +98,8 @@
 	/** Whether the current answer has no length header. */
 	#lacksLengthHeader = false;
 	#isPaused = false;
+	/** Bytes received since the request was sent or since the last body data of its answer. */
+	#bytesWithoutData = 0;
 
 	private constructor(address: SocketAddress, codec: HeadCodec, owner: ConnectionOwner) {
 		this.#codec = codec;
@@ -109,6 +130,7 @@
 		this.lastRequestId = request.requestId;
 		this.#isHeadRequest = request.method === 'HEAD';
 		this.#isRequestSent = request.isWhole;
+		this.#bytesWithoutData = 0;
 		if (request.body.length === 0) {
 			this.#socket.write(request.head, 'latin1');
 			return;
@@ -173,6 +195,7 @@
 			this.#handleAnswerHead(info.statusCode, info.headers, info.shouldKeepAlive);
 		parser[HTTPParser.kOnBody] = (chunk, offset, length) => {
 			if (this.#isAnswerMatched) {
+				this.#bytesWithoutData = 0;
 				this.#pending?.listener.handleData(chunk.subarray(offset, offset + length));
 			}
 		};
@@ -209,16 +232,29 @@
 			return;
 		}
 
-		const result = this.#parser.execute(chunk);
-		if (typeof result !== 'number') {
+		this.#bytesWithoutData += chunk.length;
+		const result = this.#execute(chunk);
+		if (result instanceof Error) {
 			this.#mustClose = true;
 		}
 
 		if (this.#isAnswerComplete) {
 			this.#finishExchange();
-		} else if (typeof result !== 'number') {
+		} else if (result instanceof Error) {
 			this.#fail(`the answer can't be read: ${result.message}`);
 			this.#socket.destroy();
+		} else if (this.#bytesWithoutData > maxBytesWithoutData) {
+			this.#fail(`${this.#bytesWithoutData} bytes without data of the answer`);
+			this.#socket.destroy();
+		}
+	}
+
+	/** Runs the parser; errors of its callbacks, which it throws, are returned like its own. */
+	#execute(chunk: ParserChunk): number | Error {
+		try {
+			return this.#parser.execute(chunk);
+		} catch (error) {
+			return error as Error;
 		}
 	}
 
@@ -244,6 +280,7 @@
 			return 0;
 		}
 
+		checkHeaders(headers);
 		const head = this.#codec.decodeAnswer(status, headers);
 		const isMatch =
 			head.requestId === pending.requestId || (head.requestId === undefined && head.isNotRun);
