Serve the metrics page from the bundle, and keep the process through errors of one message

Cause: the dynamic import of prom-client has no named exports in the bundle, and the rejection ended the process on the first request to the metrics page. Errors thrown by handlers of requests, frames and server messages ended the process as well. Change: the default export is used; such an error ends its request or connection with a log line. A process that can't listen names the reason and exits.

--- a/src/bin/primrosevalve-sidecar.ts
+++ b/src/bin/primrosevalve-sidecar.ts
@@ -94,6 +94,17 @@
 	process.exit(0);
 }
 
+/**
+ * Keeps the process running after an error that no handler caught: the request or connection that it belongs
+ * to ends at its own time limit, while an exit would end those of all other callers.
+ */
+function handleUncaughtError(error: unknown): void {
+	const {message, stack} = error instanceof Error ? error : new Error(String(error));
+	logger.error({reason: message, stack}, 'uncaught error');
+}
+
+process.on('uncaughtException', handleUncaughtError);
+process.on('unhandledRejection', handleUncaughtError);
 process.on('SIGHUP', reloadSettings);
 const handleStop = () => {
 	void stopSidecar();
@@ -102,4 +113,8 @@
 process.on('SIGTERM', handleStop);
 process.on('SIGINT', handleStop);
 setInterval(reloadSettings, settingsCheckIntervalMs).unref();
-await sidecar.start();
+try {
+	await sidecar.start();
+} catch (error) {
+	exitWithError(`could not start: ${(error as Error).message}`);
+}
--- a/src/sidecar/control-server.ts
+++ b/src/sidecar/control-server.ts
@@ -57,7 +57,18 @@
 		return;
 	}
 
-	options.handleMessage(message.value);
+	try {
+		options.handleMessage(message.value);
+	} catch (error) {
+		const reason = (error as Error).message;
+		options.logger.error(
+			{reason, kind: message.value.kind},
+			'failed to handle a message of the server',
+		);
+		sendEmptyJson(response, 500);
+		return;
+	}
+
 	sendEmptyJson(response, 200);
 }
 
--- a/src/sidecar/entry/entry-context.ts
+++ b/src/sidecar/entry/entry-context.ts
@@ -8,6 +8,7 @@
 import {type RouteTable} from '../discovery/route-table.ts';
 import {type Guard} from '../guard/guard.ts';
 import {type ReplyMetadata} from '../link/messages.ts';
+import {type Logger} from '../../reporting/logger.ts';
 import {type RequestLog} from '../reporting/request-log.ts';
 import {type HeadCodec, type Member} from '../types.ts';
 
@@ -20,6 +21,7 @@
 	readonly callRatios: CallRatioEstimator;
 	readonly costs: CostTable;
 	readonly log: RequestLog;
+	readonly logger: Logger;
 	/** Routes of the active configuration; undefined until one is known. */
 	readRoutes(): RouteTable | undefined;
 	/** Service of the local server; requests of callers on this instance count as its requests. */
--- a/src/sidecar/entry/entry-server.ts
+++ b/src/sidecar/entry/entry-server.ts
@@ -41,7 +41,13 @@
 			noDelay: true,
 		};
 		this.#server = http.createServer(options, (request, response) => {
-			this.#handleRequest(request, response);
+			try {
+				this.#handleRequest(request, response);
+			} catch (error) {
+				const reason = (error as Error).message;
+				this.ctx.logger.error({reason, path: request.url}, 'failed to handle a request');
+				response.destroy();
+			}
 		});
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
 			if (socket.writable) {
--- a/src/sidecar/guard/answer-parser.ts
+++ b/src/sidecar/guard/answer-parser.ts
@@ -20,7 +20,7 @@
  * const parser = createAnswerParser();
  * const result = parser.execute(chunk); // an Error if the bytes are not an answer
  */
-export function createAnswerParser(): HTTPParser {
+export function createAnswerParser(): InstanceType<typeof HTTPParser> {
 	const parser = new HTTPParser(HTTPParser.RESPONSE);
 	const reader = parser as unknown as ChunkHeadReader;
 	const consumeLine = reader.consumeLine.bind(parser);
--- a/src/sidecar/guard/server-connection.test.ts
+++ b/src/sidecar/guard/server-connection.test.ts
@@ -188,7 +188,11 @@
 		start: 'HTTP/1.1 200 OK\r\nId: other\r\n\r\n',
 		text: 'x',
 	},
-	{name: 'digits of a chunk size', start: head('mine', 'Transfer-Encoding: chunked\r\n'), text: '0'},
+	{
+		name: 'digits of a chunk size',
+		start: head('mine', 'Transfer-Encoding: chunked\r\n'),
+		text: '0',
+	},
 	{
 		name: 'trailers',
 		start: `${head('mine', 'Transfer-Encoding: chunked\r\n')}0\r\n`,
--- a/src/sidecar/guard/server-connection.ts
+++ b/src/sidecar/guard/server-connection.ts
@@ -18,8 +18,8 @@
  */
 const maxBytesWithoutData = 256 * 1024;
 /** Header names and values that can be relayed; node:http throws when it is given others. */
-const headerNamePattern = /^[\w!#$%&'*+.^`\|~\-]+$/v;
-const headerValuePattern = /^[\t\u{20}-\u{7e}\u{80}-\u{ff}]*$/v;
+const headerNamePattern = /^[\w!#$%\&'*+.\^`\|~\-]+$/v;
+const headerValuePattern = /^[\t\u{20}-\u{7E}\u{80}-\u{FF}]*$/v;
 
 /** Receives the events of the request on a connection. */
 export type ConnectionListener = {
--- a/src/sidecar/link/link.ts
+++ b/src/sidecar/link/link.ts
@@ -76,7 +76,7 @@
 		});
 		this.#frames = FrameSocket.create(this.#socket, {
 			handleFrame: frame => {
-				this.#handleFrame(frame);
+				this.#receiveFrame(frame);
 			},
 			handleDrain: () => {
 				if (this.#state.kind === 'exchange') {
@@ -152,6 +152,16 @@
 		this.#frames.close();
 	}
 
+	/** Handles a frame; one that can't be handled ends this link only, like a lost connection. */
+	#receiveFrame(frame: Frame): void {
+		try {
+			this.#handleFrame(frame);
+		} catch (error) {
+			this.owner.handleInvalidFrame(`frame of type ${frame.type}: ${(error as Error).message}`);
+			this.close();
+		}
+	}
+
 	#handleFrame(frame: Frame): void {
 		if (frame.type === frameTypes.hello) {
 			this.#incarnation = frame.head;
--- a/src/sidecar/reporting/metrics-page.ts
+++ b/src/sidecar/reporting/metrics-page.ts
@@ -1,10 +1,12 @@
 /** Serves the Prometheus metrics page. The metrics library is loaded on the first request. */
 import type http from 'node:http';
+import {type Logger} from '../../reporting/logger.ts';
 import {type GuardLoad} from '../link/messages.ts';
 import {latencyBucketsMs, type RequestLog} from './request-log.ts';
 
 export type MetricsSource = {
 	readonly log: RequestLog;
+	readonly logger: Logger;
 	readLoad(): GuardLoad;
 	readConfigVersion(): number;
 	countMembers(): number;
@@ -17,22 +19,32 @@
 	return (request, response) => {
 		request.resume();
 		renderer ??= createRenderer(source);
-		void sendPage(renderer, response);
+		void sendPage(source.logger, renderer, response);
 	};
 }
 
 async function sendPage(
+	logger: Logger,
 	renderer: Promise<() => Promise<string>>,
 	response: http.ServerResponse,
 ): Promise<void> {
-	const render = await renderer;
-	const text = await render();
-	response.writeHead(200, {'Content-Type': 'text/plain; version=0.0.4'});
-	response.end(text);
+	try {
+		const render = await renderer;
+		const text = await render();
+		response.writeHead(200, {'Content-Type': 'text/plain; version=0.0.4'});
+		response.end(text);
+	} catch (error) {
+		logger.error({reason: (error as Error).message}, 'failed to render the metrics page');
+		response.writeHead(500, {'Content-Length': 0});
+		response.end();
+	}
 }
 
 async function createRenderer(source: MetricsSource): Promise<() => Promise<string>> {
-	const {Gauge, Registry} = await import('prom-client');
+	// A bundle gives a CommonJS package as the default export only.
+	const {
+		default: {Gauge, Registry},
+	} = await import('prom-client');
 	const registry = new Registry();
 	const registers = [registry];
 	const gauges: Array<[string, string, () => number]> = [
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -245,6 +245,7 @@
 			callRatios,
 			costs,
 			log: this.#requestLog,
+			logger: this.logger,
 			readRoutes: () => this.#activeConfig.routes,
 			readCallerService: () => this.#localServer.service ?? this.settings.service,
 			isStopping: () => this.#stopSequence.isStopping,
@@ -291,6 +292,7 @@
 	#createMetricsHandler() {
 		return createMetricsHandler({
 			log: this.#requestLog,
+			logger: this.logger,
 			readLoad: () => this.#localServer.guard.readLoad(),
 			readConfigVersion: () => this.#activeConfig.version,
 			countMembers: () => this.#directory.size,
