--- a/src/sidecar/guard/server-connection.ts
+++ b/src/sidecar/guard/server-connection.ts
@@ -8,6 +8,7 @@
 import net from 'node:net';
 import {HTTPParser} from 'http-parser-js';
 import {type HeadCodec, type ServerAnswerHead, type SocketAddress} from '../types.ts';
+import {checkHeaders, hasLengthHeader} from './answer-headers.ts';
 import {createAnswerParser} from './answer-parser.ts';
 
 /** A server on the same machine usually accepts within a millisecond. */
@@ -17,9 +18,6 @@
  * interim answers and answers to other requests. The parser itself only limits the head of one answer.
  */
 const maxBytesWithoutData = 256 * 1024;
-/** Header names and values that can be relayed; node:http throws when it is given others. */
-const headerNamePattern = /^[\w!#$%\&'*+.\^`\|~\-]+$/v;
-const headerValuePattern = /^[\t\u{20}-\u{7E}\u{80}-\u{FF}]*$/v;
 
 /** Receives the events of the request on a connection. */
 export type ConnectionListener = {
@@ -43,28 +41,6 @@
 
 /** Shared by all connections: each read is copied out of it immediately. */
 const readBuffer = Buffer.allocUnsafe(64 * 1024);
-const lengthHeaders = new Set(['content-length', 'transfer-encoding']);
-
-/** Whether the headers determine where the body ends. */
-function hasLengthHeader(rawHeaders: readonly string[]): boolean {
-	for (let index = 0; index < rawHeaders.length; index += 2) {
-		if (lengthHeaders.has(rawHeaders[index]!.toLowerCase())) {
-			return true;
-		}
-	}
-
-	return false;
-}
-
-/** @throws {Error} when a header can't be relayed */
-function checkHeaders(rawHeaders: readonly string[]): void {
-	for (let index = 0; index < rawHeaders.length; index += 2) {
-		const name = rawHeaders[index]!;
-		if (!headerNamePattern.test(name) || !headerValuePattern.test(rawHeaders[index + 1]!)) {
-			throw new Error(`invalid header ${JSON.stringify(name.slice(0, 40))}`);
-		}
-	}
-}
 
 export class ServerConnection {
 	/**
