Watch the store from two sidecars of each data centre and relay its changes

Change: the members of a data centre are ranked by a hash of their names; the first two that are ready and not silent watch the store and push its changes and, each second, the versions they confirm to the others. A sidecar without a relay for 3.4 s reads the store itself; a gap costs one call.

--- a/src/sidecar/discovery/member-handler.ts
+++ b/src/sidecar/discovery/member-handler.ts
@@ -10,13 +10,15 @@
 	readonly logger: Logger;
 	/** Handles an announcement of this instance, as known to the store or a peer. */
 	handleOwnMember(member: Member): void;
+	/** Called with an announcement of another instance that is newer than the known one. */
+	handleUpdated(member: Member): void;
 };
 
 /**
  * Creates the handler of announcements.
  *
  * @example
- * const handleMember = createMemberHandler({instance, directory, logger, handleOwnMember});
+ * const handleMember = createMemberHandler(options);
  * handleMember(member);
  */
 export function createMemberHandler(options: MemberHandlerOptions): (member: Member) => void {
@@ -29,6 +31,7 @@
 		}
 
 		if (directory.apply(member)) {
+			options.handleUpdated(member);
 			const {instance, service, state, serverId, epoch} = member;
 			logger.info({instance, service, state, serverId, epoch}, 'member updated');
 		}
--- a/src/sidecar/discovery/peer-sync.ts
+++ b/src/sidecar/discovery/peer-sync.ts
@@ -23,6 +23,8 @@
 /** A peer in the other region responds within 100 ms; a lost packet adds about 200 ms. */
 const responseTimeoutMs = 700;
 
+/** A newer configuration than this sidecar's is fetched from a peer after this time; mostly a watcher relays it sooner. */
+const fetchDelayMs = 150;
 /** A peer that still lacks a version after this time is sent it; most get it from the store sooner. */
 const pushDelayMs = 400;
 
@@ -65,6 +67,7 @@
 	/** Peers that announced directly that they accept no requests, and when polling them ends. */
 	readonly #departedPeers = new Map<string, number>();
 	#timer: NodeJS.Timeout | undefined;
+	#fetchTimer: NodeJS.Timeout | undefined;
 
 	private constructor(private readonly options: PeerSyncOptions) {}
 
@@ -81,6 +84,7 @@
 
 	stop(): void {
 		clearInterval(this.#timer);
+		clearTimeout(this.#fetchTimer);
 	}
 
 	/**
@@ -121,7 +125,7 @@
 		}
 
 		if (version > ownVersion) {
-			void this.#sendRequest(view, {wantsMembers: false, state: this.#createOwnState()});
+			this.#fetchLater(view, version);
 		} else {
 			this.#pushIfStillOutdated(view);
 		}
@@ -146,6 +150,21 @@
 		}
 	}
 
+	/** Fetches a newer configuration from a peer unless it arrives otherwise in the meantime. */
+	#fetchLater(view: MemberView, version: number): void {
+		if (this.#fetchTimer !== undefined) {
+			return;
+		}
+
+		this.#fetchTimer = setTimeout(() => {
+			this.#fetchTimer = undefined;
+			if (this.#readVersion() < version) {
+				void this.#sendRequest(view, {wantsMembers: false, state: this.#createOwnState()});
+			}
+		}, fetchDelayMs);
+		this.#fetchTimer.unref();
+	}
+
 	#pushIfStillOutdated(view: MemberView): void {
 		const nowMs = performance.now();
 		const {instance} = view.member;
--- /dev/null
+++ b/src/sidecar/discovery/relay-message.ts
@@ -0,0 +1,75 @@
+/** Messages in which a watcher passes on what it read from the store, as JSON. */
+import {type Row, type TableName} from '../shared-table.ts';
+
+/** The rows of one table that changed after a version, up to another version. */
+export type TableChanges = {
+	readonly table: TableName;
+	readonly after: number;
+	readonly version: number;
+	/** Empty when nothing changed; the message then confirms the version. */
+	readonly rows: readonly Row[];
+};
+
+export type RelayMessage = {
+	/** Instance of the watcher. */
+	readonly relayFrom: string;
+	readonly changes: readonly TableChanges[];
+};
+
+const tableNames = new Set<unknown>(['operator', 'members'] satisfies TableName[]);
+
+export function encodeRelay(message: RelayMessage): string {
+	return JSON.stringify(message);
+}
+
+/** Whether a message between peers is a relay; `decodeRelay` checks the rest of it. */
+export function isRelay(text: string): boolean {
+	return text.startsWith('{"relayFrom":');
+}
+
+/**
+ * Decodes a relay.
+ *
+ * @throws {TypeError} when the text is not a valid relay; it must then change nothing
+ */
+export function decodeRelay(text: string): RelayMessage {
+	const value = JSON.parse(text) as Partial<Record<keyof RelayMessage, unknown>>;
+	const {relayFrom, changes} = value;
+	if (
+		typeof relayFrom !== 'string' ||
+		!Array.isArray(changes) ||
+		!changes.every(each => isTableChanges(each))
+	) {
+		throw new TypeError(`invalid relay of ${text.length} characters`);
+	}
+
+	return {relayFrom, changes};
+}
+
+function isTableChanges(value: unknown): value is TableChanges {
+	if (typeof value !== 'object' || value === null) {
+		return false;
+	}
+
+	const {table, after, version, rows} = value as Partial<Record<keyof TableChanges, unknown>>;
+	return (
+		tableNames.has(table) &&
+		typeof after === 'number' &&
+		typeof version === 'number' &&
+		Array.isArray(rows) &&
+		rows.every(each => isRow(each))
+	);
+}
+
+function isRow(value: unknown): value is Row {
+	if (typeof value !== 'object' || value === null) {
+		return false;
+	}
+
+	const {key, value: text, version} = value as Partial<Record<keyof Row, unknown>>;
+	return (
+		typeof key === 'string' &&
+		(text === undefined || typeof text === 'string') &&
+		typeof version === 'number'
+	);
+}
--- /dev/null
+++ b/src/sidecar/discovery/store-sync.ts
@@ -0,0 +1,97 @@
+/** Keeps this sidecar up to date with the store: by its own calls while it is a watcher, else by relays. */
+import {type Logger} from '../../reporting/logger.ts';
+import {type Row, type SharedTable} from '../shared-table.ts';
+import {type Member} from '../types.ts';
+import {type Directory} from './directory.ts';
+import {StoreRelay} from './store-relay.ts';
+import {StoreWatcher} from './store-watcher.ts';
+import {WatcherGroup} from './watcher-group.ts';
+
+export type StoreSyncOptions = {
+	readonly instance: string;
+	readonly dataCentre: string;
+	readonly table: SharedTable;
+	readonly configKey: string;
+	readonly directory: Directory;
+	readonly logger: Logger;
+	handleConfig(source: string): void;
+	handleOwnRow(row: Row | undefined): void;
+	handleMember(member: Member): void;
+};
+
+export class StoreSync {
+	/**
+	 * @example
+	 * const storeSync = StoreSync.create(options);
+	 * storeSync.start();
+	 */
+	static create(options: StoreSyncOptions): StoreSync {
+		return new StoreSync(options);
+	}
+
+	readonly #group: WatcherGroup;
+	readonly #watcher: StoreWatcher;
+	readonly #relay: StoreRelay;
+
+	private constructor(private readonly options: StoreSyncOptions) {
+		this.#group = WatcherGroup.create(options);
+		this.#watcher = this.#createWatcher();
+		this.#relay = StoreRelay.create({
+			...options,
+			group: this.#group,
+			listConfirmed: nowMs => this.#watcher.listConfirmed(nowMs),
+			handleRelayed: changes => {
+				this.#watcher.handleRelayed(changes);
+			},
+		});
+	}
+
+	/** Whether the last call to the store failed; false while a watcher relays its changes. */
+	get isUnavailable(): boolean {
+		return this.#watcher.isUnavailable;
+	}
+
+	/** Whether this sidecar watches the store for its data centre. */
+	get isWatcher(): boolean {
+		return this.#group.isWatcher(performance.now());
+	}
+
+	start(): void {
+		this.#watcher.start();
+		this.#relay.start();
+	}
+
+	stop(): void {
+		this.#watcher.stop();
+		this.#relay.stop();
+	}
+
+	/** Records a new announcement: it may change which sidecars watch the store. */
+	recordMember(member: Member): void {
+		this.#group.recordMember(member, performance.now());
+	}
+
+	/**
+	 * Applies a relay of a watcher and answers it.
+	 *
+	 * @throws {TypeError} when the text is not a valid relay
+	 */
+	answerRelay(text: string): string {
+		return this.#relay.answerRelay(text);
+	}
+
+	#createWatcher(): StoreWatcher {
+		const {directory} = this.options;
+		return StoreWatcher.create({
+			...this.options,
+			handleRemoved: instance => {
+				directory.remove(instance);
+				this.#group.removeMember(instance);
+			},
+			isFollowing: () => this.#group.isFollowing(performance.now()),
+			handleRead: changes => {
+				this.#relay.relayChanges(changes);
+			},
+		});
+	}
+}
--- a/src/sidecar/discovery/store-watcher.ts
+++ b/src/sidecar/discovery/store-watcher.ts
@@ -3,6 +3,7 @@
 import {type Row, type SharedTable} from '../shared-table.ts';
 import {type Member} from '../types.ts';
 import {decodeMember} from './member-codec.ts';
+import {type TableChanges} from './relay-message.ts';
 import {TableWatcher} from './table-watcher.ts';
 
 /**
@@ -25,6 +26,10 @@
 	handleOwnRow(row: Row | undefined): void;
 	handleMember(member: Member): void;
 	handleRemoved(instance: string): void;
+	/** Whether a watcher relays the changes, so that this sidecar makes no calls. */
+	isFollowing(): boolean;
+	/** Called with the changes that a call returned. */
+	handleRead(changes: TableChanges): void;
 };
 
 export class StoreWatcher {
@@ -50,6 +55,28 @@
 		return this.#config.isUnavailable || this.#members.isUnavailable;
 	}
 
+	/** The confirmed state of both tables; empty unless the store answers for both. */
+	listConfirmed(nowMs: number): readonly TableChanges[] {
+		const config = this.#config.readConfirmed(nowMs);
+		const members = this.#members.readConfirmed(nowMs);
+		return config === undefined || members === undefined ? [] : [config, members];
+	}
+
+	/** Applies changes that a watcher relayed. */
+	handleRelayed(changes: TableChanges): void {
+		switch (changes.table) {
+			case 'operator': {
+				this.#config.handleRelayed(changes);
+				break;
+			}
+
+			case 'members': {
+				this.#members.handleRelayed(changes);
+				break;
+			}
+		}
+	}
+
 	start(): void {
 		this.#config.start();
 		this.#members.start();
@@ -78,6 +105,7 @@
 			pollDelayMs: configPollDelayMs,
 			handleAll: handle,
 			handleChanges: handle,
+			...this.#createRelayOptions(),
 		});
 	}
 
@@ -102,9 +130,19 @@
 
 				this.#handleRows(rows);
 			},
+			...this.#createRelayOptions(),
 		});
 	}
 
+	#createRelayOptions() {
+		return {
+			isFollowing: () => this.options.isFollowing(),
+			handleRead: (changes: TableChanges) => {
+				this.options.handleRead(changes);
+			},
+		};
+	}
+
 	#handleRows(rows: readonly Row[]): void {
 		for (const {key, value} of rows) {
 			if (value === undefined) {
--- a/src/sidecar/discovery/table-watcher.ts
+++ b/src/sidecar/discovery/table-watcher.ts
@@ -1,4 +1,7 @@
-/** Watches one table of the store: reads it once, then waits for its changes until stopped. */
+/**
+ * Watches one table of the store: reads it once, then waits for its changes until stopped. While another
+ * sidecar relays the changes, it makes no calls.
+ */
 import {setTimeout as wait} from 'node:timers/promises';
 import {type Logger} from '../../reporting/logger.ts';
 import {
@@ -9,10 +12,16 @@
 	type TableName,
 } from '../shared-table.ts';
 import {Backoff} from './backoff.ts';
+import {type TableChanges} from './relay-message.ts';
 
 /** With this maximum, a recovered store is noticed within about a second. */
 const backoffBounds = {firstMs: 100, maxMs: 1000} as const;
 
+/** How often a sidecar that follows relays checks whether it has to make calls again. */
+const followCheckMs = 400;
+/** A watch is overdue this long after the end of its wait; the store usually answers within milliseconds. */
+const overdueMs = 1500;
+
 export type TableWatcherOptions = {
 	readonly table: SharedTable;
 	readonly name: TableName;
@@ -24,6 +33,10 @@
 	/** Called with all rows of the table as of one version. */
 	handleAll(rows: readonly Row[]): void;
 	handleChanges(rows: readonly Row[]): void;
+	/** Whether another sidecar relays the changes, so that no call is needed. */
+	isFollowing(): boolean;
+	/** Called with what each call for changes returned, to relay it. */
+	handleRead(changes: TableChanges): void;
 };
 
 export class TableWatcher {
@@ -40,6 +53,11 @@
 	#version: number | undefined;
 	readonly #backoff = Backoff.create(backoffBounds, () => Math.random());
 	#isStopped = false;
+	/** Whether changes between the known version and that of a relay are missing. */
+	#hasGap = false;
+	/** No row has changed between this version and the known one. */
+	#changedVersion = 0;
+	#succeededAtMs = Number.NEGATIVE_INFINITY;
 
 	private constructor(private readonly options: TableWatcherOptions) {}
 
@@ -48,6 +66,41 @@
 		return this.#isUnavailable;
 	}
 
+	/**
+	 * Returns the versions between which no row has changed, as confirmed by recent calls; undefined when a call
+	 * is overdue.
+	 */
+	readConfirmed(nowMs: number): TableChanges | undefined {
+		const {name: table, waitMs, pollDelayMs} = this.options;
+		const version = this.#version;
+		const limitMs = waitMs + pollDelayMs + overdueMs;
+		if (version === undefined || this.#isUnavailable || nowMs - this.#succeededAtMs > limitMs) {
+			return undefined;
+		}
+
+		return {table, after: this.#changedVersion, version, rows: []};
+	}
+
+	/** Applies changes that a watcher relayed; after a gap, the next call reads those that are missing. */
+	handleRelayed({after, version, rows}: TableChanges): void {
+		const known = this.#version;
+		if (known === undefined || version <= known) {
+			return;
+		}
+
+		if (after > known) {
+			this.#hasGap = true;
+			return;
+		}
+
+		this.#version = version;
+		const newRows = rows.filter(row => row.version === 0 || row.version > known);
+		if (newRows.length > 0) {
+			this.#changedVersion = version;
+			this.options.handleChanges(newRows);
+		}
+	}
+
 	start(): void {
 		void this.#run();
 	}
@@ -58,6 +111,12 @@
 
 	async #run(): Promise<void> {
 		while (!this.#isStopped) {
+			if (this.#version !== undefined && !this.#hasGap && this.options.isFollowing()) {
+				this.#isUnavailable = false;
+				await wait(followCheckMs);
+				continue;
+			}
+
 			const failure =
 				this.#version === undefined ? await this.#readAll() : await this.#readChanges();
 			if (failure === undefined) {
@@ -83,26 +142,33 @@
 		}
 
 		this.#version = result.value.version;
+		this.#changedVersion = Math.max(0, ...result.value.rows.map(row => row.version));
 		this.options.handleAll(result.value.rows);
 		return undefined;
 	}
 
 	async #readChanges(): Promise<StoreFailure | undefined> {
 		const {table, name} = this.options;
-		const result = await table.readChanges(name, this.#version!, this.options.waitMs);
+		const after = this.#version!;
+		const result = await table.readChanges(name, after, this.#hasGap ? 0 : this.options.waitMs);
 		if (result.isErr()) {
 			return result.error;
 		}
 
-		this.#version = Math.max(this.#version!, result.value.version);
-		if (result.value.rows.length > 0) {
-			this.options.handleChanges(result.value.rows);
+		const {rows, version} = result.value;
+		this.#hasGap = false;
+		this.#version = Math.max(this.#version!, version);
+		if (rows.length > 0) {
+			this.#changedVersion = this.#version;
+			this.options.handleChanges(rows);
+			this.options.handleRead({table: name, after, version, rows});
 		}
 
 		return undefined;
 	}
 
 	#handleSuccess(): void {
+		this.#succeededAtMs = performance.now();
 		this.#backoff.reset();
 		if (this.#isUnavailable) {
 			this.#isUnavailable = false;
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -1,7 +1,6 @@
 /** Wires together one sidecar: the entry, the guard and the control endpoint of one backend server. */
 import {randomBytes} from 'node:crypto';
 import type http from 'node:http';
-import {type Result} from 'neverthrow';
 import {type Logger} from '../reporting/logger.ts';
 import {createControlHandler, createReadyHandler, startHttpServer} from './control-server.ts';
 import {type EntryContext} from './entry/entry-context.ts';
@@ -13,34 +12,19 @@
 import {ViewFactory} from './discovery/member-view-factory.ts';
 import {type MemberView} from './discovery/member-view.ts';
 import {PeerSync} from './discovery/peer-sync.ts';
-import {StoreWatcher} from './discovery/store-watcher.ts';
+import {isRelay} from './discovery/relay-message.ts';
+import {StoreSync} from './discovery/store-sync.ts';
 import {LinkServer} from './link/link-server.ts';
 import {type ReplyMetadata} from './link/messages.ts';
 import {MetadataExchange} from './metadata-exchange.ts';
 import {AdmissionController} from './overload/admission-controller.ts';
 import {RetryBudget} from './overload/retry-budget.ts';
-import {type SharedTable} from './shared-table.ts';
+import {type SidecarPlatform} from './sidecar-platform.ts';
 import {createMetricsHandler} from './reporting/metrics-page.ts';
 import {RequestLog} from './reporting/request-log.ts';
 import {LocalServerManager} from './local-server-manager.ts';
 import {StopSequence} from './stop-sequence.ts';
-import {
-	type HeadCodec,
-	type Member,
-	type MeshConfig,
-	type ServerMessage,
-	type SidecarSettings,
-} from './types.ts';
-
-/** Codecs and storage that the platform's adapter provides. */
-export type SidecarPlatform = {
-	readonly codec: HeadCodec;
-	readonly table: SharedTable;
-	/** Key of the row that holds the newest configuration. */
-	readonly configKey: string;
-	decodeConfig(source: string): Result<MeshConfig, Error>;
-	decodeServerMessage(url: string, body: string): Result<ServerMessage, Error>;
-};
+import {type Member, type SidecarSettings} from './types.ts';
 
 export class Sidecar {
 	/**
@@ -61,7 +45,7 @@
 	readonly #entry: EntryServer;
 	readonly #linkServer: LinkServer;
 	readonly #requestLog: RequestLog;
-	readonly #storeWatcher: StoreWatcher;
+	readonly #storeSync: StoreSync;
 	readonly #stopSequence: StopSequence;
 	readonly #handleMember: (member: Member) => void;
 	readonly #closeLinks: () => void;
@@ -89,8 +73,11 @@
 			handleOwnMember: member => {
 				this.#localServer.handleOwnMember(member);
 			},
+			handleUpdated: member => {
+				this.#storeSync.recordMember(member);
+			},
 		});
-		this.#storeWatcher = this.#createStoreWatcher();
+		this.#storeSync = this.#createStoreSync();
 		this.#peerSync = this.#createPeerSync();
 		this.#entry = EntryServer.create(this.#createEntryContext());
 		this.#linkServer = this.#createLinkServer();
@@ -106,7 +93,7 @@
 	async start(): Promise<void> {
 		const {callerAddress, linkAddress, readyAddress, controlAddress, metricsAddress} =
 			this.settings;
-		this.#storeWatcher.start();
+		this.#storeSync.start();
 		await Promise.all([this.#linkServer.listen(linkAddress), this.#entry.listen(callerAddress)]);
 		this.#servers = await Promise.all([
 			startHttpServer(controlAddress, this.#createControlHandler()),
@@ -134,7 +121,7 @@
 
 	/** Closes all listeners and connections at once and cuts off active requests. */
 	close(): void {
-		this.#storeWatcher.stop();
+		this.#storeSync.stop();
 		this.#peerSync.stop();
 		this.platform.table.close();
 		this.#linkServer.close();
@@ -192,12 +179,15 @@
 		});
 	}
 
-	#createStoreWatcher(): StoreWatcher {
+	#createStoreSync(): StoreSync {
+		const {instance, dataCentre} = this.settings;
 		const {table, configKey} = this.platform;
-		return StoreWatcher.create({
+		return StoreSync.create({
+			instance,
+			dataCentre,
 			table,
 			configKey,
-			instance: this.settings.instance,
+			directory: this.#directory,
 			logger: this.logger,
 			handleConfig: source => {
 				this.#activeConfig.apply(source, 'store');
@@ -206,9 +196,6 @@
 				this.#localServer.handleOwnRow(row);
 			},
 			handleMember: this.#handleMember,
-			handleRemoved: instance => {
-				this.#directory.remove(instance);
-			},
 		});
 	}
 
@@ -218,7 +205,7 @@
 			logger: this.logger,
 			readConfig: () => this.#activeConfig.routes?.config,
 			isStoreUnavailable: () =>
-				this.#storeWatcher.isUnavailable || this.#localServer.isAnnouncementFailing,
+				this.#storeSync.isUnavailable || this.#localServer.isAnnouncementFailing,
 			readOwnMember: () => this.#localServer.member,
 			handleConfig: (source, from) => {
 				this.#activeConfig.apply(source, from);
@@ -266,7 +253,8 @@
 			guard: this.#localServer.guard,
 			incarnation: this.#incarnation,
 			createMetadata: (route, callerService) => this.#metadata.createMetadata(route, callerService),
-			answerSync: request => this.#peerSync.answerRequest(request),
+			answerSync: text =>
+				isRelay(text) ? this.#storeSync.answerRelay(text) : this.#peerSync.answerRequest(text),
 			handleInvalidFrame: reason => {
 				this.logger.warn({reason}, 'failed to decode a frame from a peer');
 			},
