Start the sidecar from a CommonJS bundle with a code cache

Change: the build writes one CommonJS bundle, a code cache of all of its functions, made under the flags of the run line, and a loader that falls back to compiling. Standby watchers of the store read members each 3.5 s, and a sidecar makes its first watch 1.2 s after its first read, when relays mostly have begun.

--- a/scripts/build-sidecar.ts
+++ b/scripts/build-sidecar.ts
@@ -1,8 +1,7 @@
-/** Bundles the sidecar into target/, from where the platform starts it. */
+/** Bundles the sidecar into target/, from where the platform starts it, with a code cache for fast starts. */
 import path from 'node:path';
 import process from 'node:process';
-import {projectRoot, writeBundles} from './bundle.ts';
+import {projectRoot, writeSidecar} from './bundle.ts';
 
-const entryFile = path.join(projectRoot, 'src', 'bin', 'primrosevalve-sidecar.ts');
-await writeBundles([entryFile], path.join(projectRoot, 'target'), {outExtension: {'.js': '.mjs'}});
+writeSidecar(path.join(projectRoot, 'target'));
 process.stdout.write('built target\n');
--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -1,6 +1,10 @@
 /** Bundles entry files with the options shared by all binaries. Bundles start faster and need less memory. */
+import {execFileSync} from 'node:child_process';
+import {mkdtempSync, rmSync} from 'node:fs';
 import path from 'node:path';
-import {build, type BuildOptions} from 'esbuild';
+import process from 'node:process';
+import {build, buildSync, type BuildOptions} from 'esbuild';
+import {bundleName, nodeFlags} from './code-cache.ts';
 
 export const projectRoot = path.resolve(import.meta.dirname, '..');
 
@@ -8,6 +12,19 @@
 const requireBanner =
 	"import {createRequire as __createRequire} from 'node:module';const require=__createRequire(import.meta.url);";
 
+const sharedOptions = {
+	platform: 'node',
+	target: 'node20',
+	minifySyntax: true,
+	minifyWhitespace: true,
+	// Drops imports that are only used as types, so that the daemon doesn't load the policy schema.
+	tsconfigRaw: {compilerOptions: {verbatimModuleSyntax: false, target: 'es2024'}},
+	legalComments: 'none',
+	sourcemap: false,
+	external: ['dtrace-provider', 'mv', 'source-map-support'],
+	logLevel: 'warning',
+} as const satisfies BuildOptions;
+
 /**
  * Bundles entry files into a folder.
  *
@@ -25,18 +42,40 @@
 		outdir,
 		bundle: true,
 		splitting: true,
-		platform: 'node',
 		format: 'esm',
-		target: 'node20',
-		minifySyntax: true,
-		minifyWhitespace: true,
-		// Drops imports that are only used as types, so that the daemon doesn't load the policy schema.
-		tsconfigRaw: {compilerOptions: {verbatimModuleSyntax: false, target: 'es2024'}},
-		legalComments: 'none',
-		sourcemap: false,
 		banner: {js: requireBanner},
-		external: ['dtrace-provider', 'mv', 'source-map-support'],
-		logLevel: 'warning',
+		...sharedOptions,
+		...overrides,
+	});
+}
+
+/**
+ * Writes the sidecar's program into a folder: a loader, the bundle and its code cache. CommonJS starts faster
+ * than ES modules, and only a script can have a code cache.
+ *
+ * @example
+ * writeSidecar('target');
+ */
+export function writeSidecar(folder: string): void {
+	buildScript('src/bin/primrosevalve-sidecar.ts', path.join(folder, bundleName), {
+		banner: {js: '(function (require) {'},
+		footer: {js: '})'},
+	});
+	buildScript('scripts/sidecar-loader.ts', path.join(folder, 'primrosevalve-sidecar.cjs'));
+	const tools = mkdtempSync(path.join(folder, 'tools-'));
+	const cacheWriter = path.join(tools, 'write-code-cache.cjs');
+	buildScript('scripts/write-code-cache.ts', cacheWriter);
+	execFileSync(process.execPath, [...nodeFlags, cacheWriter, folder]);
+	rmSync(tools, {recursive: true});
+}
+
+function buildScript(source: string, outfile: string, overrides: BuildOptions = {}): void {
+	buildSync({
+		entryPoints: [path.join(projectRoot, source)],
+		outfile,
+		bundle: true,
+		format: 'cjs',
+		...sharedOptions,
 		...overrides,
 	});
 }
--- a/src/bin/primrosevalve-sidecar.ts
+++ b/src/bin/primrosevalve-sidecar.ts
@@ -103,18 +103,26 @@
 	logger.error({reason: message, stack}, 'uncaught error');
 }
 
-process.on('uncaughtException', handleUncaughtError);
-process.on('unhandledRejection', handleUncaughtError);
-process.on('SIGHUP', reloadSettings);
-const handleStop = () => {
+function handleStop(): void {
 	void stopSidecar();
-};
-
-process.on('SIGTERM', handleStop);
-process.on('SIGINT', handleStop);
-setInterval(reloadSettings, settingsCheckIntervalMs).unref();
-try {
-	await sidecar.start();
-} catch (error) {
-	exitWithError(`could not start: ${(error as Error).message}`);
 }
+
+async function startSidecar(): Promise<void> {
+	try {
+		await sidecar.start();
+	} catch (error) {
+		exitWithError(`could not start: ${(error as Error).message}`);
+	}
+}
+
+function main(): void {
+	process.on('uncaughtException', handleUncaughtError);
+	process.on('unhandledRejection', handleUncaughtError);
+	process.on('SIGHUP', reloadSettings);
+	process.on('SIGTERM', handleStop);
+	process.on('SIGINT', handleStop);
+	setInterval(reloadSettings, settingsCheckIntervalMs).unref();
+	void startSidecar();
+}
+
+main();
--- a/src/sidecar/discovery/store-sync.ts
+++ b/src/sidecar/discovery/store-sync.ts
@@ -89,6 +89,7 @@
 				this.#group.removeMember(instance);
 			},
 			isFollowing: () => this.#group.isFollowing(performance.now()),
+			isFirstWatcher: () => this.#group.isFirstWatcher(performance.now()),
 			handleRead: changes => {
 				this.#relay.relayChanges(changes);
 			},
--- a/src/sidecar/discovery/store-watcher.ts
+++ b/src/sidecar/discovery/store-watcher.ts
@@ -14,8 +14,11 @@
 /** Longer, since members change more often and a refusal corrects an outdated view at once. */
 const memberWaitMs = 15_000;
 const configPollDelayMs = 20;
-/** Changes of members come in bursts; one call fetches all changes of this period. */
-const memberPollDelayMs = 700;
+/**
+ * Changes of members come in bursts; one call fetches all changes of this period. The watchers that stand by
+ * may be late, since an entry with an outdated view is corrected by the guard's refusal.
+ */
+const memberPollDelayMs = {first: 900, standby: 3500} as const;
 
 export type StoreWatcherOptions = {
 	readonly table: SharedTable;
@@ -28,6 +31,8 @@
 	handleRemoved(instance: string): void;
 	/** Whether a watcher relays the changes, so that this sidecar makes no calls. */
 	isFollowing(): boolean;
+	/** Whether this sidecar is the first watcher of its data centre. */
+	isFirstWatcher(): boolean;
 	/** Called with the changes that a call returned. */
 	handleRead(changes: TableChanges): void;
 };
@@ -102,7 +107,7 @@
 			logger,
 			name: 'operator',
 			waitMs: Math.round(configWaitMs.min + Math.random() * configWaitMs.span),
-			pollDelayMs: configPollDelayMs,
+			computePollDelayMs: () => configPollDelayMs,
 			handleAll: handle,
 			handleChanges: handle,
 			...this.#createRelayOptions(),
@@ -116,7 +121,8 @@
 			logger,
 			name: 'members',
 			waitMs: memberWaitMs,
-			pollDelayMs: memberPollDelayMs,
+			computePollDelayMs: () =>
+				this.options.isFirstWatcher() ? memberPollDelayMs.first : memberPollDelayMs.standby,
 			handleAll: rows => {
 				this.options.handleOwnRow(rows.find(row => row.key === instance));
 				this.#handleRows(rows);
--- a/src/sidecar/discovery/table-watcher.ts
+++ b/src/sidecar/discovery/table-watcher.ts
@@ -17,6 +17,8 @@
 /** With this maximum, a recovered store is noticed within about a second. */
 const backoffBounds = {firstMs: 100, maxMs: 1000} as const;
 
+/** Delay after the first read: by then other sidecars relay the changes, or a new fleet has announced itself. */
+const firstDelayMs = 1200;
 /** How often a sidecar that follows relays checks whether it has to make calls again. */
 const followCheckMs = 400;
 /** A watch is overdue this long after the end of its wait; the store usually answers within milliseconds. */
@@ -27,12 +29,12 @@
 	readonly name: TableName;
 	/** Longest wait of one call for changes. */
 	readonly waitMs: number;
-	/** Delay between calls, so that changes close together need one call. */
-	readonly pollDelayMs: number;
 	readonly logger: Logger;
 	/** Called with all rows of the table as of one version. */
 	handleAll(rows: readonly Row[]): void;
 	handleChanges(rows: readonly Row[]): void;
+	/** Returns the delay between calls, so that changes close together need one call. */
+	computePollDelayMs(): number;
 	/** Whether another sidecar relays the changes, so that no call is needed. */
 	isFollowing(): boolean;
 	/** Called with what each call for changes returned, to relay it. */
@@ -71,9 +73,9 @@
 	 * is overdue.
 	 */
 	readConfirmed(nowMs: number): TableChanges | undefined {
-		const {name: table, waitMs, pollDelayMs} = this.options;
+		const {name: table, waitMs} = this.options;
 		const version = this.#version;
-		const limitMs = waitMs + pollDelayMs + overdueMs;
+		const limitMs = waitMs + this.options.computePollDelayMs() + overdueMs;
 		if (version === undefined || this.#isUnavailable || nowMs - this.#succeededAtMs > limitMs) {
 			return undefined;
 		}
@@ -117,11 +119,11 @@
 				continue;
 			}
 
-			const failure =
-				this.#version === undefined ? await this.#readAll() : await this.#readChanges();
+			const isFirst = this.#version === undefined;
+			const failure = isFirst ? await this.#readAll() : await this.#readChanges();
 			if (failure === undefined) {
 				this.#handleSuccess();
-				await wait(this.options.pollDelayMs);
+				await wait(isFirst ? firstDelayMs : this.options.computePollDelayMs());
 			} else if (failure.kind === 'compacted') {
 				this.#version = undefined;
 				this.options.logger.warn(
--- a/src/sidecar/discovery/watcher-group.ts
+++ b/src/sidecar/discovery/watcher-group.ts
@@ -73,32 +73,50 @@
 
 	/** Whether this sidecar watches the store for its data centre. */
 	isWatcher(nowMs: number): boolean {
-		const heardAtMs: number[] = [];
-		for (const candidate of this.#candidates.values()) {
-			if (candidate.isReady && candidate.rank < this.#ownRank) {
-				heardAtMs.push(candidate.heardAtMs);
-			}
-		}
-
-		const surplus = heardAtMs.length - watchersPerDataCentre;
-		if (surplus < 0) {
-			return true;
-		}
+		return this.#hasTurn(watchersPerDataCentre, nowMs);
+	}
 
-		// The members before this one replace a silent watcher first.
-		const limitMs = silenceLimitMs + surplus * takeoverStaggerMs;
-		return nowMs - selectNthLatest(heardAtMs, watchersPerDataCentre) >= limitMs;
+	/** Whether this sidecar is the first watcher; the others stand by and may call less often. */
+	isFirstWatcher(nowMs: number): boolean {
+		return this.#hasTurn(1, nowMs);
 	}
 
-	/** Whether relays of other watchers arrive, so that this sidecar needs no calls of its own. */
+	/**
+	 * Whether watchers relay the store's changes, so that this sidecar needs no calls of its own. Watchers that
+	 * were just announced are given time for their first relay.
+	 */
 	isFollowing(nowMs: number): boolean {
-		return nowMs - this.#relayedAtMs < followLimitMs && !this.isWatcher(nowMs);
+		const heardAtMs = this.#listHeardTimes();
+		const announcedAtMs = selectNthLatest(heardAtMs, watchersPerDataCentre);
+		const lastMs = Math.max(this.#relayedAtMs, announcedAtMs);
+		return nowMs - lastMs < followLimitMs && !this.isWatcher(nowMs);
 	}
 
 	/** Lists the other instances of the data centre, in any state. */
 	listPeers(): Iterable<string> {
 		return this.#candidates.keys();
 	}
+
+	/** Whether fewer than `count` members with a better rank are alive. */
+	#hasTurn(count: number, nowMs: number): boolean {
+		const heardAtMs = this.#listHeardTimes();
+		// The members before this one replace a silent watcher first.
+		const surplus = Math.max(0, heardAtMs.length - watchersPerDataCentre);
+		const limitMs = silenceLimitMs + surplus * takeoverStaggerMs;
+		return nowMs - selectNthLatest(heardAtMs, count) >= limitMs;
+	}
+
+	/** Lists when each ready member with a better rank was last heard of. */
+	#listHeardTimes(): number[] {
+		const heardAtMs: number[] = [];
+		for (const candidate of this.#candidates.values()) {
+			if (candidate.isReady && candidate.rank < this.#ownRank) {
+				heardAtMs.push(candidate.heardAtMs);
+			}
+		}
+
+		return heardAtMs;
+	}
 }
 
 /** Ranks spread evenly over the instances, whatever their names have in common. */
@@ -106,7 +124,8 @@
 	return createHash('sha256').update(instance).digest('hex').slice(0, 16);
 }
 
+/** Returns negative infinity when there are fewer times. */
 function selectNthLatest(timesMs: readonly number[], count: number): number {
 	const sorted = timesMs.toSorted((first, second) => second - first);
-	return sorted[count - 1]!;
+	return sorted[count - 1] ?? Number.NEGATIVE_INFINITY;
 }
