Compare nearest members first, remember the mean load of a member, and reopen shed servers faster

Cause: the choice compared 8 members in a row from a random place of the list, so with 8 data centres it mostly missed the own one; a load report was forgotten after 2 s, longer than most entries of a large fleet wait for the next one; the open share rose by 8 in 100 a step, 4.5 s from its least value. Change: members are kept by distance, up to 6 are compared at each and farther ones only while no nearer one is cheaper; an old report counts as a mean that loses half of its weight in 4 s; the share rises by up to 25 in 100 a step. Directory changes no longer rebuild all services.

--- a/src/sidecar/discovery/directory.ts
+++ b/src/sidecar/discovery/directory.ts
@@ -1,6 +1,11 @@
 /** All known backend servers, by instance and by service. */
 import {type Member} from '../types.ts';
-import {type MemberView} from './member-view.ts';
+import {type Distance, distances, type MemberView} from './member-view.ts';
+
+/** Members of one service by their distance. */
+type ServiceMembers = Record<Distance, MemberView[]>;
+
+const noMembers: Readonly<Record<Distance, readonly MemberView[]>> = createServiceMembers();
 
 export class Directory {
 	/**
@@ -13,7 +18,7 @@
 	}
 
 	readonly #views = new Map<string, MemberView>();
-	readonly #services = new Map<string, MemberView[]>();
+	readonly #services = new Map<string, ServiceMembers>();
 
 	private constructor(private readonly createView: (member: Member) => MemberView) {}
 
@@ -25,9 +30,19 @@
 		return [...this.#views.values()];
 	}
 
-	/** Lists the members of a service, in any state. */
-	listService(service: string): readonly MemberView[] {
-		return this.#services.get(service) ?? [];
+	/** Lists the members of a service by their distance, in any state. */
+	listService(service: string): Readonly<Record<Distance, readonly MemberView[]>> {
+		return this.#services.get(service) ?? noMembers;
+	}
+
+	/** Counts the members of a service, in any state. */
+	countMembers(service: string): number {
+		const members = this.listService(service);
+		return (
+			members[distances.dataCentre].length +
+			members[distances.region].length +
+			members[distances.far].length
+		);
 	}
 
 	/** Counts the services of all members. */
@@ -59,25 +74,37 @@
 			return true;
 		}
 
-		this.#views.set(member.instance, this.createView(member));
-		this.#rebuild();
+		this.remove(member.instance);
+		this.#add(this.createView(member));
 		return true;
 	}
 
 	remove(instance: string): void {
-		if (this.#views.delete(instance)) {
-			this.#rebuild();
+		const view = this.#views.get(instance);
+		if (view === undefined) {
+			return;
 		}
-	}
 
-	#rebuild(): void {
-		this.#services.clear();
-		for (const view of this.#views.values()) {
-			const views = this.#services.get(view.member.service) ?? [];
-			views.push(view);
-			this.#services.set(view.member.service, views);
+		this.#views.delete(instance);
+		const {service} = view.member;
+		const members = this.#services.get(service)!;
+		members[view.distance] = members[view.distance].filter(each => each !== view);
+		if (this.countMembers(service) === 0) {
+			this.#services.delete(service);
 		}
 	}
+
+	#add(view: MemberView): void {
+		const {instance, service} = view.member;
+		this.#views.set(instance, view);
+		const members = this.#services.get(service) ?? createServiceMembers();
+		members[view.distance].push(view);
+		this.#services.set(service, members);
+	}
+}
+
+function createServiceMembers(): ServiceMembers {
+	return {[distances.dataCentre]: [], [distances.region]: [], [distances.far]: []};
 }
 
 function isSameServer(first: Member, second: Member): boolean {
--- a/src/sidecar/discovery/member-view.ts
+++ b/src/sidecar/discovery/member-view.ts
@@ -18,8 +18,12 @@
 /** Backoff after the first failure; doubled with each further failure in a row. */
 const initialBackoffMs = 400;
 const maxBackoffMs = 6000;
-/** An older load report is ignored; the utilization is then estimated from the entry's own requests. */
+/** An older load report is only a part of the mean that is then taken instead. */
 const loadMaxAgeMs = 2000;
+/** Weight of the newest load report in the mean utilization. */
+const utilizationSmoothingFactor = 0.3;
+/** The mean loses half of its weight in this time, so that a member that was busy is tried again. */
+const utilizationHalfLifeMs = 4000;
 const latencySmoothingFactor = 0.1;
 
 export class MemberView {
@@ -37,6 +41,8 @@
 	latencyMs = 0;
 
 	#load: GuardLoad | undefined;
+	/** Exponentially smoothed utilization from the load reports. */
+	#meanUtilization = 0;
 	#loadAtMs = 0;
 	/** Requests sent since the last load report. */
 	#sentSinceLoad = 0;
@@ -62,8 +68,11 @@
 		}
 
 		const load = this.#load;
-		if (load === undefined || nowMs - this.#loadAtMs > loadMaxAgeMs) {
-			return (this.inFlight + 1) / Math.max(1, this.member.slots);
+		const ageMs = nowMs - this.#loadAtMs;
+		if (load === undefined || ageMs > loadMaxAgeMs) {
+			const meanUtilization = this.#meanUtilization * 0.5 ** (ageMs / utilizationHalfLifeMs);
+			const ownUtilization = this.inFlight / Math.max(1, this.member.slots);
+			return Math.max(meanUtilization, ownUtilization) + 1 / Math.max(1, this.member.slots);
 		}
 
 		const busy = Math.max(this.inFlight, load.running + load.waiting + this.#sentSinceLoad);
@@ -71,6 +80,8 @@
 	}
 
 	recordLoad(load: GuardLoad, nowMs: number): void {
+		const utilization = (load.running + load.waiting) / Math.max(1, load.limit);
+		this.#meanUtilization += (utilization - this.#meanUtilization) * utilizationSmoothingFactor;
 		this.#load = load;
 		this.#loadAtMs = nowMs;
 		this.#sentSinceLoad = 0;
--- a/src/sidecar/entry/attempt-history.ts
+++ b/src/sidecar/entry/attempt-history.ts
@@ -1,7 +1,7 @@
 /** Attempts of one request so far, and whether a further one is allowed. */
 import {type MemberView} from '../discovery/member-view.ts';
 import {type CallTreePosition} from '../overload/retry-budget.ts';
-import {pickMember} from '../routing/picker.ts';
+import {groupByDistance, pickMember} from '../routing/picker.ts';
 import {type Route} from '../types.ts';
 import {type EntryContext} from './entry-context.ts';
 
@@ -41,13 +41,14 @@
 
 	/** Picks a member that was not tried yet; undefined when none can accept the request. */
 	pickNext(nowMs: number): MemberView | undefined {
-		const views = this.ctx.directory.listService(this.service);
-		return pickMember(views, this.triedInstances, nowMs, this.ctx.random);
+		const members = this.ctx.directory.listService(this.service);
+		return pickMember(members, this.triedInstances, nowMs, this.ctx.random);
 	}
 
 	/** Picks among the members whose servers received the request, all of which refused it. */
 	pickReached(nowMs: number): MemberView | undefined {
-		return pickMember([...this.reachedMembers], new Set(), nowMs, this.ctx.random);
+		const reached = groupByDistance(this.reachedMembers);
+		return pickMember(reached, new Set(), nowMs, this.ctx.random);
 	}
 
 	recordAttempt(view: MemberView): void {
--- a/src/sidecar/metadata-exchange.ts
+++ b/src/sidecar/metadata-exchange.ts
@@ -60,8 +60,8 @@
 	private constructor(private readonly options: MetadataExchangeOptions) {
 		this.overloadReports = OverloadReportTable.create(options.region);
 		this.#refusalRate = RefusalRate.create(options.retryBudgetRatio * refusalRetryFraction);
-		this.#nestedCallDetector = NestedCallDetector.create(
-			service => options.directory.listService(service).length,
+		this.#nestedCallDetector = NestedCallDetector.create(service =>
+			options.directory.countMembers(service),
 		);
 	}
 
--- a/src/sidecar/overload/nested-call-detector.ts
+++ b/src/sidecar/overload/nested-call-detector.ts
@@ -19,7 +19,7 @@
 	/**
 	 * @param countInstances - number of known instances of a service
 	 * @example
-	 * const detector = NestedCallDetector.create(service => directory.listService(service).length);
+	 * const detector = NestedCallDetector.create(service => directory.countMembers(service));
 	 * detector.record('r-prices', 'patrons');
 	 * const isNested = detector.isNested('r-prices', 'patrons', 4);
 	 */
--- a/src/sidecar/overload/open-share.ts
+++ b/src/sidecar/overload/open-share.ts
@@ -17,7 +17,7 @@
 const increaseExponent = 0.25;
 /** Smallest and largest factor by which one step changes the share. */
 const minStepFactor = 0.8;
-const maxStepFactor = 1.08;
+const maxStepFactor = 1.25;
 const minShare = 0.03;
 
 export class OpenShareController {
--- a/src/sidecar/routing/picker.test.ts
+++ b/src/sidecar/routing/picker.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava';
 import {type Distance, distances, MemberView} from '../discovery/member-view.ts';
 import {type Member} from '../types.ts';
-import {pickMember} from './picker.ts';
+import {groupByDistance, pickMember} from './picker.ts';
 
 const nowMs = 1000;
 
@@ -36,7 +36,7 @@
 }
 
 function pick(views: MemberView[], tried: string[] = []): string | undefined {
-	return pickMember(views, new Set(tried), nowMs, () => 0)?.member.instance;
+	return pickMember(groupByDistance(views), new Set(tried), nowMs, () => 0)?.member.instance;
 }
 
 test('a near server with free slots is preferred to an idle one elsewhere', t => {
@@ -63,3 +63,50 @@
 	t.is(pick([near, other]), 'other');
 	t.is(pick([near]), undefined);
 });
+
+/** A fleet of one service as one entry in its first data centre sees it: half of the others are far. */
+function createFleet(size: number, dataCentres: number): MemberView[] {
+	return Array.from({length: size}, (_value, index) => {
+		const dataCentre = index % dataCentres;
+		const elsewhere = dataCentre % 2 === 0 ? distances.region : distances.far;
+		return createView(`s-${index}`, dataCentre === 0 ? distances.dataCentre : elsewhere, 5);
+	});
+}
+
+for (const [size, dataCentres] of [
+	[17, 4],
+	[200, 8],
+	[1400, 8],
+] as const) {
+	test(`among ${size} servers, requests stay in the data centre that has room, spread over its servers`, t => {
+		const members = groupByDistance(createFleet(size, dataCentres));
+		const counts = new Map<string, number>();
+		let seed = 1;
+		const random = () => {
+			seed = (seed * 48_271) % 2_147_483_647;
+			return seed / 2_147_483_647;
+		};
+
+		const requests = members[distances.dataCentre].length * 100;
+		for (let index = 0; index < requests; index++) {
+			const view = pickMember(members, new Set(), nowMs, random)!;
+			t.is(view.distance, distances.dataCentre);
+			counts.set(view.member.instance, (counts.get(view.member.instance) ?? 0) + 1);
+		}
+
+		t.is(counts.size, members[distances.dataCentre].length);
+		t.true(Math.max(...counts.values()) <= 150);
+	});
+}
+
+test('a busy member whose report is old is avoided at first and tried again later', t => {
+	const busy = createView('busy', distances.dataCentre, 18);
+	const other = createView('other', distances.dataCentre, 6);
+	const laterMs = nowMs + 3000;
+	const pickAt = (timeMs: number) =>
+		pickMember(groupByDistance([busy, other]), new Set(), timeMs, () => 0)?.member.instance;
+	other.recordLoad({running: 3, waiting: 0, limit: 20}, laterMs);
+	t.is(pickAt(laterMs), 'other');
+	other.recordLoad({running: 3, waiting: 0, limit: 20}, nowMs + 20_000);
+	t.is(pickAt(nowMs + 20_000), 'busy');
+});
--- a/src/sidecar/routing/picker.ts
+++ b/src/sidecar/routing/picker.ts
@@ -19,33 +19,67 @@
 	[distances.region]: {penalty: 0.15, minUtilization: 0.45},
 	[distances.far]: {penalty: 0.45, minUtilization: 0.6},
 };
-/**
- * Limit of compared members, starting from a random one. More are compared only while the best one is in
- * the other region.
- */
-const maxCompared = 8;
+/** Order in which members are compared. */
+const nearestFirst = [distances.dataCentre, distances.region, distances.far] as const;
+/** Available members compared at each distance, starting from a random one. */
+const maxCompared = 6;
 /** Random addition to the cost. Without it, all requests between two load reports go to the same server. */
 const maxJitter = 0.06;
 
+/** The members of a service by their distance. */
+export type MembersByDistance = Readonly<Record<Distance, readonly MemberView[]>>;
+
+/** A member and the cost of sending the request to it. */
+type Choice = {readonly view: MemberView; readonly cost: number};
+
+/** What a choice depends on beside the members. */
+type PickInput = {
+	readonly tried: ReadonlySet<string>;
+	readonly nowMs: number;
+	random(): number;
+};
+
 /**
  * Picks the available member with the lowest utilization, adjusted for its distance.
  *
+ * Farther members are compared only while no nearer one costs less than the least that they can cost. So the
+ * number of compared members doesn't depend on the size of the service, and the own data centre is never
+ * missed among many others.
+ *
  * @param tried - instances to skip, since the request has already been sent to them
  * @returns undefined when no member is available
  * @example
  * const view = pickMember(directory.listService('catalogue'), new Set(), performance.now(), Math.random);
  */
 export function pickMember(
-	views: readonly MemberView[],
+	members: MembersByDistance,
 	tried: ReadonlySet<string>,
 	nowMs: number,
 	random: () => number,
 ): MemberView | undefined {
-	let best: MemberView | undefined;
-	let bestCost = Number.POSITIVE_INFINITY;
-	const start = views.length > maxCompared ? Math.floor(random() * views.length) : 0;
+	let best: Choice | undefined;
+	for (const distance of nearestFirst) {
+		const {penalty, minUtilization} = distanceCosts[distance];
+		if (best !== undefined && best.cost <= penalty + minUtilization) {
+			break;
+		}
+
+		const choice = pickAtDistance(members[distance], {tried, nowMs, random});
+		if (choice !== undefined && (best === undefined || choice.cost < best.cost)) {
+			best = choice;
+		}
+	}
+
+	return best?.view;
+}
+
+/** Picks the best of a few members, starting from a random one. */
+function pickAtDistance(views: readonly MemberView[], input: PickInput): Choice | undefined {
+	const {tried, nowMs, random} = input;
+	let best: Choice | undefined;
 	let compared = 0;
-	for (let index = 0; index < views.length; index++) {
+	const start = Math.floor(random() * views.length);
+	for (let index = 0; index < views.length && compared < maxCompared; index++) {
 		const view = views[(start + index) % views.length]!;
 		if (!view.isAvailable(nowMs) || tried.has(view.member.instance)) {
 			continue;
@@ -54,16 +88,26 @@
 		const {penalty, minUtilization} = distanceCosts[view.distance];
 		const cost =
 			Math.max(minUtilization, view.estimateUtilization(nowMs)) + penalty + random() * maxJitter;
-		if (cost < bestCost) {
-			best = view;
-			bestCost = cost;
+		if (best === undefined || cost < best.cost) {
+			best = {view, cost};
 		}
 
 		compared++;
-		if (compared >= maxCompared && best!.distance !== distances.far) {
-			break;
-		}
 	}
 
 	return best;
 }
+
+/** Groups members by their distance. */
+export function groupByDistance(views: Iterable<MemberView>): MembersByDistance {
+	const groups: Record<Distance, MemberView[]> = {
+		[distances.dataCentre]: [],
+		[distances.region]: [],
+		[distances.far]: [],
+	};
+	for (const view of views) {
+		groups[view.distance].push(view);
+	}
+
+	return groups;
+}
