Share demand, call trees and overload within a data centre, and spread retries over their window

Cause: an entry of a large fleet sees a few requests a second. Its own demand is too sparse to plan by priority, it learns late which routes are nested calls and what they cost, and guards attach 6 of 195 reports to a reply. A grey failure used up the retries of its first two seconds; the trees admitted after that failed at their first refused call. Change: watchers collect a summary of each sidecar of their data centre every 4 s, each second during an overload, and relay the merged one. The rate of a route decays with time, not with the number of requests. At most 15 in 100 of a window's retries are spent in a second. listReports no longer walks over all reports.

--- a/src/sidecar/discovery/relay-message.ts
+++ b/src/sidecar/discovery/relay-message.ts
@@ -1,4 +1,5 @@
-/** Messages in which a watcher passes on what it read from the store, as JSON. */
+/** Messages in which a watcher passes on what it read from the store and collects overload summaries, as JSON. */
+import {isOverloadSummary, type OverloadSummary} from '../overload/overload-summary.ts';
 import {type Row, type TableName} from '../shared-table.ts';
 
 /** The rows of one table that changed after a version, up to another version. */
@@ -13,7 +14,10 @@
 export type RelayMessage = {
 	/** Instance of the watcher. */
 	readonly relayFrom: string;
+	/** Empty while the watcher can't reach the store. */
 	readonly changes: readonly TableChanges[];
+	/** Summary of the data centre; the peer then answers with its own one. */
+	readonly summary?: OverloadSummary | undefined;
 };
 
 const tableNames = new Set<unknown>(['operator', 'members'] satisfies TableName[]);
@@ -34,16 +38,35 @@
  */
 export function decodeRelay(text: string): RelayMessage {
 	const value = JSON.parse(text) as Partial<Record<keyof RelayMessage, unknown>>;
-	const {relayFrom, changes} = value;
+	const {relayFrom, changes, summary} = value;
 	if (
 		typeof relayFrom !== 'string' ||
 		!Array.isArray(changes) ||
-		!changes.every(each => isTableChanges(each))
+		!changes.every(each => isTableChanges(each)) ||
+		!(summary === undefined || isOverloadSummary(summary))
 	) {
 		throw new TypeError(`invalid relay of ${text.length} characters`);
 	}
 
-	return {relayFrom, changes};
+	return {relayFrom, changes, summary};
+}
+
+/**
+ * Decodes the answer to a relay, which is empty unless the relay carried a summary.
+ *
+ * @returns undefined when the answer holds no valid summary
+ */
+export function decodeRelayAnswer(text: string): OverloadSummary | undefined {
+	if (text === '') {
+		return undefined;
+	}
+
+	try {
+		const value: unknown = JSON.parse(text);
+		return isOverloadSummary(value) ? value : undefined;
+	} catch {
+		return undefined;
+	}
 }
 
 function isTableChanges(value: unknown): value is TableChanges {
--- a/src/sidecar/discovery/store-relay.ts
+++ b/src/sidecar/discovery/store-relay.ts
@@ -1,7 +1,12 @@
-/** Relays what this sidecar reads from the store to the other sidecars of its data centre, while it is a watcher. */
+/**
+ * Relays what this sidecar reads from the store to the other sidecars of its data centre while it is a watcher,
+ * and exchanges overload summaries with them.
+ */
 import {type Logger} from '../../reporting/logger.ts';
+import {type OverloadSummary} from '../overload/overload-summary.ts';
 import {type Directory} from './directory.ts';
-import {decodeRelay, encodeRelay, type TableChanges} from './relay-message.ts';
+import {decodeRelay, decodeRelayAnswer, encodeRelay, type TableChanges} from './relay-message.ts';
+import {SummaryCollector} from './summary-collector.ts';
 import {relayIntervalMs, type WatcherGroup} from './watcher-group.ts';
 
 /** A peer in the same data centre responds within milliseconds; a lost packet adds about 200 ms. */
@@ -16,6 +21,10 @@
 	listConfirmed(nowMs: number): readonly TableChanges[];
 	/** Handles changes that a watcher relayed. */
 	handleRelayed(changes: TableChanges): void;
+	/** Creates the overload summary of this instance. */
+	createSummary(nowMs: number): OverloadSummary;
+	/** Applies the merged summary of the data centre. */
+	applySummary(summary: OverloadSummary, nowMs: number): void;
 };
 
 export class StoreRelay {
@@ -30,6 +39,7 @@
 
 	/** Peers with an unanswered relay of the confirmed state. */
 	readonly #pending = new Set<string>();
+	readonly #collector = SummaryCollector.create();
 	#timer: NodeJS.Timeout | undefined;
 	#wasWatcher = false;
 
@@ -64,13 +74,22 @@
 	 * @throws {TypeError} when the text is not a valid relay
 	 */
 	answerRelay(text: string): string {
-		const {relayFrom, changes} = decodeRelay(text);
-		this.options.group.recordRelay(relayFrom, performance.now());
+		const nowMs = performance.now();
+		const {relayFrom, changes, summary} = decodeRelay(text);
+		if (changes.length > 0) {
+			this.options.group.recordRelay(relayFrom, nowMs);
+		}
+
 		for (const each of changes) {
 			this.options.handleRelayed(each);
 		}
 
-		return '';
+		if (summary === undefined) {
+			return '';
+		}
+
+		this.options.applySummary(summary, nowMs);
+		return JSON.stringify(this.options.createSummary(nowMs));
 	}
 
 	/** Relays the confirmed versions, so that followers know of this watcher and of changes that they missed. */
@@ -84,26 +103,46 @@
 		}
 
 		const changes = isWatcher ? this.options.listConfirmed(nowMs) : [];
-		if (changes.length === 0) {
+		const summary = isWatcher ? this.#mergeSummaries(nowMs) : undefined;
+		if (changes.length === 0 && summary === undefined) {
 			return;
 		}
 
-		const text = encodeRelay({relayFrom, changes});
+		const text = encodeRelay({relayFrom, changes, summary});
 		for (const instance of group.listPeers()) {
 			if (!this.#pending.has(instance)) {
 				this.#pending.add(instance);
-				void this.#send(instance, text).finally(() => {
-					this.#pending.delete(instance);
-				});
+				void this.#exchange(instance, text);
 			}
 		}
 	}
 
+	/** Merges the summaries of the data centre when they are due to be exchanged. */
+	#mergeSummaries(nowMs: number): OverloadSummary | undefined {
+		const {instance} = this.options;
+		this.#collector.record(instance, this.options.createSummary(nowMs), nowMs);
+		if (!this.#collector.isDue(nowMs)) {
+			return undefined;
+		}
+
+		const summary = this.#collector.merge(nowMs);
+		this.options.applySummary(summary, nowMs);
+		return summary;
+	}
+
+	/** Sends a relay and records the summary in the answer. */
+	async #exchange(instance: string, text: string): Promise<void> {
+		const answer = await this.#send(instance, text);
+		this.#pending.delete(instance);
+		const summary = decodeRelayAnswer(answer ?? '');
+		if (summary !== undefined) {
+			this.#collector.record(instance, summary, performance.now());
+		}
+	}
+
 	/** Sends a relay; a lost one needs no report, since the next one shows the gap. */
-	async #send(instance: string, text: string): Promise<void> {
+	async #send(instance: string, text: string): Promise<string | undefined> {
 		const transport = this.options.directory.findMember(instance)?.transport;
-		if (transport?.kind === 'link') {
-			await transport.pool.sync(text, responseTimeoutMs);
-		}
+		return transport?.kind === 'link' ? transport.pool.sync(text, responseTimeoutMs) : undefined;
 	}
 }
--- a/src/sidecar/discovery/store-sync.test.ts
+++ b/src/sidecar/discovery/store-sync.test.ts
@@ -142,6 +142,10 @@
 			handleOwnRow() {
 				// The row of this instance is not checked here.
 			},
+			createSummary: () => ({demands: [], costs: [], origins: [], reports: []}),
+			applySummary() {
+				// Overload is not checked here.
+			},
 			handleMember: createMemberHandler({
 				instance,
 				directory,
--- a/src/sidecar/discovery/store-sync.ts
+++ b/src/sidecar/discovery/store-sync.ts
@@ -1,5 +1,6 @@
 /** Keeps this sidecar up to date with the store: by its own calls while it is a watcher, else by relays. */
 import {type Logger} from '../../reporting/logger.ts';
+import {type OverloadSummary} from '../overload/overload-summary.ts';
 import {type Row, type SharedTable} from '../shared-table.ts';
 import {type Member} from '../types.ts';
 import {type Directory} from './directory.ts';
@@ -17,6 +18,9 @@
 	handleConfig(source: string): void;
 	handleOwnRow(row: Row | undefined): void;
 	handleMember(member: Member): void;
+	/** Creates the overload summary of this instance, to be merged with those of its data centre. */
+	createSummary(nowMs: number): OverloadSummary;
+	applySummary(summary: OverloadSummary, nowMs: number): void;
 };
 
 export class StoreSync {
--- a/src/sidecar/metadata-exchange.ts
+++ b/src/sidecar/metadata-exchange.ts
@@ -11,6 +11,13 @@
 import {CallRatioEstimator} from './overload/call-ratio-estimator.ts';
 import {CostTable, type CostVector} from './overload/cost-table.ts';
 import {OpenShareController} from './overload/open-share.ts';
+import {
+	listCosts,
+	maxEntries,
+	type OverloadSummary,
+	type RouteCosts,
+	type RouteDemand,
+} from './overload/overload-summary.ts';
 import {OverloadReportTable} from './overload/overload-report-table.ts';
 import {RefusalRate} from './overload/refusal-rate.ts';
 import {type Member} from './types.ts';
@@ -33,6 +40,8 @@
 	readonly logger: Logger;
 	readLoad(): GuardLoad;
 	readConfigVersion(): number;
+	/** Lists the demand of callers at the local entry. */
+	listDemands(nowMs: number): readonly RouteDemand[];
 	/** Service of the local server; undefined while it is not known. */
 	readService(): string | undefined;
 };
@@ -101,6 +110,47 @@
 		}
 	}
 
+	/** Creates the summary of this instance for its data centre. */
+	createSummary(nowMs: number): OverloadSummary {
+		this.#recordLocalOverload(nowMs);
+		const service = this.options.readService();
+		const costs: RouteCosts[] = [];
+		for (const route of this.costs.listLocalRoutes()) {
+			const computed = this.#computeCosts(route);
+			if (service !== undefined && computed !== undefined && costs.length < maxEntries) {
+				costs.push({route, service, costs: listCosts(computed)});
+			}
+		}
+
+		const report = this.overloadReports.read(this.options.instance, nowMs);
+		return {
+			demands: this.options.listDemands(nowMs),
+			costs,
+			origins: this.#nestedCallDetector.listOrigins(this.options.directory.countServices()),
+			reports: report === undefined ? [] : [report],
+		};
+	}
+
+	/** Applies the merged summary of the data centre. */
+	applySummary(summary: OverloadSummary, nowMs: number): void {
+		const ownService = this.options.readService();
+		for (const {route, service, costs} of summary.costs) {
+			this.costs.set(route, service, new Map(costs.map(cost => [cost.service, cost])));
+		}
+
+		for (const {route, callerService, isNested} of summary.origins) {
+			if (callerService === ownService) {
+				this.callRatios.setNested(route, isNested);
+			}
+		}
+
+		for (const report of summary.reports) {
+			if (report.instance !== this.options.instance) {
+				this.overloadReports.record(report, nowMs);
+			}
+		}
+	}
+
 	/** Records a request that arrives at the local guard, and the utilization of the slots at that time. */
 	recordArrival(route: string, callerService: string, utilization: number): void {
 		this.#nestedCallDetector.record(route, callerService);
--- a/src/sidecar/overload/admission-controller.ts
+++ b/src/sidecar/overload/admission-controller.ts
@@ -9,6 +9,7 @@
 import {type Route} from '../types.ts';
 import {type Cost, type CostTable, type CostVector} from './cost-table.ts';
 import {type OverloadReportTable} from './overload-report-table.ts';
+import {maxEntries, type RouteDemand} from './overload-summary.ts';
 
 export type AdmissionDecision =
 	| {readonly kind: 'admitted'}
@@ -35,10 +36,12 @@
 const treeMinShareFactor = 0.1;
 /** Calls to one service per request from which on the request counts as a call tree. */
 const minTreeCalls = 1.5;
-/** Weight of the newest interval in the moving average of a route's rate. */
-const rateSmoothingWeight = 0.15;
-/** Routes with a lower rate, in requests per plan interval, are removed as no longer in use. */
-const minTrackedRate = 0.001;
+/** Time constant of the moving average of a route's rate. */
+const rateTimeConstantMs = 1000;
+/** Routes with a lower rate, in requests per second, are removed as no longer in use. */
+const minTrackedRate = 0.01;
+/** Older demands of the data centre are replaced by those of this entry alone. */
+const maxSharedDemandAgeMs = 4000;
 /**
  * Shed callers retry after `minRetryAfterMs` plus a random part of a spread. The spread grows with the shed
  * fraction, up to `maxRetryAfterSpreadMs`.
@@ -67,9 +70,9 @@
 	readonly priority: number;
 };
 
-/** Arrivals of one route; `rate` is in requests per plan interval. */
+/** Arrivals of one route; `rate` is in requests per second. */
 type RouteTraffic = {
-	readonly route: Route;
+	readonly route: Pick<Route, 'name' | 'priority'>;
 	readonly service: string;
 	rate: number;
 	arrived: number;
@@ -92,6 +95,10 @@
 	/** Limited routes only; a route without an entry is fully admitted. */
 	#plannedShares = new Map<string, PlannedShare>();
 	#plannedAtMs = 0;
+	#ratedAtMs = 0;
+	/** Demand at all entries of the data centre, and when it was received. */
+	#sharedDemands: readonly RouteDemand[] = [];
+	#sharedAtMs = Number.NEGATIVE_INFINITY;
 
 	private constructor(
 		private readonly options: {
@@ -125,6 +132,25 @@
 		};
 	}
 
+	/** Lists the demand of callers at this entry. */
+	listDemands(nowMs: number): RouteDemand[] {
+		this.#updateRates(nowMs);
+		return [...this.#trafficByRoute.values()]
+			.slice(0, maxEntries)
+			.map(({route, service, rate: perSecond}) => ({
+				route: route.name,
+				service,
+				priority: route.priority,
+				perSecond,
+			}));
+	}
+
+	/** Sets the demand at all entries of the data centre, which is denser than that of this entry alone. */
+	setSharedDemands(demands: readonly RouteDemand[], nowMs: number): void {
+		this.#sharedDemands = demands;
+		this.#sharedAtMs = nowMs;
+	}
+
 	#recordArrival(route: Route, service: string): void {
 		const key = `${route.name} ${service}`;
 		const traffic = this.#trafficByRoute.get(key);
@@ -136,19 +162,13 @@
 	}
 
 	#updatePlan(nowMs: number): void {
+		this.#updateRates(nowMs);
 		this.#plannedAtMs = nowMs;
-		for (const [key, traffic] of this.#trafficByRoute) {
-			traffic.rate += (traffic.arrived - traffic.rate) * rateSmoothingWeight;
-			traffic.arrived = 0;
-			if (traffic.rate < minTrackedRate) {
-				this.#trafficByRoute.delete(key);
-			}
-		}
-
+		const traffic = this.#listTraffic(nowMs);
 		const shares = new Map<string, PlannedShare>();
 		for (const [service, overload] of this.options.overloadReports.listOverloaded(nowMs)) {
 			const {openShare, repeatableShare, ageMs} = overload;
-			const bySlots = this.#listDemands(service, 'slotMs');
+			const bySlots = this.#listServiceDemands(traffic, service, 'slotMs');
 			this.#limitRoutes(
 				bySlots,
 				{service, share: openShare, minShareFactor: routeMinShareFactor, ageMs},
@@ -156,7 +176,7 @@
 			);
 			// Random refusals limit only call trees: a single call may succeed without a retry, while a
 			// tree hardly ever succeeds without retries.
-			const byCalls = this.#listDemands(service, 'calls').filter(
+			const byCalls = this.#listServiceDemands(traffic, service, 'calls').filter(
 				demand => demand.cost >= minTreeCalls,
 			);
 			this.#limitRoutes(
@@ -169,6 +189,40 @@
 		this.#plannedShares = shares;
 	}
 
+	/** Updates the rates with the arrivals since the last update. */
+	#updateRates(nowMs: number): void {
+		const elapsedMs = nowMs - this.#ratedAtMs;
+		if (elapsedMs <= 0) {
+			return;
+		}
+
+		this.#ratedAtMs = nowMs;
+		const weight = 1 - Math.exp(-elapsedMs / rateTimeConstantMs);
+		for (const [key, traffic] of this.#trafficByRoute) {
+			traffic.rate += ((traffic.arrived * 1000) / elapsedMs - traffic.rate) * weight;
+			traffic.arrived = 0;
+			if (traffic.rate < minTrackedRate) {
+				this.#trafficByRoute.delete(key);
+			}
+		}
+	}
+
+	/** Lists the traffic of the data centre, or of this entry while that is not known. */
+	#listTraffic(nowMs: number): Map<string, RouteTraffic> {
+		if (nowMs - this.#sharedAtMs > maxSharedDemandAgeMs) {
+			return this.#trafficByRoute;
+		}
+
+		const traffic = new Map(this.#trafficByRoute);
+		for (const {route: name, service, priority, perSecond} of this.#sharedDemands) {
+			const key = `${name} ${service}`;
+			const rate = Math.max(perSecond, traffic.get(key)?.rate ?? 0);
+			traffic.set(key, {route: {name, priority}, service, rate, arrived: 0});
+		}
+
+		return traffic;
+	}
+
 	/** Divides the capacity of one service; a route's lowest share over all services applies. */
 	#limitRoutes(
 		demands: readonly ServiceDemand[],
@@ -189,9 +243,13 @@
 	}
 
 	/** Lists the demand of each route for a service: highest priority first, then lowest cost first. */
-	#listDemands(service: string, unit: keyof Cost): ServiceDemand[] {
+	#listServiceDemands(
+		trafficByRoute: ReadonlyMap<string, RouteTraffic>,
+		service: string,
+		unit: keyof Cost,
+	): ServiceDemand[] {
 		const demands: ServiceDemand[] = [];
-		for (const [key, traffic] of this.#trafficByRoute) {
+		for (const [key, traffic] of trafficByRoute) {
 			const costs: CostVector | undefined = this.options.costs.read(
 				traffic.route.name,
 				traffic.service,
--- a/src/sidecar/overload/cost-table.ts
+++ b/src/sidecar/overload/cost-table.ts
@@ -66,6 +66,11 @@
 		return this.read(route, service)?.size === 1;
 	}
 
+	/** Lists the routes that the local server has run. */
+	listLocalRoutes(): Iterable<string> {
+		return this.#localSlotTimeMs.keys();
+	}
+
 	/** Records how long a request held a slot of the local server. */
 	recordLocalSlotTime(route: string, ranMs: number): void {
 		const meanMs = this.#localSlotTimeMs.get(route);
--- a/src/sidecar/overload/nested-call-detector.ts
+++ b/src/sidecar/overload/nested-call-detector.ts
@@ -5,6 +5,8 @@
  * service. Nested calls arrive only from the instances of the service whose servers make them.
  */
 
+import {maxEntries, type RouteOrigin} from './overload-summary.ts';
+
 /** Requests from a service below which its rate is not significant. */
 const minRequests = 4;
 /** A service's requests include nested calls if its rate exceeds the baseline rate by this factor. */
@@ -70,6 +72,21 @@
 		return this.#computeRate(origins, callerService) > nestedRateFactor * baselineRate;
 	}
 
+	/** Lists what is known of all routes and services that send them. */
+	listOrigins(serviceCount: number): RouteOrigin[] {
+		const origins: RouteOrigin[] = [];
+		for (const [route, {counts}] of this.#originsByRoute) {
+			for (const callerService of counts.keys()) {
+				const isNested = this.isNested(route, callerService, serviceCount);
+				if (isNested !== undefined && origins.length < maxEntries) {
+					origins.push({route, callerService, isNested});
+				}
+			}
+		}
+
+		return origins;
+	}
+
 	/** Computes the requests per instance of a service. */
 	#computeRate(origins: OriginCounts, service: string): number {
 		return (origins.counts.get(service) ?? 0) / Math.max(1, this.countInstances(service));
--- a/src/sidecar/overload/overload-report-table.ts
+++ b/src/sidecar/overload/overload-report-table.ts
@@ -42,7 +42,9 @@
 	}
 
 	readonly #reports = new Map<string, Report>();
-	#rotationOffset = 0;
+	/** Instances with a report, in the order in which they are attached to replies. */
+	readonly #rotation: string[] = [];
+	#nextIndex = 0;
 
 	private constructor(private readonly region: string) {}
 
@@ -51,17 +53,32 @@
 		const atMs = nowMs - report.ageMs;
 		const known = this.#reports.get(report.instance);
 		if (known === undefined || known.atMs < atMs) {
+			if (known === undefined) {
+				this.#rotation.push(report.instance);
+			}
+
 			const {service, region, openShare, repeatableShare} = report;
 			this.#reports.set(report.instance, {service, region, openShare, repeatableShare, atMs});
 		}
 	}
 
+	/** Returns the recent report of an instance. */
+	read(instance: string, nowMs: number): OverloadReport | undefined {
+		const report = this.#reports.get(instance);
+		const ageMs = nowMs - (report?.atMs ?? Number.NEGATIVE_INFINITY);
+		if (report === undefined || ageMs > maxReportAgeMs) {
+			return undefined;
+		}
+
+		const {service, region, openShare, repeatableShare} = report;
+		return {instance, service, region, openShare, repeatableShare, ageMs};
+	}
+
 	/** Lists the overloaded services with the shares of their demand that they can accept. */
 	listOverloaded(nowMs: number): Map<string, ServiceOverload> {
 		const reportsByService = new Map<string, {near: Report[]; all: Report[]}>();
-		for (const [instance, report] of this.#reports) {
+		for (const report of this.#reports.values()) {
 			if (nowMs - report.atMs > maxReportAgeMs) {
-				this.#reports.delete(instance);
 				continue;
 			}
 
@@ -85,25 +102,27 @@
 		return overloaded;
 	}
 
-	/** Lists the reports to attach to a reply, in rotation if there are more than the limit. */
+	/** Lists the reports to attach to a reply: the next ones in rotation, up to the limit. */
 	listReports(nowMs: number): OverloadReport[] {
-		const recent: OverloadReport[] = [];
-		for (const [instance, {atMs, ...report}] of this.#reports) {
-			const ageMs = nowMs - atMs;
-			if (ageMs <= maxReportAgeMs) {
-				recent.push({instance, ...report, ageMs});
+		const listed: OverloadReport[] = [];
+		for (let visited = this.#rotation.length; visited > 0; visited--) {
+			this.#nextIndex %= this.#rotation.length;
+			const instance = this.#rotation[this.#nextIndex]!;
+			const report = this.read(instance, nowMs);
+			if (report === undefined) {
+				this.#rotation.splice(this.#nextIndex, 1);
+				this.#reports.delete(instance);
+				continue;
 			}
-		}
 
-		if (recent.length <= maxReportsPerReply) {
-			return recent;
+			listed.push(report);
+			this.#nextIndex++;
+			if (listed.length >= maxReportsPerReply) {
+				break;
+			}
 		}
 
-		this.#rotationOffset = (this.#rotationOffset + maxReportsPerReply) % recent.length;
-		return [...recent.slice(this.#rotationOffset), ...recent.slice(0, this.#rotationOffset)].slice(
-			0,
-			maxReportsPerReply,
-		);
+		return listed;
 	}
 }
 
--- a/src/sidecar/overload/retry-budget.ts
+++ b/src/sidecar/overload/retry-budget.ts
@@ -17,6 +17,13 @@
 /** Part of the configured slack that all sidecars together may use. */
 const slackFactor = 0.4;
 const bucketsPerWindow = 10;
+/**
+ * Part of a window's retries that may be spent in one bucket. Spending them all at the start of a failure would
+ * leave none for the requests that are admitted afterwards with the retries that they need.
+ */
+const maxBucketShare = 0.15;
+/** Retries that are allowed in each bucket, however few a window has. */
+const minBucketRetries = 10;
 /**
  * Two windows are kept, because the request count is the highest of the last window, the one before it and
  * the one halfway between them.
@@ -74,6 +81,11 @@
 			return false;
 		}
 
+		const spentInBucket = window.retries[window.newestBucket % keptBuckets]!;
+		if (spentInBucket + 1 > Math.max(minBucketRetries, allowed * maxBucketShare)) {
+			return false;
+		}
+
 		window.retries[window.newestBucket % keptBuckets]! += 1;
 		return true;
 	}
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -41,6 +41,7 @@
 	readonly #activeConfig: ActiveConfig;
 	readonly #localServer: LocalServerManager;
 	readonly #metadata: MetadataExchange;
+	readonly #admission: AdmissionController;
 	readonly #peerSync: PeerSync;
 	readonly #entry: EntryServer;
 	readonly #linkServer: LinkServer;
@@ -66,6 +67,9 @@
 		this.#activeConfig = this.#createActiveConfig();
 		this.#localServer = this.#createLocalServerManager();
 		this.#metadata = this.#createMetadataExchange();
+		const {costs, overloadReports} = this.#metadata;
+		const random = () => Math.random();
+		this.#admission = AdmissionController.create({costs, overloadReports, random});
 		this.#handleMember = createMemberHandler({
 			instance: settings.instance,
 			directory: this.#directory,
@@ -175,6 +179,7 @@
 			logger: this.logger,
 			readLoad: () => this.#localServer.guard.readLoad(),
 			readConfigVersion: () => this.#activeConfig.version,
+			listDemands: nowMs => this.#admission.listDemands(nowMs),
 			readService: () => this.#localServer.service,
 		});
 	}
@@ -196,6 +201,11 @@
 				this.#localServer.handleOwnRow(row);
 			},
 			handleMember: this.#handleMember,
+			createSummary: nowMs => this.#metadata.createSummary(nowMs),
+			applySummary: (summary, nowMs) => {
+				this.#metadata.applySummary(summary, nowMs);
+				this.#admission.setSharedDemands(summary.demands, nowMs);
+			},
 		});
 	}
 
@@ -220,15 +230,14 @@
 			retryBudgetWindowMs: windowMs,
 			retryBudgetSlack: slack,
 		} = this.settings;
-		const {callRatios, costs, overloadReports} = this.#metadata;
-		const random = () => Math.random();
+		const {callRatios, costs} = this.#metadata;
 		const nonces = NonceGenerator.create(this.#incarnation);
 		return {
 			codec: this.platform.codec,
 			directory: this.#directory,
 			guard: this.#localServer.guard,
 			budget: RetryBudget.create({ratio, windowMs, slack}, () => this.#directory.size),
-			admission: AdmissionController.create({costs, overloadReports, random}),
+			admission: this.#admission,
 			callRatios,
 			costs,
 			log: this.#requestLog,
@@ -244,7 +253,7 @@
 				this.#peerSync.handleDirectAnnouncement(member);
 			},
 			createNonce: () => nonces.next(),
-			random,
+			random: () => Math.random(),
 		};
 	}
 
