Relay what a watcher reads after the store forgot its history; give each test process ports of its own

Cause: after a compaction the watchers read whole tables and relayed nothing, so each follower saw a gap and made three calls. In tests, a port that was found free could be taken by another test process before it was used: one run of six side by side failed with connections refused or closed. Change: rows that changed since the last known version are relayed after a whole read, which also ends a gap; the first watch begins 2.2 s after the first read, when all of a new fleet have announced themselves.

--- a/src/sidecar/discovery/table-watcher.ts
+++ b/src/sidecar/discovery/table-watcher.ts
@@ -17,8 +17,11 @@
 /** With this maximum, a recovered store is noticed within about a second. */
 const backoffBounds = {firstMs: 100, maxMs: 1000} as const;
 
-/** Delay after the first read: by then other sidecars relay the changes, or a new fleet has announced itself. */
-const firstDelayMs = 1200;
+/**
+ * Delay after the first read: by then other sidecars relay the changes, or all of a new fleet have announced
+ * themselves, since each server reports every 1.5 s.
+ */
+const firstDelayMs = 2200;
 /** How often a sidecar that follows relays checks whether it has to make calls again. */
 const followCheckMs = 400;
 /** A watch is overdue this long after the end of its wait; the store usually answers within milliseconds. */
@@ -59,6 +62,8 @@
 	#hasGap = false;
 	/** No row has changed between this version and the known one. */
 	#changedVersion = 0;
+	/** The version known when the store had forgotten the changes after it. */
+	#compactedVersion: number | undefined;
 	#succeededAtMs = Number.NEGATIVE_INFINITY;
 
 	private constructor(private readonly options: TableWatcherOptions) {}
@@ -125,6 +130,7 @@
 				this.#handleSuccess();
 				await wait(isFirst ? firstDelayMs : this.options.computePollDelayMs());
 			} else if (failure.kind === 'compacted') {
+				this.#compactedVersion = this.#version;
 				this.#version = undefined;
 				this.options.logger.warn(
 					{table: this.options.name},
@@ -143,9 +149,18 @@
 			return result.error;
 		}
 
-		this.#version = result.value.version;
-		this.#changedVersion = Math.max(0, ...result.value.rows.map(row => row.version));
-		this.options.handleAll(result.value.rows);
+		const {rows, version} = result.value;
+		const after = this.#compactedVersion;
+		this.#hasGap = false;
+		this.#compactedVersion = undefined;
+		this.#version = version;
+		this.#changedVersion = Math.max(0, ...rows.map(row => row.version));
+		this.options.handleAll(rows);
+		if (after !== undefined) {
+			const changed = rows.filter(row => row.version > after);
+			this.options.handleRead({table: this.options.name, after, version, rows: changed});
+		}
+
 		return undefined;
 	}
 
--- a/src/sidecar/link/fixtures.ts
+++ b/src/sidecar/link/fixtures.ts
@@ -1,6 +1,6 @@
 /** Listeners, reply metadata and free ports for the tests of links. */
-import {once} from 'node:events';
-import net, {type AddressInfo} from 'node:net';
+import net from 'node:net';
+import process from 'node:process';
 import {type LinkListener} from './link.ts';
 import {type ReplyMetadata} from './messages.ts';
 
@@ -33,19 +33,39 @@
 	};
 }
 
+/**
+ * Ports below those that the system hands out. Each test process has a block of its own: a port that was found
+ * free would otherwise be taken by another process before the test listens on it.
+ */
+const firstPort = 10_000;
+const portsPerProcess = 400;
+const blockCount = 55;
+let usedPorts = 0;
+
 /** Finds unused ports on the loopback address. */
 export async function findFreePorts(count: number): Promise<number[]> {
-	const servers = Array.from({length: count}, () => net.createServer());
+	const block = firstPort + (process.pid % blockCount) * portsPerProcess;
 	const ports: number[] = [];
-	for (const server of servers) {
-		server.listen(0, '127.0.0.1');
-		await once(server, 'listening');
-		ports.push((server.address() as AddressInfo).port);
-	}
-
-	for (const server of servers) {
-		server.close();
+	for (let tries = 0; ports.length < count && tries < portsPerProcess; tries++) {
+		const port = block + (usedPorts++ % portsPerProcess);
+		if (await isPortFree(port)) {
+			ports.push(port);
+		}
 	}
 
 	return ports;
 }
+
+async function isPortFree(port: number): Promise<boolean> {
+	const server = net.createServer();
+	return new Promise(resolve => {
+		server.once('error', () => {
+			resolve(false);
+		});
+		server.listen(port, '127.0.0.1', () => {
+			server.close(() => {
+				resolve(true);
+			});
+		});
+	});
+}
