Count suspensions against deadlines and drain times, and remember a leave over a restart

Cause: the steady clock stands still while a machine is suspended, so that a guard that woke sent waiting requests after their deadline, and requests to a leaving server after its drain time. A restarted sidecar took a late report of a server that had left for a new one. A server whose reports were late for 6 s was down although it answered. Change: what the system clock is ahead of the steady one counts as suspension; the announcement of a leaving server names its start, and a report of that start stays a leaving one; answers count as signs of life.

--- a/src/sidecar/guard/fixtures.ts
+++ b/src/sidecar/guard/fixtures.ts
@@ -96,7 +96,10 @@
 }
 
 /** Creates a guard in front of a fake server with the given slots; `runs` lists the requests sent to it. */
-export function createTestGuard(slots: number): {
+export function createTestGuard(
+	slots: number,
+	readSuspended = () => 0,
+): {
 	guard: Guard;
 	server: LocalServer;
 	runs: ServerRun[];
@@ -109,6 +112,7 @@
 		pool: {acquire: () => createConnection(runs), closeIdleBefore: ignore},
 		codec: createTestCodec(),
 		incarnation: testIncarnation,
+		readSuspended,
 		readMember: () => testMember,
 		events: {
 			handleArrival: ignore,
--- a/src/sidecar/guard/guard.ts
+++ b/src/sidecar/guard/guard.ts
@@ -10,9 +10,8 @@
 import {type LocalServer} from './local-server.ts';
 import {AdmissionQueue} from './admission-queue.ts';
 
-/** Weight of one finished request in the exponential moving average of the service time. */
+/** Weight of one finished request in the moving average of the service time, and its initial value. */
 const serviceTimeWeight = 0.03;
-/** Initial value of that average. */
 const initialServiceMs = 50;
 const sweepIntervalMs = 100;
 /** A request that is cancelled after this long without an answer suggests a dead connection. */
@@ -38,6 +37,8 @@
 	readonly codec: HeadCodec;
 	readonly incarnation: string;
 	readonly events: GuardEvents;
+	/** Time for which this process was suspended. */
+	readonly readSuspended: () => number;
 	/** Reads the member record that this instance currently announces. */
 	readMember(): Member | undefined;
 };
@@ -75,7 +76,7 @@
 		};
 	}
 
-	/** Counts running and waiting requests. */
+	/** Running and waiting requests. */
 	countActive(): number {
 		return this.#running + this.#queue.length;
 	}
@@ -209,7 +210,7 @@
 			const nowMs = performance.now();
 			if (!this.options.server.canAcceptRequests(nowMs) || this.isStopping) {
 				call.refuse(this.isStopping ? 'stopping' : 'leaving');
-			} else if (call.deadlineAtMs - nowMs < this.meanServiceMs / 2) {
+			} else if (call.computeRemainingMs(nowMs) < this.meanServiceMs / 2) {
 				call.refuse('late');
 			} else {
 				this.#start(call);
@@ -222,6 +223,7 @@
 			codec: this.options.codec,
 			acquireConnection: (requestId: string, isOnce: boolean) =>
 				this.options.pool.acquire(requestId, isOnce),
+			readSuspended: this.options.readSuspended,
 			handleEnded: (call: GuardedCall, outcome: CallOutcome) => {
 				this.#handleEnded(call, outcome);
 			},
--- a/src/sidecar/guard/guarded-call.ts
+++ b/src/sidecar/guard/guarded-call.ts
@@ -29,6 +29,8 @@
 	readonly codec: HeadCodec;
 	/** Opens or reuses a connection to the server. */
 	acquireConnection(requestId: string, isOnce: boolean): CallConnection;
+	/** Time for which this process has been suspended, in milliseconds. */
+	readSuspended(): number;
 	handleEnded(call: GuardedCall, outcome: CallOutcome): void;
 };
 
@@ -68,6 +70,7 @@
 	/** When the call ended, on the monotonic clock. */
 	endedAtMs: number | undefined;
 
+	readonly #suspendedBeforeMs: number;
 	#phase: Phase = 'waiting';
 	#listener: ExchangeListener;
 	#connection: CallConnection | undefined;
@@ -87,6 +90,7 @@
 		private readonly owner: CallOwner,
 	) {
 		this.#listener = listener;
+		this.#suspendedBeforeMs = owner.readSuspended();
 		this.#isBodyWhole = head.isWhole;
 		this.deadlineAtMs = this.arrivedAtMs + head.remainingMs;
 		this.maxWaitMs = head.remainingMs * (head.isNested ? maxNestedWaitShare : maxWaitShare);
@@ -107,6 +111,11 @@
 		return this.#listener;
 	}
 
+	/** Returns the time left until the deadline; suspensions of the process count. */
+	computeRemainingMs(nowMs: number): number {
+		return this.deadlineAtMs - nowMs - (this.owner.readSuspended() - this.#suspendedBeforeMs);
+	}
+
 	/** Sends the request to the server, which may run it from this point on. */
 	start(serverId: string, nowMs: number): void {
 		const {head} = this;
@@ -116,7 +125,7 @@
 		const bytes = this.owner.codec.encodeServerRequest({
 			...head,
 			serverId,
-			remainingMs: this.deadlineAtMs - nowMs,
+			remainingMs: this.computeRemainingMs(nowMs),
 			bodyBytes: this.#isBodyWhole ? this.body.length : undefined,
 		});
 		const {requestId, method} = head;
--- a/src/sidecar/guard/local-server.test.ts
+++ b/src/sidecar/guard/local-server.test.ts
@@ -63,3 +63,25 @@
 test('the limit leaves some slots free', t => {
 	t.is(createServer().limit, 94);
 });
+
+test('a late report does not bring back a server that left before the sidecar was restarted', t => {
+	const server = LocalServer.create(2500);
+	server.restoreLeave({id: 'i-1', startedAtMs: 1000}, 0);
+	server.apply({kind: 'report', report: first}, 10);
+	t.is(server.readState(20), 'leaving');
+	server.apply({kind: 'report', report: {...first, startedAtMs: 2000}}, 30);
+	t.is(server.readState(40), 'ready');
+});
+
+test('a leave that is read from the store after the first report counts as well', t => {
+	const server = createServer();
+	server.restoreLeave({id: 'i-1', startedAtMs: 1000}, 10);
+	t.is(server.readState(20), 'leaving');
+});
+
+test('a server whose reports are late is not down while it answers', t => {
+	const server = createServer();
+	server.recordAnswer(5000);
+	t.is(server.readState(9000), 'ready');
+	t.is(server.readState(11_001), 'down');
+});
--- a/src/sidecar/guard/local-server.ts
+++ b/src/sidecar/guard/local-server.ts
@@ -1,4 +1,5 @@
 /** State of the local backend server, as known from its messages. */
+import {readSuspendedMs} from '../suspension-clock.ts';
 import {type MemberState, type ServerMessage} from '../types.ts';
 
 /** A server is considered down after this long without a message; heartbeats may be seconds late. */
@@ -22,24 +23,35 @@
 	readonly lastMessageAtMs: number;
 	/** When the server's leaving was acknowledged, on the monotonic clock. */
 	readonly leavingSinceMs: number | undefined;
+	/** Time for which the process had been suspended by then. */
+	readonly suspendedBeforeMs: number;
 	readonly hasLeft: boolean;
 	readonly isUnreachable: boolean;
 };
 
+/** One start of a server. */
+export type ServerStart = {readonly id: string; readonly startedAtMs: number};
+
 /** Tracks the server at one address across starts, shutdowns and crashes. */
 export class LocalServer {
 	/**
 	 * @param drainMs - time for which a leaving server may get requests
+	 * @param readSuspended - time for which this process has been suspended, in milliseconds
 	 * @example
 	 * const server = LocalServer.create(2500);
 	 */
-	static create(drainMs: number): LocalServer {
-		return new LocalServer(drainMs);
+	static create(drainMs: number, readSuspended = readSuspendedMs): LocalServer {
+		return new LocalServer(drainMs, readSuspended);
 	}
 
 	#state: LocalServerState | undefined;
+	/** A server that an earlier process of this sidecar knew to be leaving. */
+	#formerLeave: ServerStart | undefined;
 
-	private constructor(private readonly drainMs: number) {}
+	private constructor(
+		private readonly drainMs: number,
+		private readonly readSuspended: () => number,
+	) {}
 
 	get state(): LocalServerState | undefined {
 		return this.#state;
@@ -66,6 +78,7 @@
 				const known = this.#state;
 				const isSame = known?.id === report.id && known.startedAtMs === report.startedAtMs;
 				const leavingSinceMs = isSame ? known.leavingSinceMs : undefined;
+				const isLeaving = report.isLeaving || this.#hasLeftBefore(report);
 				this.#state = {
 					id: report.id,
 					service: report.service,
@@ -73,7 +86,9 @@
 					startedAtMs: report.startedAtMs,
 					sequence: report.sequence,
 					lastMessageAtMs: nowMs,
-					leavingSinceMs: leavingSinceMs ?? (report.isLeaving ? nowMs : undefined),
+					leavingSinceMs: leavingSinceMs ?? (isLeaving ? nowMs : undefined),
+					suspendedBeforeMs:
+						leavingSinceMs === undefined ? this.readSuspended() : known!.suspendedBeforeMs,
 					hasLeft: isSame && known.hasLeft,
 					isUnreachable: false,
 				};
@@ -101,11 +116,31 @@
 			sequence: 0,
 			lastMessageAtMs: nowMs,
 			leavingSinceMs: undefined,
+			suspendedBeforeMs: 0,
 			hasLeft: false,
 			isUnreachable: false,
 		};
 	}
 
+	/**
+	 * Restores that a server is leaving, as an earlier process of this sidecar acknowledged: a late report of the
+	 * same start must not bring it back into use.
+	 */
+	restoreLeave(start: ServerStart, nowMs: number): void {
+		this.#formerLeave = start;
+		const state = this.#state;
+		if (state !== undefined && this.#hasLeftBefore(state) && state.leavingSinceMs === undefined) {
+			this.#state = {...state, leavingSinceMs: nowMs, suspendedBeforeMs: this.readSuspended()};
+		}
+	}
+
+	/** Records an answer of the server: one whose reports are late or lost is not down while it answers. */
+	recordAnswer(nowMs: number): void {
+		if (this.#state !== undefined) {
+			this.#state = {...this.#state, lastMessageAtMs: nowMs};
+		}
+	}
+
 	readState(nowMs: number): MemberState {
 		const state = this.#state;
 		if (
@@ -121,14 +156,15 @@
 
 	/** Whether requests may be sent to the server now. */
 	canAcceptRequests(nowMs: number): boolean {
-		const {leavingSinceMs} = this.#state ?? {};
+		const {leavingSinceMs = 0, suspendedBeforeMs = 0} = this.#state ?? {};
 		switch (this.readState(nowMs)) {
 			case 'ready': {
 				return true;
 			}
 
 			case 'leaving': {
-				return nowMs - leavingSinceMs! < this.drainMs * drainUsedShare;
+				const suspendedMs = this.readSuspended() - suspendedBeforeMs;
+				return nowMs - leavingSinceMs + suspendedMs < this.drainMs * drainUsedShare;
 			}
 
 			case 'down': {
@@ -164,10 +200,22 @@
 		}
 
 		const leavingSinceMs = state.leavingSinceMs ?? nowMs;
-		this.#state = {...state, leavingSinceMs, hasLeft: true, lastMessageAtMs: nowMs};
+		const suspendedBeforeMs =
+			state.leavingSinceMs === undefined ? this.readSuspended() : state.suspendedBeforeMs;
+		this.#state = {
+			...state,
+			leavingSinceMs,
+			suspendedBeforeMs,
+			hasLeft: true,
+			lastMessageAtMs: nowMs,
+		};
 		return true;
 	}
 
+	#hasLeftBefore({id, startedAtMs}: ServerStart): boolean {
+		return this.#formerLeave?.id === id && this.#formerLeave.startedAtMs === startedAtMs;
+	}
+
 	/** Whether a report is from an earlier start of the server or precedes the latest report of this one. */
 	#isOlder(report: {id: string; startedAtMs: number; sequence: number}): boolean {
 		const state = this.#state;
--- a/src/sidecar/local-server-manager.ts
+++ b/src/sidecar/local-server-manager.ts
@@ -11,6 +11,7 @@
 import {type Row, type SharedTable} from './shared-table.ts';
 import {type RequestLog} from './reporting/request-log.ts';
 import {decodeMember} from './discovery/member-codec.ts';
+import {readSuspendedMs} from './suspension-clock.ts';
 import {
 	type HeadCodec,
 	type Member,
@@ -113,6 +114,12 @@
 		if (member?.state === 'ready') {
 			void this.#probe(member);
 		}
+
+		if (member?.leftStartMs !== undefined) {
+			const start = {id: member.serverId, startedAtMs: member.leftStartMs};
+			this.#server.restoreLeave(start, performance.now());
+			this.#reconcile();
+		}
 	}
 
 	/**
@@ -139,6 +146,7 @@
 			pool: this.pool,
 			codec: this.options.codec,
 			incarnation: this.options.incarnation,
+			readSuspended: readSuspendedMs,
 			readMember: () => this.#announcer.current,
 			events: {
 				handleArrival: (head, utilization) => {
@@ -167,6 +175,10 @@
 		}
 
 		const {head, ranMs} = outcome;
+		if (!head.isMisdirected) {
+			this.#server.recordAnswer(performance.now());
+		}
+
 		this.options.readMetadataExchange().recordAnswer(route, head.isNotRun, ranMs);
 		if (head.isMisdirected) {
 			// Another server now uses the address; its next report identifies it.
@@ -257,6 +269,7 @@
 			serverId,
 			slots,
 			state: this.#computeMemberState(),
+			...(state.leavingSinceMs !== undefined && {leftStartMs: state.startedAtMs}),
 		});
 		this.options.directory.apply(member);
 		this.options.handleAnnounced();
--- a/src/sidecar/types.ts
+++ b/src/sidecar/types.ts
@@ -123,6 +123,8 @@
 	readonly state: MemberState;
 	/** Orders the announcements of one instance: a higher epoch replaces a lower one. */
 	readonly epoch: number;
+	/** Start of the server, in Unix milliseconds, if the server itself is leaving. */
+	readonly leftStartMs?: number | undefined;
 };
 
 /** Flat list of header names and values: name, value, name, value. */
