Answer the requests on connections that a planned stop accepted last

Cause: the stop ended with closing idle connections and the exit at once; a request that had just been accepted was cut off without an answer. Change: the entry first stops listening, after the poll phase that accepts what is pending, and the process waits 250 ms for the first requests on those connections.

--- a/src/sidecar/entry/entry-server.ts
+++ b/src/sidecar/entry/entry-server.ts
@@ -75,9 +75,18 @@
 		this.#server.headersTimeout = limits.headerTimeoutMs;
 	}
 
-	/** Closes connections without a request in progress. */
-	closeIdle(): void {
-		this.#server.closeIdleConnections();
+	/**
+	 * Accepts no more connections and closes those that are idle. A connection that was just accepted is not idle:
+	 * its first request is still answered.
+	 */
+	async stopListening(): Promise<void> {
+		return new Promise(resolve => {
+			// After the poll phase of the event loop, which has just accepted all pending connections.
+			setImmediate(() => {
+				this.#server.close();
+				resolve();
+			});
+		});
 	}
 
 	close(): void {
--- a/src/sidecar/stop-sequence.ts
+++ b/src/sidecar/stop-sequence.ts
@@ -13,6 +13,8 @@
 /** Time without any request after which no more are expected. */
 const quietPeriodMs = 1200;
 const pollIntervalMs = 50;
+/** Time in which the first requests on connections that were accepted last arrive and are answered. */
+const settleMs = 250;
 
 export type StopOptions = {
 	readonly graceMs: number;
@@ -63,7 +65,8 @@
 			}
 		}
 
-		entry.closeIdle();
+		await entry.stopListening();
+		await wait(Math.min(settleMs, graceMs * (1 - deadlineFraction)));
 		logger.info({active: entry.activeRequests}, 'sidecar stopped');
 	}
 }
