--- a/src/sidecar/overload/overload-summary.ts
+++ b/src/sidecar/overload/overload-summary.ts
@@ -81,21 +81,28 @@
 	};
 }
 
-/** Averages the costs that instances of one service measured; one that lacks a nested service counts with 0. */
+/**
+ * Averages the costs that instances of one service measured. The cost of a nested service is averaged over the
+ * instances that know it: one that has made too few of the calls lists none.
+ */
 function averageCosts(group: readonly RouteCosts[]): RouteCosts {
-	const sums = new Map<string, Cost>();
+	const sums = new Map<string, Cost & {count: number}>();
 	for (const {costs} of group) {
 		for (const {service, slotMs, calls} of costs) {
-			const sum = sums.get(service) ?? {slotMs: 0, calls: 0};
-			sums.set(service, {slotMs: sum.slotMs + slotMs, calls: sum.calls + calls});
+			const sum = sums.get(service) ?? {slotMs: 0, calls: 0, count: 0};
+			sums.set(service, {
+				slotMs: sum.slotMs + slotMs,
+				calls: sum.calls + calls,
+				count: sum.count + 1,
+			});
 		}
 	}
 
 	const {route, service} = group[0]!;
-	const costs = [...sums].map(([each, sum]) => ({
+	const costs = [...sums].map(([each, {slotMs, calls, count}]) => ({
 		service: each,
-		slotMs: sum.slotMs / group.length,
-		calls: sum.calls / group.length,
+		slotMs: slotMs / count,
+		calls: calls / count,
 	}));
 	return {route, service, costs};
 }
