Bound the exchange of summaries to 16 peers, whatever the size of the data centre

Cause: a watcher exchanged summaries with every sidecar of its data centre, 175 at the planned size. Change: the peers take turns; shares of demand need a sample only. Test: store-relay for 4, 24 and 175 peers.

--- a/src/sidecar/discovery/store-relay.ts
+++ b/src/sidecar/discovery/store-relay.ts
@@ -12,6 +12,9 @@
 /** A peer in the same data centre responds within milliseconds; a lost packet adds about 200 ms. */
 const responseTimeoutMs = 700;
 
+/** Peers that one exchange of summaries reaches; the next exchange goes on with the others. */
+export const maxSummaryPeers = 16;
+
 export type StoreRelayOptions = {
 	readonly instance: string;
 	readonly group: WatcherGroup;
@@ -42,6 +45,7 @@
 	readonly #collector = SummaryCollector.create();
 	#timer: NodeJS.Timeout | undefined;
 	#wasWatcher = false;
+	#nextSummaryPeer = 0;
 
 	private constructor(private readonly options: StoreRelayOptions) {}
 
@@ -108,15 +112,29 @@
 			return;
 		}
 
-		const text = encodeRelay({relayFrom, changes, summary});
-		for (const instance of group.listPeers()) {
-			if (!this.#pending.has(instance)) {
+		const text = encodeRelay({relayFrom, changes});
+		const textWithSummary = encodeRelay({relayFrom, changes, summary});
+		const peers = [...group.listPeers()];
+		const summaryPeers = summary === undefined ? new Set<string>() : this.#pickSummaryPeers(peers);
+		for (const instance of peers) {
+			const hasSummary = summaryPeers.has(instance);
+			if (!this.#pending.has(instance) && (hasSummary || changes.length > 0)) {
 				this.#pending.add(instance);
-				void this.#exchange(instance, text);
+				void this.#exchange(instance, hasSummary ? textWithSummary : text);
 			}
 		}
 	}
 
+	/** Picks the next peers in rotation, so that an exchange costs the same in a data centre of any size. */
+	#pickSummaryPeers(peers: readonly string[]): Set<string> {
+		const picked = new Set<string>();
+		for (let count = Math.min(peers.length, maxSummaryPeers); count > 0; count--) {
+			picked.add(peers[this.#nextSummaryPeer++ % peers.length]!);
+		}
+
+		return picked;
+	}
+
 	/** Merges the summaries of the data centre when they are due to be exchanged. */
 	#mergeSummaries(nowMs: number): OverloadSummary | undefined {
 		const {instance} = this.options;
