Keep the shared demand for two exchanges; split the division of capacity from admission

Cause: shared demand expired after 4 s, the interval of the exchanges in calm, so that the first plan of an overload used the demand of one entry alone. Test: overload-summary with a demand that is 6 s old; it failed before (the lookup was admitted).

--- a/src/sidecar/overload/admission-controller.ts
+++ b/src/sidecar/overload/admission-controller.ts
@@ -7,6 +7,7 @@
  * keeps a minimum share.
  */
 import {type Route} from '../types.ts';
+import {allocateCapacity, type ServiceDemand} from './capacity-allocation.ts';
 import {type Cost, type CostTable, type CostVector} from './cost-table.ts';
 import {type OverloadReportTable} from './overload-report-table.ts';
 import {maxEntries, type RouteDemand} from './overload-summary.ts';
@@ -24,11 +25,6 @@
 const planIntervalMs = 100;
 /** Fraction of the open share that every route gets regardless of its priority, so that none is starved. */
 const routeMinShareFactor = 0.15;
-/**
- * Fraction of a priority's capacity that its routes split evenly; the rest goes to the cheapest routes.
- * The even split prevents cheaper routes of the same priority from starving an expensive one.
- */
-const evenSplitShare = 0.6;
 /**
  * Same as `routeMinShareFactor`, for call trees while servers refuse requests at random. It is lower because
  * the retries that it uses are taken from routes of higher priority.
@@ -40,8 +36,8 @@
 const rateTimeConstantMs = 1000;
 /** Routes with a lower rate, in requests per second, are removed as no longer in use. */
 const minTrackedRate = 0.01;
-/** Older demands of the data centre are replaced by those of this entry alone. */
-const maxSharedDemandAgeMs = 4000;
+/** Without an exchange of summaries for this long, the demand at this entry alone counts; they are 4 to 6 s apart. */
+const maxSharedDemandAgeMs = 10_000;
 /**
  * Shed callers retry after `minRetryAfterMs` plus a random part of a spread. The spread grows with the shed
  * fraction, up to `maxRetryAfterSpreadMs`.
@@ -61,15 +57,6 @@
 /** Share of a route's requests that is admitted, and the service that limits it. */
 type PlannedShare = {readonly share: number; readonly service: string; readonly ageMs: number};
 
-/** Demand of one route for an overloaded service. */
-type ServiceDemand = {
-	readonly key: string;
-	readonly rate: number;
-	/** Cost of one request at the service, in slot milliseconds or calls. */
-	readonly cost: number;
-	readonly priority: number;
-};
-
 /** Arrivals of one route; `rate` is in requests per second. */
 type RouteTraffic = {
 	readonly route: Pick<Route, 'name' | 'priority'>;
@@ -265,58 +252,3 @@
 		);
 	}
 }
-
-type Allocation = {readonly demand: ServiceDemand; readonly share: number};
-
-/** Grants every route the minimum share, then allocates the remaining capacity by priority. */
-function allocateCapacity(
-	demands: readonly ServiceDemand[],
-	openShare: number,
-	minShare: number,
-): Allocation[] {
-	let remaining = sumDemand(demands) * (openShare - minShare);
-	const allocations: Allocation[] = [];
-	for (const priority of listPriorities(demands)) {
-		const group = demands.filter(demand => demand.priority === priority);
-		const wanted = sumDemand(group) * (1 - minShare);
-		const granted = Math.min(remaining, wanted);
-		allocations.push(...allocateToGroup(group, minShare, wanted <= 0 ? 1 : granted / wanted));
-		remaining -= granted;
-	}
-
-	return allocations;
-}
-
-/** Allocates the capacity of one priority: a part evenly, the rest to the cheapest routes first. */
-function allocateToGroup(
-	group: readonly ServiceDemand[],
-	minShare: number,
-	groupShare: number,
-): Allocation[] {
-	const evenShare = groupShare < 1 ? groupShare * evenSplitShare : 1;
-	let remaining = sumDemand(group) * (1 - minShare) * (groupShare - evenShare);
-	const allocations: Allocation[] = [];
-	for (const demand of group) {
-		const wanted = demand.rate * demand.cost * (1 - minShare);
-		const extraShare = wanted <= 0 ? 0 : Math.max(0, Math.min(1 - evenShare, remaining / wanted));
-		remaining -= extraShare * wanted;
-		allocations.push({demand, share: minShare + (1 - minShare) * (evenShare + extraShare)});
-	}
-
-	return allocations;
-}
-
-function sumDemand(demands: readonly ServiceDemand[]): number {
-	let sum = 0;
-	for (const demand of demands) {
-		sum += demand.rate * demand.cost;
-	}
-
-	return sum;
-}
-
-/** Lists the priorities in use in ascending order; the lowest number is the most important. */
-function listPriorities(demands: readonly ServiceDemand[]): number[] {
-	const priorities = new Set(demands.map(demand => demand.priority));
-	return [...priorities].toSorted((first, second) => first - second);
-}
--- a/src/sidecar/overload/overload-summary.test.ts
+++ b/src/sidecar/overload/overload-summary.test.ts
@@ -110,7 +110,8 @@
 		},
 		nowMs,
 	);
-	admission.setSharedDemands(merged.demands, nowMs);
+	const exchangeIntervalMs = 6000;
+	admission.setSharedDemands(merged.demands, nowMs - exchangeIntervalMs);
 
 	// This entry itself sees nothing but a lookup now and then.
 	t.is(admission.decide(lookup, 'catalogue', nowMs + 200).kind, 'shed');
