--- a/scripts/bundle.ts
+++ b/scripts/bundle.ts
@@ -57,19 +57,19 @@
  * writeSidecar('target');
  */
 export function writeSidecar(folder: string): void {
-	buildScript('src/bin/primrosevalve-sidecar.ts', path.join(folder, bundleName), {
+	writeScript('src/bin/primrosevalve-sidecar.ts', path.join(folder, bundleName), {
 		banner: {js: '(function (require) {'},
 		footer: {js: '})'},
 	});
-	buildScript('scripts/sidecar-loader.ts', path.join(folder, 'primrosevalve-sidecar.cjs'));
+	writeScript('scripts/sidecar-loader.ts', path.join(folder, 'primrosevalve-sidecar.cjs'));
 	const tools = mkdtempSync(path.join(folder, 'tools-'));
 	const cacheWriter = path.join(tools, 'write-code-cache.cjs');
-	buildScript('scripts/write-code-cache.ts', cacheWriter);
+	writeScript('scripts/write-code-cache.ts', cacheWriter);
 	execFileSync(process.execPath, [...nodeFlags, cacheWriter, folder]);
 	rmSync(tools, {recursive: true});
 }
 
-function buildScript(source: string, outfile: string, overrides: BuildOptions = {}): void {
+function writeScript(source: string, outfile: string, overrides: BuildOptions = {}): void {
 	buildSync({
 		entryPoints: [path.join(projectRoot, source)],
 		outfile,
--- a/src/bin/primrosevalve-sidecar.ts
+++ b/src/bin/primrosevalve-sidecar.ts
@@ -115,7 +115,7 @@
 	}
 }
 
-function main(): void {
+function runProcess(): void {
 	process.on('uncaughtException', handleUncaughtError);
 	process.on('unhandledRejection', handleUncaughtError);
 	process.on('SIGHUP', reloadSettings);
@@ -125,4 +125,4 @@
 	void startSidecar();
 }
 
-main();
+runProcess();
--- a/src/sidecar/discovery/store-relay.ts
+++ b/src/sidecar/discovery/store-relay.ts
@@ -120,7 +120,7 @@
 			const hasSummary = summaryPeers.has(instance);
 			if (!this.#pending.has(instance) && (hasSummary || changes.length > 0)) {
 				this.#pending.add(instance);
-				void this.#exchange(instance, hasSummary ? textWithSummary : text);
+				void this.#sendAndRecord(instance, hasSummary ? textWithSummary : text);
 			}
 		}
 	}
@@ -149,7 +149,7 @@
 	}
 
 	/** Sends a relay and records the summary in the answer. */
-	async #exchange(instance: string, text: string): Promise<void> {
+	async #sendAndRecord(instance: string, text: string): Promise<void> {
 		const answer = await this.#send(instance, text);
 		this.#pending.delete(instance);
 		const summary = decodeRelayAnswer(answer ?? '');
--- a/src/sidecar/discovery/summary-collector.ts
+++ b/src/sidecar/discovery/summary-collector.ts
@@ -1,11 +1,11 @@
 /** Collects the overload summaries of a data centre at a watcher, and decides when to exchange them. */
 import {mergeSummaries, type OverloadSummary} from '../overload/overload-summary.ts';
 
-/** A summary is left out after three exchanges without an answer of its instance. */
-const maxAgeMs = 4000;
 /** Demand and costs change slowly; while a service is overloaded, its capacity changes within a second. */
 const calmIntervalMs = 4000;
 const overloadIntervalMs = 900;
+/** A summary is left out after two exchanges without an answer of its instance. */
+const maxAgeMs = 2 * calmIntervalMs;
 
 type Collected = {readonly summary: OverloadSummary; readonly atMs: number};
 
@@ -41,7 +41,7 @@
 		this.#exchangedAtMs = nowMs;
 		const recent: OverloadSummary[] = [];
 		for (const [instance, {summary, atMs}] of this.#collected) {
-			if (nowMs - atMs > maxAgeMs + calmIntervalMs) {
+			if (nowMs - atMs > maxAgeMs) {
 				this.#collected.delete(instance);
 				continue;
 			}
--- a/src/sidecar/guard/server-connection.ts
+++ b/src/sidecar/guard/server-connection.ts
@@ -209,7 +209,7 @@
 		}
 
 		this.#bytesWithoutData += chunk.length;
-		const result = this.#execute(chunk);
+		const result = this.#runParser(chunk);
 		if (result instanceof Error) {
 			this.#mustClose = true;
 		}
@@ -226,7 +226,7 @@
 	}
 
 	/** Runs the parser; errors of its callbacks, which it throws, are returned like its own. */
-	#execute(chunk: ParserChunk): number | Error {
+	#runParser(chunk: ParserChunk): number | Error {
 		try {
 			return this.#parser.execute(chunk);
 		} catch (error) {
--- a/src/sidecar/overload/overload-summary.ts
+++ b/src/sidecar/overload/overload-summary.ts
@@ -75,7 +75,7 @@
 
 	return {
 		demands: [...demands.values()],
-		costs: [...costs.values()].map(group => averageCosts(group)),
+		costs: [...costs.values()].map(group => computeMeanCosts(group)),
 		origins: [...votes.values()].map(({origin, balance}) => ({...origin, isNested: balance > 0})),
 		reports: summaries.flatMap(summary => summary.reports),
 	};
@@ -85,7 +85,7 @@
  * Averages the costs that instances of one service measured. The cost of a nested service is averaged over the
  * instances that know it: one that has made too few of the calls lists none.
  */
-function averageCosts(group: readonly RouteCosts[]): RouteCosts {
+function computeMeanCosts(group: readonly RouteCosts[]): RouteCosts {
 	const sums = new Map<string, Cost & {count: number}>();
 	for (const {costs} of group) {
 		for (const {service, slotMs, calls} of costs) {
