Log and count the requests whose callers left, and measure how late the event loop reads

Neither logs nor metrics told whether the entry or the guard reads late, or a cancellation is lost.

Adds: the lag of the event loop (metric, and on each line about a failed request), a line and a counter for each request that a guard cancels, with its phase.

--- a/src/sidecar/local-server-manager.ts
+++ b/src/sidecar/local-server-manager.ts
@@ -188,21 +188,35 @@
 	}
 
 	#logOutcome(call: GuardedCall, outcome: CallOutcome): void {
-		if (outcome.kind !== 'refused' && outcome.kind !== 'failed') {
-			return;
-		}
-
+		const {requestLog} = this.options;
 		const {requestId, route, callerService, remainingMs} = call.head;
-		this.options.requestLog.recordGuardFailure({
-			requestId,
-			route,
-			callerService,
-			reason: outcome.reason,
-			mayHaveRun: outcome.kind === 'failed' && outcome.hasSent,
-			afterMs: Math.round(performance.now() - call.arrivedAtMs),
-			remainingMs: Math.round(remainingMs),
-			...this.guard.readLoad(),
-		});
+		const afterMs = Math.round(performance.now() - call.arrivedAtMs);
+		switch (outcome.kind) {
+			case 'answered': {
+				break;
+			}
+
+			case 'cancelled': {
+				const phase = outcome.mayHaveRun ? 'running' : 'waiting';
+				requestLog.recordCancellation({requestId, route, callerService, afterMs, phase});
+				break;
+			}
+
+			case 'refused':
+			case 'failed': {
+				requestLog.recordGuardFailure({
+					requestId,
+					route,
+					callerService,
+					reason: outcome.reason,
+					mayHaveRun: outcome.kind === 'failed' && outcome.hasSent,
+					afterMs,
+					remainingMs: Math.round(remainingMs),
+					...this.guard.readLoad(),
+				});
+				break;
+			}
+		}
 	}
 
 	/**
--- a/src/sidecar/reporting/metrics-page.ts
+++ b/src/sidecar/reporting/metrics-page.ts
@@ -2,11 +2,13 @@
 import type http from 'node:http';
 import {type Logger} from '../../reporting/logger.ts';
 import {type GuardLoad} from '../link/messages.ts';
+import {type LoopLag} from '../scheduling/loop-lag.ts';
 import {latencyBucketsMs, type RequestLog} from './request-log.ts';
 
 export type MetricsSource = {
 	readonly log: RequestLog;
 	readonly logger: Logger;
+	readonly lag: LoopLag;
 	readLoad(): GuardLoad;
 	readConfigVersion(): number;
 	countMembers(): number;
@@ -66,6 +68,11 @@
 			'Connections opened to the server',
 			() => source.countOpenedConnections(),
 		],
+		[
+			'primrosevalve_event_loop_lag_max_milliseconds',
+			'Longest delay of the event loop since the last page',
+			() => source.lag.collectMaxLagMs(performance.now()),
+		],
 		[
 			'primrosevalve_log_lines_dropped_total',
 			'Request lines that the budget dropped',
@@ -83,6 +90,17 @@
 		});
 	}
 
+	const cancelled = new Gauge({
+		name: 'primrosevalve_requests_cancelled_total',
+		help: 'Requests whose caller left, by the phase that they were in',
+		labelNames: ['phase'],
+		registers,
+		collect() {
+			for (const [phase, count] of Object.entries(source.log.cancelledCounts)) {
+				cancelled.set({phase}, count);
+			}
+		},
+	});
 	addRequestMetrics(
 		new Gauge({
 			name: 'primrosevalve_requests_total',
--- a/src/sidecar/reporting/request-log.ts
+++ b/src/sidecar/reporting/request-log.ts
@@ -3,6 +3,7 @@
  * so that served requests don't displace the lines about failures.
  */
 import {type Logger} from '../../reporting/logger.ts';
+import {type LoopLag} from '../scheduling/loop-lag.ts';
 
 /** Result of one request at the entry. */
 export type RequestRecord = {
@@ -30,6 +31,9 @@
 	readonly reportAgeMs: number;
 };
 
+/** How far a request had got when its caller left; `unread` before the entry had read it. */
+export type CancelledPhase = 'unread' | 'waiting' | 'running';
+
 /** A request that a guard refused, or that failed at the local server. */
 export type GuardFailureRecord = {
 	readonly requestId: string;
@@ -46,11 +50,17 @@
 	readonly limit: number;
 };
 
+/** A request whose caller left while it waited in the guard or ran at the local server. */
+export type CancellationRecord = Pick<
+	GuardFailureRecord,
+	'requestId' | 'route' | 'callerService' | 'afterMs'
+> & {readonly phase: CancelledPhase};
+
 /** Limit of lines about served requests. It is the lowest, so that these are dropped first. */
 const maxServedLinesPerSecond = 2;
 /** Limit of lines about requests that were refused or failed at the entry. */
 const maxFailedLinesPerSecond = 20;
-/** Limit of lines about requests that the guard refused or that failed at the local server. */
+/** Limit of lines about requests that the guard refused, that failed at the local server or were cancelled. */
 const maxGuardFailureLinesPerSecond = 10;
 /** Upper bounds of the latency buckets. */
 export const latencyBucketsMs = [5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10_000] as const;
@@ -66,13 +76,15 @@
 export class RequestLog {
 	/**
 	 * @example
-	 * const log = RequestLog.create(logger);
+	 * const log = RequestLog.create(logger, lag);
 	 */
-	static create(logger: Logger): RequestLog {
-		return new RequestLog(logger);
+	static create(logger: Logger, lag: Pick<LoopLag, 'readLagMs'>): RequestLog {
+		return new RequestLog(logger, lag);
 	}
 
 	readonly counts = new Map<string, RequestCount>();
+	/** Requests whose caller left, by the phase that they were in. */
+	readonly cancelledCounts: Record<CancelledPhase, number> = {unread: 0, waiting: 0, running: 0};
 	/** Lines dropped by the limits since the start. */
 	droppedLineCount = 0;
 	#second = 0;
@@ -81,7 +93,10 @@
 	#guardFailureLineCount = 0;
 	#reportedDropCount = 0;
 
-	private constructor(private readonly logger: Logger) {}
+	private constructor(
+		private readonly logger: Logger,
+		private readonly lag: Pick<LoopLag, 'readLagMs'>,
+	) {}
 
 	/** Counts and logs the result of a request at the entry. */
 	recordRequest(record: RequestRecord): void {
@@ -93,7 +108,11 @@
 			return;
 		}
 
-		const fields = {...record, tookMs: Math.round(record.tookMs)};
+		const fields = {
+			...record,
+			tookMs: Math.round(record.tookMs),
+			loopLagMs: this.#readLoopLagMs(),
+		};
 		if (isServed) {
 			this.logger.info(fields, 'request served');
 		} else {
@@ -103,18 +122,34 @@
 
 	/** Logs a request that the guard of this instance refused, or that failed at the local server. */
 	recordGuardFailure(record: GuardFailureRecord): void {
-		this.#resetLimits();
-		if (this.#guardFailureLineCount++ >= maxGuardFailureLinesPerSecond) {
-			this.droppedLineCount++;
-			return;
+		if (this.#consumeGuardLine()) {
+			this.logger.warn(
+				{...record, loopLagMs: this.#readLoopLagMs()},
+				record.mayHaveRun
+					? 'request failed at the server and may have run'
+					: 'request refused by the guard',
+			);
 		}
+	}
 
-		this.logger.warn(
-			record,
-			record.mayHaveRun
-				? 'request failed at the server and may have run'
-				: 'request refused by the guard',
-		);
+	/** Counts and logs a request that the guard of this instance ended since its caller had left. */
+	recordCancellation(record: CancellationRecord): void {
+		this.cancelledCounts[record.phase]++;
+		if (this.#consumeGuardLine()) {
+			this.logger.info({...record, loopLagMs: this.#readLoopLagMs()}, 'request cancelled');
+		}
+	}
+
+	#readLoopLagMs(): number {
+		return Math.round(this.lag.readLagMs(performance.now()));
+	}
+
+	/** Counts a line of the guard against its limit and returns whether it may be logged. */
+	#consumeGuardLine(): boolean {
+		this.#resetLimits();
+		const isAllowed = this.#guardFailureLineCount++ < maxGuardFailureLinesPerSecond;
+		this.droppedLineCount += isAllowed ? 0 : 1;
+		return isAllowed;
 	}
 
 	/** Counts a line against its limit and returns whether it may be logged. */
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -1,8 +1,7 @@
 /** Wires together one sidecar: the entry, the guard and the control endpoint of one backend server. */
 import {randomBytes} from 'node:crypto';
-import type http from 'node:http';
 import {type Logger} from '../reporting/logger.ts';
-import {createControlHandler, createReadyHandler, startHttpServer} from './control-server.ts';
+import {Endpoints} from './endpoints.ts';
 import {type EntryContext} from './entry/entry-context.ts';
 import {EntryServer} from './entry/entry-server.ts';
 import {NonceGenerator} from './entry/nonce-generator.ts';
@@ -20,8 +19,8 @@
 import {AdmissionController} from './overload/admission-controller.ts';
 import {RetryBudget} from './overload/retry-budget.ts';
 import {type SidecarPlatform} from './sidecar-platform.ts';
-import {createMetricsHandler} from './reporting/metrics-page.ts';
 import {RequestLog} from './reporting/request-log.ts';
+import {LoopLag} from './scheduling/loop-lag.ts';
 import {LocalServerManager} from './local-server-manager.ts';
 import {StopSequence} from './stop-sequence.ts';
 import {type Member, type SidecarSettings} from './types.ts';
@@ -50,14 +49,15 @@
 	readonly #stopSequence: StopSequence;
 	readonly #handleMember: (member: Member) => void;
 	readonly #closeLinks: () => void;
-	#servers: http.Server[] = [];
+	readonly #lag = LoopLag.create();
+	readonly #endpoints: Endpoints;
 
 	private constructor(
 		private settings: SidecarSettings,
 		private readonly platform: SidecarPlatform,
 		private readonly logger: Logger,
 	) {
-		this.#requestLog = RequestLog.create(logger);
+		this.#requestLog = RequestLog.create(logger, this.#lag);
 		const factory = ViewFactory.create(settings, logger, () => this.#localServer.guard.readLoad());
 		this.#directory = Directory.create(member => factory.createView(member));
 		this.#closeLinks = () => {
@@ -91,22 +91,16 @@
 			localServer: this.#localServer,
 			entry: this.#entry,
 		});
+		this.#endpoints = this.#createEndpoints();
 	}
 
 	/** Starts all listeners and watches the store; callers are served once a configuration is known. */
 	async start(): Promise<void> {
-		const {callerAddress, linkAddress, readyAddress, controlAddress, metricsAddress} =
-			this.settings;
+		const {callerAddress, linkAddress} = this.settings;
+		this.#lag.start();
 		this.#storeSync.start();
 		await Promise.all([this.#linkServer.listen(linkAddress), this.#entry.listen(callerAddress)]);
-		this.#servers = await Promise.all([
-			startHttpServer(controlAddress, this.#createControlHandler()),
-			startHttpServer(
-				readyAddress,
-				createReadyHandler(() => this.#isReady()),
-			),
-			startHttpServer(metricsAddress, this.#createMetricsHandler()),
-		]);
+		await this.#endpoints.start();
 		this.#peerSync.start();
 		this.#localServer.start();
 		const {instance} = this.settings;
@@ -132,10 +126,8 @@
 		this.#entry.close();
 		this.#localServer.close();
 		this.#closeLinks();
-		for (const server of this.#servers) {
-			server.closeAllConnections();
-			server.close();
-		}
+		this.#endpoints.close();
+		this.#lag.stop();
 	}
 
 	#isReady(): boolean {
@@ -276,24 +268,27 @@
 		this.#peerSync.handleVersion(from.member.instance, metadata.configVersion);
 	}
 
-	#createControlHandler() {
-		return createControlHandler({
-			logger: this.logger,
-			decodeMessage: (url, body) => this.platform.decodeServerMessage(url, body),
-			handleMessage: message => {
-				this.#localServer.handleMessage(message);
+	#createEndpoints(): Endpoints {
+		const {logger} = this;
+		return Endpoints.create({
+			addresses: this.settings,
+			control: {
+				logger,
+				decodeMessage: (url, body) => this.platform.decodeServerMessage(url, body),
+				handleMessage: message => {
+					this.#localServer.handleMessage(message);
+				},
 			},
-		});
-	}
-
-	#createMetricsHandler() {
-		return createMetricsHandler({
-			log: this.#requestLog,
-			logger: this.logger,
-			readLoad: () => this.#localServer.guard.readLoad(),
-			readConfigVersion: () => this.#activeConfig.version,
-			countMembers: () => this.#directory.size,
-			countOpenedConnections: () => this.#localServer.pool.openedCount,
+			metrics: {
+				log: this.#requestLog,
+				logger,
+				lag: this.#lag,
+				readLoad: () => this.#localServer.guard.readLoad(),
+				readConfigVersion: () => this.#activeConfig.version,
+				countMembers: () => this.#directory.size,
+				countOpenedConnections: () => this.#localServer.pool.openedCount,
+			},
+			isReady: () => this.#isReady(),
 		});
 	}
 }
