Start work only after the input that may revoke it was read, while the event loop lags

Cause: a busy sidecar acted on each message as it read it. The caller's close, or the cancel frame of an entry, lay behind the request in the same socket or in another one and was read after the request had been sent. Class: acting on a message while its revocation has already arrived.

Change: a run queue with time slices (scheduling/run-queue) starts requests at the entry, requests that come over links, and waiting requests that get a slot. An entry checks whether the caller has closed before it sends or retries, and a guard drops a request whose cancellation was read together with it.

--- a/src/sidecar/entry/caller-request.ts
+++ b/src/sidecar/entry/caller-request.ts
@@ -12,6 +12,15 @@
 	readonly isWhole: boolean;
 };
 
+/** Whether the caller has closed the connection: nobody receives the answer. */
+export function hasCallerLeft({
+	request,
+	response,
+}: Pick<CallerRequest, 'request' | 'response'>): boolean {
+	const {socket} = request;
+	return response.destroyed || socket.destroyed || socket.readableEnded;
+}
+
 /**
  * Streams the rest of a request body to the guard, with the guard's backpressure applied to the caller.
  *
--- a/src/sidecar/entry/entry-call.ts
+++ b/src/sidecar/entry/entry-call.ts
@@ -5,8 +5,9 @@
 import {localStatuses} from './caller-answer.ts';
 import {CallerReply} from './caller-reply.ts';
 import {type EntryContext} from './entry-context.ts';
+import {decideCallAdmission} from './call-admission.ts';
 import {createCallHead} from './call-head.ts';
-import {type CallerRequest, streamBody} from './caller-request.ts';
+import {type CallerRequest, hasCallerLeft, streamBody} from './caller-request.ts';
 import {checkRequest} from './request-checks.ts';
 import {createRequestRecord} from './request-record.ts';
 import {minRemainingMs, AttemptHistory} from './attempt-history.ts';
@@ -52,6 +53,12 @@
 	}
 
 	start(): void {
+		if (hasCallerLeft(this.caller)) {
+			this.ctx.log.cancelledCounts.unread++;
+			this.#handleCallerClosed();
+			return;
+		}
+
 		const result = checkRequest(this.ctx, this.caller);
 		switch (result.kind) {
 			case 'passed': {
@@ -74,7 +81,8 @@
 		const timeoutMs = Math.min(head.deadlineMs ?? defaultDeadlineMs, route.timeoutMs);
 		this.#deadlineAtMs = this.#arrivedAtMs + timeoutMs;
 		this.#timer = setTimeout(() => {
-			this.#handleTimeout();
+			this.#attempt?.cancel();
+			this.#reply.answer(localStatuses.timeout, 'no answer in time');
 		}, timeoutMs);
 		response.on('close', () => {
 			this.#handleCallerClosed();
@@ -83,27 +91,17 @@
 	}
 
 	#admit(route: Route): void {
-		const nowMs = performance.now();
-		this.ctx.budget.recordRequest(this.#service, nowMs);
-		this.ctx.callRatios.recordOutbound(route.name, nowMs);
-		// Unless a guard has reported otherwise, this may be a nested call of admitted work: don't shed it.
-		const isNested = this.ctx.callRatios.isNested(route.name);
-		this.#isNested = isNested === true;
-		if (isNested !== false) {
-			this.#sendToNext();
-			return;
-		}
-
-		const decision = this.ctx.admission.decide(route, this.#service, nowMs);
-		switch (decision.kind) {
+		const admission = decideCallAdmission(this.ctx, route, this.#service, performance.now());
+		switch (admission.kind) {
 			case 'admitted': {
+				this.#isNested = admission.isNested;
 				this.#sendToNext();
 				break;
 			}
 
 			case 'shed': {
-				this.#reportAgeMs = decision.reportAgeMs;
-				this.#reply.refuse(decision.reason, decision.retryAfterMs);
+				this.#reportAgeMs = admission.reportAgeMs;
+				this.#reply.refuse(admission.reason, admission.retryAfterMs);
 				break;
 			}
 		}
@@ -111,6 +109,10 @@
 
 	/** Sends the request to a member that was not tried yet, or answers when none is left. */
 	#sendToNext(): void {
+		if (hasCallerLeft(this.caller)) {
+			this.#handleCallerClosed();
+		}
+
 		if (this.#reply.isDone) {
 			return;
 		}
@@ -268,11 +270,6 @@
 		}
 	}
 
-	#handleTimeout(): void {
-		this.#attempt?.cancel();
-		this.#reply.answer(localStatuses.timeout, 'no answer in time');
-	}
-
 	#handleCallerClosed(): void {
 		if (!this.#reply.isDone) {
 			this.#attempt?.cancel();
--- a/src/sidecar/entry/entry-context.ts
+++ b/src/sidecar/entry/entry-context.ts
@@ -10,6 +10,7 @@
 import {type ReplyMetadata} from '../link/messages.ts';
 import {type Logger} from '../../reporting/logger.ts';
 import {type RequestLog} from '../reporting/request-log.ts';
+import {type RunQueue} from '../scheduling/run-queue.ts';
 import {type HeadCodec, type Member} from '../types.ts';
 
 export type EntryContext = {
@@ -21,6 +22,8 @@
 	readonly callRatios: CallRatioEstimator;
 	readonly costs: CostTable;
 	readonly log: RequestLog;
+	/** Starts requests, after further input was read when the event loop lags. */
+	readonly runQueue: Pick<RunQueue, 'submit'>;
 	readonly logger: Logger;
 	/** Routes of the active configuration; undefined until one is known. */
 	readRoutes(): RouteTable | undefined;
--- a/src/sidecar/entry/entry-server.ts
+++ b/src/sidecar/entry/entry-server.ts
@@ -41,13 +41,9 @@
 			noDelay: true,
 		};
 		this.#server = http.createServer(options, (request, response) => {
-			try {
+			this.#runOrClose(request, response, () => {
 				this.#handleRequest(request, response);
-			} catch (error) {
-				const reason = (error as Error).message;
-				this.ctx.logger.error({reason, path: request.url}, 'failed to handle a request');
-				response.destroy();
-			}
+			});
 		});
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
 			if (socket.writable) {
@@ -94,6 +90,17 @@
 		this.#server.close();
 	}
 
+	/** Runs a step of a request; an unexpected error closes the connection of this request only. */
+	#runOrClose(request: http.IncomingMessage, response: http.ServerResponse, run: () => void): void {
+		try {
+			run();
+		} catch (error) {
+			const reason = (error as Error).message;
+			this.ctx.logger.error({reason, path: request.url}, 'failed to handle a request');
+			response.destroy();
+		}
+	}
+
 	#handleRequest(request: http.IncomingMessage, response: http.ServerResponse): void {
 		this.#activeRequests++;
 		response.on('close', () => {
@@ -105,7 +112,12 @@
 		const hasBody =
 			headers['transfer-encoding'] !== undefined || (headers['content-length'] ?? '0') !== '0';
 		const start = (body: Uint8Array, isWhole: boolean) => {
-			EntryCall.create(this.ctx, {request, response, head, body, isWhole}).start();
+			const call = EntryCall.create(this.ctx, {request, response, head, body, isWhole});
+			this.ctx.runQueue.submit(() => {
+				this.#runOrClose(request, response, () => {
+					call.start();
+				});
+			});
 		};
 
 		if (!hasBody) {
--- a/src/sidecar/guard/fixtures.ts
+++ b/src/sidecar/guard/fixtures.ts
@@ -1,6 +1,7 @@
 /** Test fixtures: request heads, a codec, and a guard in front of a fake server. */
 import {Buffer} from 'node:buffer';
 import {formatNonce} from '../../once/nonce.ts';
+import {immediateQueue} from '../link/fixtures.ts';
 import {type CallHead} from '../link/messages.ts';
 import {type HeadCodec, type Member, type ServerAnswerHead} from '../types.ts';
 import {Guard} from './guard.ts';
@@ -112,6 +113,7 @@
 		pool: {acquire: () => createConnection(runs), closeIdleBefore: ignore},
 		codec: createTestCodec(),
 		incarnation: testIncarnation,
+		runQueue: immediateQueue,
 		readSuspended,
 		readMember: () => testMember,
 		events: {
--- a/src/sidecar/guard/guard.ts
+++ b/src/sidecar/guard/guard.ts
@@ -4,10 +4,9 @@
  */
 import {endedExchange, type Exchange, type ExchangeListener} from '../link/exchange.ts';
 import {type CallHead, type GuardLoad, type RefusalReason} from '../link/messages.ts';
-import {type HeadCodec, type Member} from '../types.ts';
-import {type CallConnection, type CallOutcome, GuardedCall} from './guarded-call.ts';
+import {type CallOutcome, GuardedCall} from './guarded-call.ts';
 import {CallRegistry} from './call-registry.ts';
-import {type LocalServer} from './local-server.ts';
+import {type GuardOptions} from './guard-options.ts';
 import {AdmissionQueue} from './admission-queue.ts';
 
 /** Weight of one finished request in the moving average of the service time, and its initial value. */
@@ -18,31 +17,6 @@
 const minUnansweredMs = 700;
 const minUnansweredServiceTimes = 5;
 
-export type GuardEvents = {
-	/** A request has arrived; `utilization` is (running + waiting) / limit, above 1 when requests wait. */
-	handleArrival(head: CallHead, utilization: number): void;
-	/** A request is about to be sent to the server. */
-	handleStart(head: CallHead): void;
-	/** A connection to the server could not be established. */
-	handleUnreachable(): void;
-	handleOutcome(call: GuardedCall, outcome: CallOutcome): void;
-};
-
-export type GuardOptions = {
-	readonly server: LocalServer;
-	readonly pool: {
-		acquire(requestId: string, isOnce: boolean): CallConnection;
-		closeIdleBefore(timeMs: number): void;
-	};
-	readonly codec: HeadCodec;
-	readonly incarnation: string;
-	readonly events: GuardEvents;
-	/** Time for which this process was suspended. */
-	readonly readSuspended: () => number;
-	/** Reads the member record that this instance currently announces. */
-	readMember(): Member | undefined;
-};
-
 export class Guard {
 	/**
 	 * @example
@@ -269,7 +243,9 @@
 		this.#calls.removeOrphan(call);
 		this.options.events.handleOutcome(call, outcome);
 		queueMicrotask(() => {
-			this.#startQueued();
+			this.options.runQueue.submit(() => {
+				this.#startQueued();
+			});
 		});
 	}
 
--- a/src/sidecar/link/fixtures.ts
+++ b/src/sidecar/link/fixtures.ts
@@ -13,6 +13,13 @@
 	isNested: undefined,
 };
 
+/** Starts work at once, as a punctual event loop does. */
+export const immediateQueue = {
+	submit(run: () => void) {
+		run();
+	},
+};
+
 function ignore(): void {
 	// Tests override the events that they check.
 }
--- a/src/sidecar/link/link-server.test.ts
+++ b/src/sidecar/link/link-server.test.ts
@@ -5,7 +5,7 @@
 import {Buffer} from 'node:buffer';
 import test from 'ava';
 import {createTestGuard, createTestHead, testAnswer, testIncarnation} from '../guard/fixtures.ts';
-import {createTestListener, findFreePorts, testMetadata} from './fixtures.ts';
+import {createTestListener, findFreePorts, immediateQueue, testMetadata} from './fixtures.ts';
 import {LinkPool} from './link-pool.ts';
 import {LinkServer} from './link-server.ts';
 
@@ -20,6 +20,8 @@
 			return testMetadata;
 		},
 		answerSync: () => '',
+		runQueue: immediateQueue,
+		handleUnread: () => t.fail('the request was cancelled'),
 		handleInvalidFrame: reason => t.fail(reason),
 	});
 	const [port] = await findFreePorts(1);
--- a/src/sidecar/link/link-server.ts
+++ b/src/sidecar/link/link-server.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import net from 'node:net';
 import {type Guard} from '../guard/guard.ts';
+import {type RunQueue} from '../scheduling/run-queue.ts';
 import {type SocketAddress} from '../types.ts';
 import {type Exchange, type ExchangeListener} from './exchange.ts';
 import {type Frame, frameTypes} from './frames.ts';
@@ -22,10 +23,14 @@
 export type LinkServerOptions = {
 	readonly guard: Guard;
 	readonly incarnation: string;
+	/** Starts requests, after further input was read when the event loop lags. */
+	readonly runQueue: Pick<RunQueue, 'submit'>;
 	/** Creates the metadata of a reply to a request on a route from an instance of a service. */
 	createMetadata(route: string, callerService: string): ReplyMetadata;
 	/** Answers a peer's request for newer configuration and members. */
 	answerSync(request: string): string;
+	/** Called when a request was cancelled, or its connection lost, before the guard received it. */
+	handleUnread(head: CallHead): void;
 	/** Called with the reason when a frame from a peer is invalid or unexpected; the connection is then closed. */
 	handleInvalidFrame(reason: string): void;
 };
@@ -77,6 +82,8 @@
 
 	readonly #frames: FrameSocket;
 	#exchange: Exchange | undefined;
+	/** A request that the guard has not received yet. */
+	#unreadHead: CallHead | undefined;
 	#nonce: string | undefined;
 	#route = '';
 	#callerService = '';
@@ -93,9 +100,7 @@
 				this.#exchange?.setPaused(false);
 			},
 			handleClosed: () => {
-				if (this.#nonce !== undefined) {
-					options.guard.handleLinkLost(this.#nonce, this);
-				}
+				this.#handleClosed();
 			},
 		});
 		this.#frames.send(frameTypes.hello, options.incarnation);
@@ -132,6 +137,44 @@
 		this.#frames.send(frameTypes.failed, encodeFailure(head, this.#createMetadata()));
 	}
 
+	#handleClosed(): void {
+		if (this.#unreadHead !== undefined) {
+			this.#dropUnread(this.#unreadHead);
+		} else if (this.#nonce !== undefined) {
+			this.options.guard.handleLinkLost(this.#nonce, this);
+		}
+	}
+
+	/** Passes a request to the guard, unless it was cancelled or the connection was lost meanwhile. */
+	#submitLater(head: CallHead, body: Uint8Array): void {
+		this.#unreadHead = head;
+		const submit = () => {
+			if (this.#unreadHead === head) {
+				this.#unreadHead = undefined;
+				this.#exchange = this.options.guard.submit(head, body, this);
+			}
+		};
+
+		// After the frames that were read together with this one.
+		queueMicrotask(() => {
+			this.options.runQueue.submit(submit);
+		});
+	}
+
+	#dropUnread(head: CallHead): void {
+		this.#unreadHead = undefined;
+		this.options.handleUnread(head);
+	}
+
+	#cancel(): void {
+		if (this.#unreadHead === undefined) {
+			this.#exchange?.cancel();
+		} else {
+			this.#dropUnread(this.#unreadHead);
+			this.handleRefusal({reason: 'forgotten', member: undefined});
+		}
+	}
+
 	#setRequest({nonce, route, callerService}: Pick<CallHead, 'nonce' | 'route' | 'callerService'>) {
 		this.#nonce = nonce;
 		this.#route = route;
@@ -156,7 +199,13 @@
 			case frameTypes.open: {
 				const head = decodeCall(frame.head);
 				this.#setRequest(head);
-				this.#exchange = this.options.guard.submit(head, Buffer.from(frame.body), this);
+				if (head.isWhole) {
+					this.#submitLater(head, Buffer.from(frame.body));
+				} else {
+					// The frames with the rest of the body need the exchange.
+					this.#exchange = this.options.guard.submit(head, Buffer.from(frame.body), this);
+				}
+
 				break;
 			}
 
@@ -171,7 +220,7 @@
 			}
 
 			case frameTypes.cancel: {
-				this.#exchange?.cancel();
+				this.#cancel();
 				break;
 			}
 
--- a/src/sidecar/local-server-manager.ts
+++ b/src/sidecar/local-server-manager.ts
@@ -10,6 +10,7 @@
 import {type MetadataExchange} from './metadata-exchange.ts';
 import {type Row, type SharedTable} from './shared-table.ts';
 import {type RequestLog} from './reporting/request-log.ts';
+import {type RunQueue} from './scheduling/run-queue.ts';
 import {decodeMember} from './discovery/member-codec.ts';
 import {readSuspendedMs} from './suspension-clock.ts';
 import {
@@ -32,6 +33,7 @@
 	readonly incarnation: string;
 	readonly directory: Directory;
 	readonly requestLog: RequestLog;
+	readonly runQueue: RunQueue;
 	readMetadataExchange(): MetadataExchange;
 	readConfig(): MeshConfig | undefined;
 	/** Called when the announcement of this instance has changed or can't be written to the table. */
@@ -146,6 +148,7 @@
 			pool: this.pool,
 			codec: this.options.codec,
 			incarnation: this.options.incarnation,
+			runQueue: this.options.runQueue,
 			readSuspended: readSuspendedMs,
 			readMember: () => this.#announcer.current,
 			events: {
--- a/src/sidecar/reporting/request-log.ts
+++ b/src/sidecar/reporting/request-log.ts
@@ -134,9 +134,14 @@
 
 	/** Counts and logs a request that the guard of this instance ended since its caller had left. */
 	recordCancellation(record: CancellationRecord): void {
-		this.cancelledCounts[record.phase]++;
+		const {requestId, route, callerService, afterMs, phase} = record;
+		this.cancelledCounts[phase]++;
 		if (this.#consumeGuardLine()) {
-			this.logger.info({...record, loopLagMs: this.#readLoopLagMs()}, 'request cancelled');
+			const loopLagMs = this.#readLoopLagMs();
+			this.logger.info(
+				{requestId, route, callerService, afterMs, phase, loopLagMs},
+				'request cancelled',
+			);
 		}
 	}
 
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -21,6 +21,7 @@
 import {type SidecarPlatform} from './sidecar-platform.ts';
 import {RequestLog} from './reporting/request-log.ts';
 import {LoopLag} from './scheduling/loop-lag.ts';
+import {RunQueue} from './scheduling/run-queue.ts';
 import {LocalServerManager} from './local-server-manager.ts';
 import {StopSequence} from './stop-sequence.ts';
 import {type Member, type SidecarSettings} from './types.ts';
@@ -50,6 +51,7 @@
 	readonly #handleMember: (member: Member) => void;
 	readonly #closeLinks: () => void;
 	readonly #lag = LoopLag.create();
+	readonly #runQueue = RunQueue.create({lag: this.#lag});
 	readonly #endpoints: Endpoints;
 
 	private constructor(
@@ -68,8 +70,7 @@
 		this.#localServer = this.#createLocalServerManager();
 		this.#metadata = this.#createMetadataExchange();
 		const {costs, overloadReports} = this.#metadata;
-		const random = () => Math.random();
-		this.#admission = AdmissionController.create({costs, overloadReports, random});
+		this.#admission = AdmissionController.create({costs, overloadReports, random: Math.random});
 		this.#handleMember = createMemberHandler({
 			instance: settings.instance,
 			directory: this.#directory,
@@ -130,10 +131,6 @@
 		this.#lag.stop();
 	}
 
-	#isReady(): boolean {
-		return this.#activeConfig.routes !== undefined && !this.#stopSequence.isStopping;
-	}
-
 	#createActiveConfig(): ActiveConfig {
 		return ActiveConfig.create({
 			logger: this.logger,
@@ -153,6 +150,7 @@
 			incarnation: this.#incarnation,
 			directory: this.#directory,
 			requestLog: this.#requestLog,
+			runQueue: this.#runQueue,
 			readMetadataExchange: () => this.#metadata,
 			readConfig: () => this.#activeConfig.routes?.config,
 			handleAnnounced: () => {
@@ -233,6 +231,7 @@
 			callRatios,
 			costs,
 			log: this.#requestLog,
+			runQueue: this.#runQueue,
 			logger: this.logger,
 			readRoutes: () => this.#activeConfig.routes,
 			readCallerService: () => this.#localServer.service ?? this.settings.service,
@@ -245,7 +244,7 @@
 				this.#peerSync.handleDirectAnnouncement(member);
 			},
 			createNonce: () => nonces.next(),
-			random: () => Math.random(),
+			random: Math.random,
 		};
 	}
 
@@ -256,6 +255,10 @@
 			createMetadata: (route, callerService) => this.#metadata.createMetadata(route, callerService),
 			answerSync: text =>
 				isRelay(text) ? this.#storeSync.answerRelay(text) : this.#peerSync.answerRequest(text),
+			runQueue: this.#runQueue,
+			handleUnread: head => {
+				this.#requestLog.recordCancellation({...head, afterMs: 0, phase: 'unread'});
+			},
 			handleInvalidFrame: reason => {
 				this.logger.warn({reason}, 'failed to decode a frame from a peer');
 			},
@@ -288,7 +291,7 @@
 				countMembers: () => this.#directory.size,
 				countOpenedConnections: () => this.#localServer.pool.openedCount,
 			},
-			isReady: () => this.#isReady(),
+			isReady: () => this.#activeConfig.routes !== undefined && !this.#stopSequence.isStopping,
 		});
 	}
 }
