Treat an event loop that is 30 ms late as lagging

Cause: 100 ms was the least lag that held work back, but the way from a caller to a server takes about five turns of event loops, so that turns of less than 100 ms add up to half a second.

--- a/src/sidecar/scheduling/loop-lag.ts
+++ b/src/sidecar/scheduling/loop-lag.ts
@@ -5,7 +5,7 @@
 
 const tickIntervalMs = 50;
 /** A shorter delay than this is no reason to expect that messages were revoked meanwhile. */
-const minLagMs = 100;
+const minLagMs = 30;
 /** A connection that was accepted after a long turn is first read some turns later. */
 const holdMs = 250;
 
@@ -56,7 +56,7 @@
 		return Math.max(0, nowMs - this.#lastTickAtMs - tickIntervalMs);
 	}
 
-	/** Whether input that is read now may have waited for 100 ms or longer. */
+	/** Whether input that is read now may have waited for 30 ms or longer. */
 	isLagging(nowMs: number): boolean {
 		return nowMs - this.#laggedAtMs < holdMs || this.readLagMs(nowMs) >= minLagMs;
 	}
