Pace the requests to a server that names how many it takes

Cause: nothing read the header Server-Limit. Class: feedback of a server that is passed on and not acted upon.

Change: the guard, through which all requests to its server pass, paces them with a leaky bucket (guard/request-pacer, the generic cell rate algorithm). The bucket holds half a second of the limit; the limit ends with an answer that names none, if its request was sent after the limit was named last, and with the server's end. A guard whose bucket is full passes a request over; the entry asks up to four other servers and lets it wait at one of them only if none has room. The pace is part of the load that guards report, so that entries go elsewhere first. Limits hold over restarts: requests carry the limit that the entry knows, and a guard that has restarted applies it until its server has answered.

--- a/src/sidecar/discovery/member-view.ts
+++ b/src/sidecar/discovery/member-view.ts
@@ -1,7 +1,8 @@
 /** One backend server as seen by this entry: its announcement, its load and the results of requests. */
-import {type GuardLoad} from '../link/messages.ts';
+import {computeBurst} from '../guard/request-pacer.ts';
+import {type GuardLoad, type GuardPace} from '../link/messages.ts';
 import {type LinkPool} from '../link/link-pool.ts';
-import {type Member} from '../types.ts';
+import {type KnownLimit, type Member} from '../types.ts';
 
 /** Distance of a member: in the entry's own data centre, in the same region, or in another region. */
 export const distances = {dataCentre: 0, region: 1, far: 2} as const;
@@ -40,6 +41,9 @@
 	/** Exponentially smoothed latency of complete answers; 0 before the first. */
 	latencyMs = 0;
 
+	/** Requests a second that the server takes, as its guard last reported; 0 without a limit. */
+	limitPerSecond = 0;
+
 	#load: GuardLoad | undefined;
 	/** Exponentially smoothed utilization from the load reports. */
 	#meanUtilization = 0;
@@ -63,8 +67,8 @@
 	/** Estimates the utilization of the member's slots with one more request; above 1, requests wait. */
 	estimateUtilization(nowMs: number): number {
 		if (this.transport.kind === 'local') {
-			const {running, waiting, limit} = this.transport.readLoad();
-			return (running + waiting + 1) / Math.max(1, limit);
+			const {running, waiting, limit, pace} = this.transport.readLoad();
+			return Math.max((running + waiting + 1) / Math.max(1, limit), pace.fill);
 		}
 
 		const load = this.#load;
@@ -76,7 +80,10 @@
 		}
 
 		const busy = Math.max(this.inFlight, load.running + load.waiting + this.#sentSinceLoad);
-		return (busy + 1) / Math.max(1, load.limit);
+		return Math.max(
+			(busy + 1) / Math.max(1, load.limit),
+			computePacedUse(load.pace, this.#sentSinceLoad, ageMs),
+		);
 	}
 
 	recordLoad(load: GuardLoad, nowMs: number): void {
@@ -85,6 +92,7 @@
 		this.#load = load;
 		this.#loadAtMs = nowMs;
 		this.#sentSinceLoad = 0;
+		this.#recordLimit(load.pace.limit);
 	}
 
 	recordSend(): void {
@@ -116,4 +124,33 @@
 		this.#failureCount = 0;
 		this.#backoffUntilMs = 0;
 	}
+
+	#recordLimit(limit: KnownLimit): void {
+		switch (limit.kind) {
+			case 'unknown': {
+				// The guard has restarted, and learns the limit from the requests of its peers.
+				break;
+			}
+
+			case 'none': {
+				this.limitPerSecond = 0;
+				break;
+			}
+
+			case 'paced': {
+				this.limitPerSecond = limit.perSecond;
+				break;
+			}
+		}
+	}
+}
+
+/** Estimates how full the bucket of a server with a limit is, some time and some requests after a report. */
+function computePacedUse({limit, fill}: GuardPace, sent: number, ageMs: number): number {
+	if (limit.kind !== 'paced') {
+		return 0;
+	}
+
+	const drained = (ageMs * limit.perSecond) / 1000;
+	return Math.max(0, fill + (sent - drained) / computeBurst(limit.perSecond));
 }
--- a/src/sidecar/entry/attempt-history.ts
+++ b/src/sidecar/entry/attempt-history.ts
@@ -1,12 +1,15 @@
 /** Attempts of one request so far, and whether a further one is allowed. */
 import {type MemberView} from '../discovery/member-view.ts';
 import {type CallTreePosition} from '../overload/retry-budget.ts';
+import {type RefusalReason} from '../link/messages.ts';
 import {groupByDistance, pickMember} from '../routing/picker.ts';
 import {type Route} from '../types.ts';
 import {type EntryContext} from './entry-context.ts';
 
 /** Refusals by guards after which a request is answered as refused. */
 const maxRefusals = 3;
+/** Servers with a limit that are asked before the request waits for one of them. */
+const maxLimitedRefusals = 4;
 /** Upper bound for attempts that reached a server, when servers refuse the request without running it. */
 const maxArrivals = 10;
 /** A request with less remaining time is not sent, since the round trip takes part of it. */
@@ -31,7 +34,11 @@
 	mayHaveRun = false;
 	lastReason = '';
 	lastView: MemberView | undefined;
+	/** Whether the request waits for a server with a limit, since no other has room. */
+	isPatient = false;
 	#refusalCount = 0;
+	/** Instances that refused the request because of their servers' limits. */
+	readonly #limitedInstances = new Set<string>();
 
 	private constructor(
 		private readonly ctx: EntryContext,
@@ -39,10 +46,31 @@
 		private readonly service: string,
 	) {}
 
-	/** Picks a member that was not tried yet; undefined when none can accept the request. */
+	/**
+	 * Picks a member that was not tried yet. When servers with a limit have refused the request and no other can accept
+	 * it, one of them is picked to let it wait.
+	 *
+	 * @returns undefined when no member can accept the request
+	 */
 	pickNext(nowMs: number): MemberView | undefined {
 		const members = this.ctx.directory.listService(this.service);
-		return pickMember(members, this.triedInstances, nowMs, this.ctx.random);
+		const {random} = this.ctx;
+		if (!this.isPatient && this.#limitedInstances.size < maxLimitedRefusals) {
+			const view = pickMember(members, this.triedInstances, nowMs, random);
+			if (view !== undefined || this.#limitedInstances.size === 0) {
+				return view;
+			}
+		}
+
+		this.isPatient = true;
+		const refused = new Set<string>();
+		for (const instance of this.triedInstances) {
+			if (!this.#limitedInstances.has(instance)) {
+				refused.add(instance);
+			}
+		}
+
+		return pickMember(members, refused, nowMs, random);
 	}
 
 	/** Picks among the members whose servers received the request, all of which refused it. */
@@ -53,6 +81,7 @@
 
 	recordAttempt(view: MemberView): void {
 		this.triedInstances.add(view.member.instance);
+		this.#limitedInstances.delete(view.member.instance);
 		this.lastView = view;
 	}
 
@@ -73,9 +102,14 @@
 	 *
 	 * @returns whether another guard may be tried
 	 */
-	recordRefusal(reason: string): boolean {
-		this.#refusalCount++;
+	recordRefusal(reason: RefusalReason): boolean {
 		this.lastReason = reason;
+		if (reason === 'limited' && !this.isPatient && this.lastView !== undefined) {
+			this.#limitedInstances.add(this.lastView.member.instance);
+			return true;
+		}
+
+		this.#refusalCount++;
 		return this.#refusalCount < maxRefusals;
 	}
 
--- a/src/sidecar/entry/call-head.ts
+++ b/src/sidecar/entry/call-head.ts
@@ -1,4 +1,5 @@
 /** Builds the head of a request that is sent to a guard. */
+import {type MemberView} from '../discovery/member-view.ts';
 import {type CallHead} from '../link/messages.ts';
 import {type Route} from '../types.ts';
 import {type CallerRequest} from './caller-request.ts';
@@ -8,9 +9,10 @@
 export type AttemptDetails = {
 	readonly route: Route;
 	readonly service: string;
-	readonly serverId: string;
+	readonly view: MemberView;
 	readonly remainingMs: number;
 	readonly isNested: boolean;
+	readonly isPatient: boolean;
 };
 
 /**
@@ -25,7 +27,7 @@
 	details: AttemptDetails,
 ): CallHead {
 	const {request, head, isWhole} = caller;
-	const {route, service, serverId, remainingMs, isNested} = details;
+	const {route, service, view, remainingMs, isNested, isPatient} = details;
 	return {
 		nonce: ctx.createNonce(),
 		requestId: head.requestId,
@@ -34,12 +36,14 @@
 		headers: head.headers,
 		remainingMs,
 		service,
-		serverId,
+		serverId: view.member.serverId,
 		callerService: ctx.readCallerService(),
 		route: route.name,
 		isOnce: route.callKind === 'once',
 		priority: route.priority,
 		isWhole,
 		isNested,
+		isPatient,
+		serverLimitPerSecond: view.limitPerSecond,
 	};
 }
--- a/src/sidecar/entry/entry-call.ts
+++ b/src/sidecar/entry/entry-call.ts
@@ -133,9 +133,10 @@
 		const callHead = createCallHead(this.ctx, this.caller, {
 			route: this.#route!,
 			service: this.#service,
-			serverId: view.member.serverId,
+			view,
 			remainingMs: this.#deadlineAtMs - nowMs,
 			isNested: this.#isNested,
+			isPatient: history.isPatient,
 		});
 		history.recordAttempt(view);
 		this.#attempt = Attempt.create(view, callHead, this.#createListener(view));
--- a/src/sidecar/guard/fixtures.ts
+++ b/src/sidecar/guard/fixtures.ts
@@ -30,6 +30,7 @@
 	isMisdirected: false,
 	closesConnection: false,
 	keepAliveMs: undefined,
+	limit: {kind: 'none'},
 	headers: [],
 };
 
@@ -68,6 +69,8 @@
 		priority: 2,
 		isWhole: true,
 		isNested: false,
+		isPatient: false,
+		serverLimitPerSecond: 0,
 		...more,
 	};
 }
--- a/src/sidecar/guard/guard.ts
+++ b/src/sidecar/guard/guard.ts
@@ -4,6 +4,7 @@
  */
 import {endedExchange, type Exchange, type ExchangeListener} from '../link/exchange.ts';
 import {type CallHead, type GuardLoad, type RefusalReason} from '../link/messages.ts';
+import {type ServerAnswerHead} from '../types.ts';
 import {type CallOutcome, GuardedCall} from './guarded-call.ts';
 import {CallRegistry} from './call-registry.ts';
 import {type GuardOptions} from './guard-options.ts';
@@ -43,10 +44,12 @@
 	}
 
 	readLoad(): GuardLoad {
+		const {limit, pacer} = this.options.server;
 		return {
 			running: this.#running,
 			waiting: this.#queue.length,
-			limit: this.options.server.limit,
+			limit,
+			pace: {limit: pacer.limit, fill: pacer.computeFill(performance.now())},
 		};
 	}
 
@@ -68,19 +71,21 @@
 
 		const call = GuardedCall.create(head, body, listener, this.#createCallOwner());
 		this.#calls.add(call);
-		const {limit} = this.options.server;
-		this.options.events.handleArrival(head, (this.#running + this.#queue.length) / limit);
-		if (this.#running < limit && this.#queue.length === 0) {
+		const {server, events} = this.options;
+		events.handleArrival(head, server.computeUtilization(this.readLoad(), this.meanServiceMs));
+		const nowMs = performance.now();
+		const isPaced = server.pacer.computeDelayMs(nowMs) > 0;
+		const ahead = this.#queue.countAhead(call);
+		if (this.#running < server.limit && this.#queue.length === 0 && !isPaced) {
 			this.#start(call);
-			return call;
-		}
-
-		if (this.#estimateWaitMs(call, limit) > call.maxWaitMs) {
+		} else if (isPaced && !head.isPatient) {
+			call.refuse('limited');
+		} else if (server.estimateWaitMs(ahead, this.meanServiceMs, nowMs) > call.maxWaitMs) {
 			call.refuse('full');
-			return call;
+		} else {
+			this.#queue.add(call);
 		}
 
-		this.#queue.add(call);
 		return call;
 	}
 
@@ -156,11 +161,13 @@
 			return 'forgotten';
 		}
 
-		return this.isStopping ? 'stopping' : this.options.server.findRefusal(head, performance.now());
-	}
+		const nowMs = performance.now();
+		const reason = this.isStopping ? 'stopping' : this.options.server.findRefusal(head, nowMs);
+		if (reason === undefined && head.serverLimitPerSecond > 0) {
+			this.options.server.pacer.recordHint(head.serverLimitPerSecond, nowMs);
+		}
 
-	#estimateWaitMs(call: GuardedCall, limit: number): number {
-		return ((this.#queue.countAhead(call) + 1) * this.meanServiceMs) / limit;
+		return reason;
 	}
 
 	#start(call: GuardedCall): void {
@@ -169,19 +176,27 @@
 			return;
 		}
 
+		const nowMs = performance.now();
 		this.#running++;
+		this.options.server.pacer.recordSend(nowMs);
 		this.options.events.handleStart(call.head);
-		call.start(call.head.serverId, performance.now());
+		call.start(call.head.serverId, nowMs);
+	}
+
+	#startQueuedLater(): void {
+		this.options.runQueue.submit(() => {
+			this.#startQueued();
+		});
 	}
 
 	#startQueued(): void {
-		while (this.#running < this.options.server.limit) {
-			const call = this.#queue.removeFirst();
-			if (call === undefined) {
+		while (this.#queue.length > 0 && this.#running < this.options.server.limit) {
+			const nowMs = performance.now();
+			if (this.options.server.pacer.computeDelayMs(nowMs) > 0) {
 				return;
 			}
 
-			const nowMs = performance.now();
+			const call = this.#queue.removeFirst()!;
 			if (!this.options.server.canAcceptRequests(nowMs) || this.isStopping) {
 				call.refuse(this.isStopping ? 'stopping' : 'leaving');
 			} else if (call.computeRemainingMs(nowMs) < this.meanServiceMs / 2) {
@@ -198,6 +213,9 @@
 			acquireConnection: (requestId: string, isOnce: boolean) =>
 				this.options.pool.acquire(requestId, isOnce),
 			readSuspended: this.options.readSuspended,
+			handleHead: (head: ServerAnswerHead, sentAtMs: number) => {
+				this.options.server.recordAnswerHead(head, sentAtMs, performance.now());
+			},
 			handleEnded: (call: GuardedCall, outcome: CallOutcome) => {
 				this.#handleEnded(call, outcome);
 			},
@@ -243,9 +261,7 @@
 		this.#calls.removeOrphan(call);
 		this.options.events.handleOutcome(call, outcome);
 		queueMicrotask(() => {
-			this.options.runQueue.submit(() => {
-				this.#startQueued();
-			});
+			this.#startQueuedLater();
 		});
 	}
 
@@ -261,7 +277,10 @@
 		}
 	}
 
-	/** Cancels expired orphans, removes old outcomes and refuses requests that have waited too long. */
+	/**
+	 * Cancels expired orphans, removes old outcomes, refuses requests that have waited too long, and starts those that
+	 * wait for the server's own limit.
+	 */
 	#sweep(): void {
 		const nowMs = performance.now();
 		for (const call of this.#calls.listExpiredOrphans(nowMs)) {
@@ -272,5 +291,7 @@
 		for (const call of this.#queue.removeWhere(each => nowMs - each.arrivedAtMs > each.maxWaitMs)) {
 			call.refuse('late');
 		}
+
+		this.#startQueuedLater();
 	}
 }
--- a/src/sidecar/guard/guarded-call.ts
+++ b/src/sidecar/guard/guarded-call.ts
@@ -31,6 +31,8 @@
 	acquireConnection(requestId: string, isOnce: boolean): CallConnection;
 	/** Time for which this process has been suspended, in milliseconds. */
 	readSuspended(): number;
+	/** Called with the head of the answer; `sentAtMs` is when the request was sent. */
+	handleHead(head: ServerAnswerHead, sentAtMs: number): void;
 	handleEnded(call: GuardedCall, outcome: CallOutcome): void;
 };
 
@@ -199,6 +201,7 @@
 		return {
 			handleHead: (head: ServerAnswerHead) => {
 				this.#answer = head;
+				this.owner.handleHead(head, this.#startedAtMs);
 			},
 			handleData: (chunk: Uint8Array) => {
 				this.#handleChunk(chunk);
--- a/src/sidecar/guard/local-server.ts
+++ b/src/sidecar/guard/local-server.ts
@@ -1,6 +1,7 @@
 /** State of the local backend server, as known from its messages. */
 import {readSuspendedMs} from '../suspension-clock.ts';
-import {type MemberState, type ServerMessage} from '../types.ts';
+import {type MemberState, type ServerAnswerHead, type ServerMessage} from '../types.ts';
+import {RequestPacer} from './request-pacer.ts';
 
 /** A server is considered down after this long without a message; heartbeats may be seconds late. */
 const heartbeatTimeoutMs = 6000;
@@ -32,6 +33,13 @@
 /** One start of a server. */
 export type ServerStart = {readonly id: string; readonly startedAtMs: number};
 
+/** Whether a report is of another server, or of another start of the same one; 0 is a start that isn't known. */
+function isOtherStart(known: ServerStart, report: ServerStart): boolean {
+	return (
+		known.id !== report.id || (known.startedAtMs !== 0 && known.startedAtMs !== report.startedAtMs)
+	);
+}
+
 /** Tracks the server at one address across starts, shutdowns and crashes. */
 export class LocalServer {
 	/**
@@ -44,6 +52,8 @@
 		return new LocalServer(drainMs, readSuspended);
 	}
 
+	/** Paces the requests while the server names a limit. */
+	readonly pacer = RequestPacer.create();
 	#state: LocalServerState | undefined;
 	/** A server that an earlier process of this sidecar knew to be leaving. */
 	#formerLeave: ServerStart | undefined;
@@ -76,6 +86,10 @@
 				}
 
 				const known = this.#state;
+				if (known !== undefined && isOtherStart(known, report)) {
+					this.pacer.reset();
+				}
+
 				const isSame = known?.id === report.id && known.startedAtMs === report.startedAtMs;
 				const leavingSinceMs = isSame ? known.leavingSinceMs : undefined;
 				const isLeaving = report.isLeaving || this.#hasLeftBefore(report);
@@ -134,6 +148,34 @@
 		}
 	}
 
+	/** Computes the use of the slots, or of the server's own limit by waiting requests; above 1, requests wait. */
+	computeUtilization(
+		{running, waiting}: {readonly running: number; readonly waiting: number},
+		serviceMs: number,
+	): number {
+		const paced = Math.min(this.limit, this.pacer.computeConcurrency(serviceMs));
+		return running / this.limit + waiting / Math.max(1, paced);
+	}
+
+	/** Estimates how long a request waits behind others that are queued. */
+	estimateWaitMs(ahead: number, serviceMs: number, nowMs: number): number {
+		const slotWaitMs = ((ahead + 1) * serviceMs) / this.limit;
+		return Math.max(slotWaitMs, this.pacer.computeDelayMs(nowMs, ahead));
+	}
+
+	/** Applies what the server says of itself in the head of an answer to a request sent at `sentAtMs`. */
+	recordAnswerHead(
+		head: Pick<ServerAnswerHead, 'isMisdirected' | 'isNotRun' | 'limit'>,
+		sentAtMs: number,
+		nowMs: number,
+	): void {
+		// A server that turns requests away may do so before it knows its limit.
+		const isSilent = head.isNotRun && head.limit.kind === 'none';
+		if (!head.isMisdirected && !isSilent) {
+			this.pacer.recordNamed(head.limit, sentAtMs, nowMs);
+		}
+	}
+
 	/** Records an answer of the server: one whose reports are late or lost is not down while it answers. */
 	recordAnswer(nowMs: number): void {
 		if (this.#state !== undefined) {
--- a/src/sidecar/link/codec.test.ts
+++ b/src/sidecar/link/codec.test.ts
@@ -13,7 +13,12 @@
 import {type CallHead, type ReplyMetadata} from './messages.ts';
 
 const metadata: ReplyMetadata = {
-	load: {running: 3, waiting: 1, limit: 24},
+	load: {
+		running: 3,
+		waiting: 1,
+		limit: 24,
+		pace: {limit: {kind: 'paced', perSecond: 23.1}, fill: 0.25},
+	},
 	configVersion: 7,
 	overloadReports: [
 		{
@@ -44,6 +49,8 @@
 	priority: fc.nat(),
 	isWhole: fc.boolean(),
 	isNested: fc.boolean(),
+	isPatient: fc.boolean(),
+	serverLimitPerSecond: fc.nat(),
 });
 
 test('the head of a call is decoded to what was encoded', t => {
--- a/src/sidecar/link/codec.ts
+++ b/src/sidecar/link/codec.ts
@@ -2,14 +2,13 @@
  * Encodes the heads of frames as JSON arrays without field names: each request sends two heads over
  * links that are billed by volume.
  */
-import {type Cost, type CostVector} from '../overload/cost-table.ts';
 import {type Member, type RawHeaders} from '../types.ts';
 import {type Frame, frameTypes} from './frames.ts';
+import {decodeMetadata, type EncodedMetadata, encodeMetadata} from './metadata-codec.ts';
 import {
 	type AnswerHead,
 	type CallHead,
 	type FailureHead,
-	type OverloadReport,
 	type RefusalHead,
 	type RefusalReason,
 	type ReplyMetadata,
@@ -132,6 +131,7 @@
 	route: string,
 	flags: number,
 	priority: number,
+	serverLimitPerSecond: number,
 ];
 
 export function encodeCall(head: CallHead): string {
@@ -148,6 +148,7 @@
 		head.route,
 		encodeCallFlags(head),
 		head.priority,
+		head.serverLimitPerSecond,
 	];
 	return JSON.stringify(encoded);
 }
@@ -166,6 +167,7 @@
 		route,
 		flags,
 		priority,
+		serverLimitPerSecond,
 	] = JSON.parse(text) as EncodedCall;
 	return {
 		nonce,
@@ -180,111 +182,18 @@
 		route,
 		...decodeCallFlags(flags),
 		priority,
+		serverLimitPerSecond,
 	};
 }
 
 /** Flags of a call, encoded as a bit field with the first flag in the lowest bit. */
-type CallFlags = Pick<CallHead, 'isOnce' | 'isWhole' | 'isNested'>;
+type CallFlags = Pick<CallHead, 'isOnce' | 'isWhole' | 'isNested' | 'isPatient'>;
 
-function encodeCallFlags({isOnce, isWhole, isNested}: CallFlags): number {
-	return (isOnce ? 1 : 0) + (isWhole ? 2 : 0) + (isNested ? 4 : 0);
+function encodeCallFlags({isOnce, isWhole, isNested, isPatient}: CallFlags): number {
+	return (isOnce ? 1 : 0) + (isWhole ? 2 : 0) + (isNested ? 4 : 0) + (isPatient ? 8 : 0);
 }
 
 function decodeCallFlags(flags: number): CallFlags {
 	const hasBit = (bit: number) => Math.floor(flags / bit) % 2 === 1;
-	return {isOnce: hasBit(1), isWhole: hasBit(2), isNested: hasBit(4)};
-}
-
-type EncodedOverloadReport = [
-	instance: string,
-	service: string,
-	region: string,
-	openShare: number,
-	repeatableShare: number,
-	ageMs: number,
-];
-type EncodedCosts = Array<[service: string, slotMs: number, calls: number]>;
-
-type EncodedMetadata = [
-	running: number,
-	waiting: number,
-	limit: number,
-	configVersion: number,
-	overloadReports: EncodedOverloadReport[],
-	costs: EncodedCosts | 0,
-	isNested: EncodedOptionalFlag,
-];
-
-/** 0 for false, 1 for true, 2 for unknown. */
-type EncodedOptionalFlag = 0 | 1 | 2;
-
-function encodeMetadata(metadata: ReplyMetadata): EncodedMetadata {
-	const {running, waiting, limit} = metadata.load;
-	const reports: EncodedOverloadReport[] = [];
-	for (const report of metadata.overloadReports) {
-		const {instance, service, region, openShare, repeatableShare, ageMs} = report;
-		const shares = [roundShare(openShare), roundShare(repeatableShare)] as const;
-		reports.push([instance, service, region, ...shares, Math.round(ageMs)]);
-	}
-
-	const isNested = encodeOptionalFlag(metadata.isNested);
-	return [
-		running,
-		waiting,
-		limit,
-		metadata.configVersion,
-		reports,
-		encodeCosts(metadata.costs),
-		isNested,
-	];
-}
-
-function encodeCosts(costs: CostVector | undefined): EncodedCosts | 0 {
-	if (costs === undefined) {
-		return 0;
-	}
-
-	const encoded: EncodedCosts = [];
-	for (const [service, {slotMs, calls}] of costs) {
-		encoded.push([service, Math.round(slotMs * 10) / 10, Math.round(calls * 100) / 100]);
-	}
-
-	return encoded;
-}
-
-function decodeCosts(encoded: EncodedCosts): CostVector {
-	const costs = new Map<string, Cost>();
-	for (const [service, slotMs, calls] of encoded) {
-		costs.set(service, {slotMs, calls});
-	}
-
-	return costs;
-}
-
-function encodeOptionalFlag(flag: boolean | undefined): EncodedOptionalFlag {
-	if (flag === undefined) {
-		return 2;
-	}
-
-	return flag ? 1 : 0;
-}
-
-function roundShare(share: number): number {
-	return Math.round(share * 1000) / 1000;
-}
-
-function decodeMetadata(encoded: EncodedMetadata): ReplyMetadata {
-	const [running, waiting, limit, configVersion, reports, costs, isNested] = encoded;
-	const overloadReports: OverloadReport[] = [];
-	for (const [instance, service, region, openShare, repeatableShare, ageMs] of reports) {
-		overloadReports.push({instance, service, region, openShare, repeatableShare, ageMs});
-	}
-
-	return {
-		load: {running, waiting, limit},
-		configVersion,
-		overloadReports,
-		costs: costs === 0 ? undefined : decodeCosts(costs),
-		isNested: isNested === 2 ? undefined : isNested === 1,
-	};
+	return {isOnce: hasBit(1), isWhole: hasBit(2), isNested: hasBit(4), isPatient: hasBit(8)};
 }
--- a/src/sidecar/link/fixtures.ts
+++ b/src/sidecar/link/fixtures.ts
@@ -2,11 +2,14 @@
 import net from 'node:net';
 import process from 'node:process';
 import {type LinkListener} from './link.ts';
-import {type ReplyMetadata} from './messages.ts';
+import {type GuardPace, type ReplyMetadata} from './messages.ts';
+
+/** Pace of a server without a limit. */
+export const unlimitedPace: GuardPace = {limit: {kind: 'none'}, fill: 0};
 
 /** Reply metadata of an idle guard. */
 export const testMetadata: ReplyMetadata = {
-	load: {running: 0, waiting: 0, limit: 1},
+	load: {running: 0, waiting: 0, limit: 1, pace: unlimitedPace},
 	configVersion: 1,
 	overloadReports: [],
 	costs: undefined,
--- a/src/sidecar/link/messages.ts
+++ b/src/sidecar/link/messages.ts
@@ -1,6 +1,6 @@
 /** Contents of the heads of frames between sidecars. */
 import {type CostVector} from '../overload/cost-table.ts';
-import {type Member, type RawHeaders} from '../types.ts';
+import {type KnownLimit, type Member, type RawHeaders} from '../types.ts';
 
 /** Load of a guard, sent with each reply. */
 export type GuardLoad = {
@@ -10,6 +10,14 @@
 	readonly waiting: number;
 	/** Concurrency limit of the guard. */
 	readonly limit: number;
+	readonly pace: GuardPace;
+};
+
+/** How a guard paces the requests to a server that names a limit. */
+export type GuardPace = {
+	readonly limit: KnownLimit;
+	/** From 0 to 1, when the next request has to wait; 0 without a limit. */
+	readonly fill: number;
 };
 
 /** Head of a request that an entry sends to a guard. */
@@ -33,11 +41,22 @@
 	readonly isWhole: boolean;
 	/** Whether a server made the request while serving one that had been admitted before. */
 	readonly isNested: boolean;
+	/** Whether the request may wait at a server with a limit, since the others can't take it either. */
+	readonly isPatient: boolean;
+	/** Limit of the server as its guard reported it, for a guard that has restarted since; 0 without one. */
+	readonly serverLimitPerSecond: number;
 };
 
 /** Why a guard refuses a request; a refused request was not run. */
 export type RefusalReason =
-	'full' | 'late' | 'leaving' | 'wrongServer' | 'unreachable' | 'forgotten' | 'stopping';
+	| 'full'
+	| 'limited'
+	| 'late'
+	| 'leaving'
+	| 'wrongServer'
+	| 'unreachable'
+	| 'forgotten'
+	| 'stopping';
 
 /** Metadata that a guard adds to every reply. */
 export type ReplyMetadata = {
--- a/src/sidecar/reporting/metrics-page.ts
+++ b/src/sidecar/reporting/metrics-page.ts
@@ -61,6 +61,16 @@
 			() => source.readLoad().waiting,
 		],
 		['primrosevalve_guard_limit', 'Requests that may run at a time', () => source.readLoad().limit],
+		[
+			'primrosevalve_guard_limited_total',
+			"Requests that other servers got because of the server's limit",
+			() => source.log.limitedCount,
+		],
+		[
+			'primrosevalve_server_limit_per_second',
+			'Requests a second that the server names; 0 for no limit',
+			() => readLimit(source.readLoad()),
+		],
 		['primrosevalve_config_version', 'Configuration in force', () => source.readConfigVersion()],
 		['primrosevalve_members', 'Backend servers known', () => source.countMembers()],
 		[
@@ -119,6 +129,10 @@
 	return async () => registry.metrics();
 }
 
+function readLimit({pace}: GuardLoad): number {
+	return pace.limit.kind === 'paced' ? pace.limit.perSecond : 0;
+}
+
 type LabelledGauge = {
 	collect?: () => void;
 	set(labels: Record<string, string | number>, value: number): void;
--- a/src/sidecar/reporting/request-log.ts
+++ b/src/sidecar/reporting/request-log.ts
@@ -85,6 +85,8 @@
 	readonly counts = new Map<string, RequestCount>();
 	/** Requests whose caller left, by the phase that they were in. */
 	readonly cancelledCounts: Record<CancelledPhase, number> = {unread: 0, waiting: 0, running: 0};
+	/** Requests that the guard passed over to other servers, since its own names a limit. */
+	limitedCount = 0;
 	/** Lines dropped by the limits since the start. */
 	droppedLineCount = 0;
 	#second = 0;
@@ -122,6 +124,12 @@
 
 	/** Logs a request that the guard of this instance refused, or that failed at the local server. */
 	recordGuardFailure(record: GuardFailureRecord): void {
+		if (record.reason === 'limited') {
+			// Another server gets the request.
+			this.limitedCount++;
+			return;
+		}
+
 		if (this.#consumeGuardLine()) {
 			this.logger.warn(
 				{...record, loopLagMs: this.#readLoopLagMs()},
--- a/src/sidecar/routing/picker.test.ts
+++ b/src/sidecar/routing/picker.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import {unlimitedPace} from '../link/fixtures.ts';
 import {type Distance, distances, MemberView} from '../discovery/member-view.ts';
 import {type Member} from '../types.ts';
 import {groupByDistance, pickMember} from './picker.ts';
@@ -31,7 +32,7 @@
 		},
 	};
 	const view = MemberView.create(member, {kind: 'link', pool}, distance);
-	view.recordLoad({running, waiting: 0, limit: 20}, nowMs);
+	view.recordLoad({running, waiting: 0, limit: 20, pace: unlimitedPace}, nowMs);
 	return view;
 }
 
@@ -105,8 +106,8 @@
 	const laterMs = nowMs + 3000;
 	const pickAt = (timeMs: number) =>
 		pickMember(groupByDistance([busy, other]), new Set(), timeMs, () => 0)?.member.instance;
-	other.recordLoad({running: 3, waiting: 0, limit: 20}, laterMs);
+	other.recordLoad({running: 3, waiting: 0, limit: 20, pace: unlimitedPace}, laterMs);
 	t.is(pickAt(laterMs), 'other');
-	other.recordLoad({running: 3, waiting: 0, limit: 20}, nowMs + 20_000);
+	other.recordLoad({running: 3, waiting: 0, limit: 20, pace: unlimitedPace}, nowMs + 20_000);
 	t.is(pickAt(nowMs + 20_000), 'busy');
 });
--- a/src/sidecar/types.ts
+++ b/src/sidecar/types.ts
@@ -138,6 +138,19 @@
 	readonly headers: RawHeaders;
 };
 
+/** How many requests a second a server takes from all instances together, as named in an answer. */
+export type ServerLimit =
+	| {readonly kind: 'none'}
+	| {readonly kind: 'named'; readonly perSecond: number}
+	/** The answer names something that is no number. */
+	| {readonly kind: 'invalid'};
+
+/** What a guard knows about the limit of its server; `unknown` until the server has answered. */
+export type KnownLimit =
+	| {readonly kind: 'unknown'}
+	| {readonly kind: 'none'}
+	| {readonly kind: 'paced'; readonly perSecond: number};
+
 /** Decoded head of a backend server's answer. */
 export type ServerAnswerHead = {
 	readonly requestId: string | undefined;
@@ -150,6 +163,7 @@
 	readonly closesConnection: boolean;
 	/** How long the server keeps an idle connection open, if the answer says so. */
 	readonly keepAliveMs: number | undefined;
+	readonly limit: ServerLimit;
 	/** Headers to forward. */
 	readonly headers: RawHeaders;
 };
