Stop sending to a server once it says in an answer that it leaves

Cause: a leave counted only if the server's sidecar had been told it; the header Server-Leaving was passed on and not read.

Change: a guard treats the header as it treats a report of the leave, and announces it. An entry sends no more requests to that start of the server, so that a restart of its sidecar without the store, which forgets the leave, doesn't bring it back. Announcements name the start of the server; if that isn't known, the entry leaves the server out for 30 s. A first report after a restored state counts as the same start.

--- a/src/sidecar/discovery/member-codec.ts
+++ b/src/sidecar/discovery/member-codec.ts
@@ -41,6 +41,7 @@
 		typeof member.serverId === 'string' &&
 		typeof member.slots === 'number' &&
 		typeof member.epoch === 'number' &&
+		(member.serverStartMs === undefined || typeof member.serverStartMs === 'number') &&
 		(member.leftStartMs === undefined || typeof member.leftStartMs === 'number') &&
 		states.has(member.state as MemberState)
 	);
--- /dev/null
+++ b/src/sidecar/discovery/member-view.test.ts
@@ -0,0 +1,31 @@
+/** DRAIN: a server that left unheard got requests for as long as its reports said that it was ready. */
+import test from 'ava';
+import {testMember} from '../guard/fixtures.ts';
+import {distances, MemberView} from './member-view.ts';
+
+const transport = {
+	kind: 'local',
+	readLoad() {
+		throw new Error('the load is not read');
+	},
+} as const;
+
+test('a server that says that it leaves gets no more requests until it has started again', t => {
+	const member = {...testMember, serverStartMs: 1000};
+	const view = MemberView.create(member, transport, distances.region);
+	t.true(view.isAvailable(0));
+	view.recordServerLeaving(0);
+	view.member = {...member, epoch: 2};
+	t.false(view.isAvailable(100_000));
+	view.member = {...member, epoch: 3, serverStartMs: 2000};
+	t.true(view.isAvailable(100_000));
+	view.recordServerLeaving(100_000);
+	t.false(view.isAvailable(200_000));
+});
+
+test('a leaving server whose start is not known is left out for half a minute', t => {
+	const view = MemberView.create(testMember, transport, distances.region);
+	view.recordServerLeaving(0);
+	t.false(view.isAvailable(29_000));
+	t.true(view.isAvailable(31_000));
+});
--- a/src/sidecar/discovery/member-view.ts
+++ b/src/sidecar/discovery/member-view.ts
@@ -26,6 +26,8 @@
 /** The mean loses half of its weight in this time, so that a member that was busy is tried again. */
 const utilizationHalfLifeMs = 4000;
 const latencySmoothingFactor = 0.1;
+/** A server whose start isn't known has left for good, or started again, after this time. */
+const maxUnknownLeaveMs = 30_000;
 
 export class MemberView {
 	/**
@@ -50,6 +52,8 @@
 	#loadAtMs = 0;
 	/** Requests sent since the last load report. */
 	#sentSinceLoad = 0;
+	/** The start of the server that is leaving by its own word. */
+	#serverLeave: {readonly startMs: number | undefined; readonly atMs: number} | undefined;
 	#failureCount = 0;
 	#backoffUntilMs = 0;
 
@@ -61,7 +65,9 @@
 
 	/** Whether requests may be sent to the member now. */
 	isAvailable(nowMs: number): boolean {
-		return this.member.state === 'ready' && nowMs >= this.#backoffUntilMs;
+		return (
+			this.member.state === 'ready' && nowMs >= this.#backoffUntilMs && !this.#hasServerLeft(nowMs)
+		);
 	}
 
 	/** Estimates the utilization of the member's slots with one more request; above 1, requests wait. */
@@ -112,6 +118,17 @@
 				: this.latencyMs + (latencyMs - this.latencyMs) * latencySmoothingFactor;
 	}
 
+	/**
+	 * Records that the server said in an answer that it leaves. This start of it gets no more requests, even if its
+	 * guard has restarted since and doesn't know.
+	 */
+	recordServerLeaving(nowMs: number): void {
+		const startMs = this.member.serverStartMs;
+		if (this.#serverLeave === undefined || this.#serverLeave.startMs !== startMs) {
+			this.#serverLeave = {startMs, atMs: nowMs};
+		}
+	}
+
 	/** Excludes the member for a time that grows with each failure in a row. */
 	recordFailure(nowMs: number): void {
 		this.#failureCount++;
@@ -125,6 +142,18 @@
 		this.#backoffUntilMs = 0;
 	}
 
+	#hasServerLeft(nowMs: number): boolean {
+		if (this.#serverLeave === undefined) {
+			return false;
+		}
+
+		const {startMs, atMs} = this.#serverLeave;
+		const currentMs = this.member.serverStartMs;
+		return startMs === undefined || currentMs === undefined
+			? nowMs - atMs < maxUnknownLeaveMs
+			: startMs === currentMs;
+	}
+
 	#recordLimit(limit: KnownLimit): void {
 		switch (limit.kind) {
 			case 'unknown': {
--- a/src/sidecar/entry/attempt.test.ts
+++ b/src/sidecar/entry/attempt.test.ts
@@ -75,7 +75,7 @@
 	}
 }
 
-const answer = {status: 200, headers: [], isWhole: true, isNotRun: false, serviceMs: 1};
+const answer = {status: 200, headers: [], isWhole: true, isNotRun: false, isLeaving: false};
 
 test('a silent link is replaced, resumed with the same incarnation and closed at the end', async t => {
 	const fixture = new AttemptFixture(0);
--- a/src/sidecar/entry/attempt.ts
+++ b/src/sidecar/entry/attempt.ts
@@ -180,6 +180,10 @@
 	#handleAnswer(head: AnswerHead, body: Uint8Array): void {
 		this.#hasAnswerBegun = true;
 		clearTimeout(this.#timer);
+		if (head.isLeaving) {
+			this.view.recordServerLeaving(performance.now());
+		}
+
 		if (head.isWhole && !this.#end()) {
 			return;
 		}
--- a/src/sidecar/guard/fixtures.ts
+++ b/src/sidecar/guard/fixtures.ts
@@ -29,6 +29,7 @@
 	isNotRun: false,
 	isMisdirected: false,
 	closesConnection: false,
+	isLeaving: false,
 	keepAliveMs: undefined,
 	limit: {kind: 'none'},
 	headers: [],
--- a/src/sidecar/guard/guarded-call.ts
+++ b/src/sidecar/guard/guarded-call.ts
@@ -236,8 +236,8 @@
 	}
 
 	#createAnswerHead(isWhole: boolean): AnswerHead {
-		const {status, headers, isNotRun} = this.#answer!;
-		return {status, headers, isNotRun, isWhole};
+		const {status, headers, isNotRun, isLeaving} = this.#answer!;
+		return {status, headers, isNotRun, isLeaving, isWhole};
 	}
 
 	#finishAnswer(): void {
--- a/src/sidecar/guard/local-server.test.ts
+++ b/src/sidecar/guard/local-server.test.ts
@@ -1,6 +1,7 @@
 /** Late reports, and servers that restart, leave or stop sending reports. */
 import test from 'ava';
 import {type ServerReport} from '../types.ts';
+import {testAnswer} from './fixtures.ts';
 import {LocalServer} from './local-server.ts';
 
 const first: ServerReport = {
@@ -85,3 +86,18 @@
 	t.is(server.readState(9000), 'ready');
 	t.is(server.readState(11_001), 'down');
 });
+
+// DRAIN: a server that left unheard got requests for as long as its reports said that it was ready.
+test('a server that says in an answer that it leaves is leaving, whatever it reports', t => {
+	const server = LocalServer.create(2500, () => 0);
+	server.restore({id: 'i-1', service: 'shop', slots: 4}, 0);
+	server.recordAnswerHead({...testAnswer, isLeaving: true}, 0, 1000);
+	t.is(server.readState(1000), 'leaving');
+	const start = {id: 'i-1', service: 'shop', address: '', dataCentre: 'a', startedAtMs: 7};
+	const report = {...start, slots: 4, isLeaving: false, sequence: 1, warmupMs: 0};
+	server.apply({kind: 'report', report}, 1100);
+	t.true(server.canAcceptRequests(2200));
+	t.false(server.canAcceptRequests(2300));
+	server.apply({kind: 'report', report: {...report, startedAtMs: 8}}, 2400);
+	t.is(server.readState(2400), 'ready');
+});
--- a/src/sidecar/guard/local-server.ts
+++ b/src/sidecar/guard/local-server.ts
@@ -86,11 +86,11 @@
 				}
 
 				const known = this.#state;
-				if (known !== undefined && isOtherStart(known, report)) {
+				const isSame = known !== undefined && !isOtherStart(known, report);
+				if (!isSame) {
 					this.pacer.reset();
 				}
 
-				const isSame = known?.id === report.id && known.startedAtMs === report.startedAtMs;
 				const leavingSinceMs = isSame ? known.leavingSinceMs : undefined;
 				const isLeaving = report.isLeaving || this.#hasLeftBefore(report);
 				this.#state = {
@@ -144,7 +144,7 @@
 		this.#formerLeave = start;
 		const state = this.#state;
 		if (state !== undefined && this.#hasLeftBefore(state) && state.leavingSinceMs === undefined) {
-			this.#state = {...state, leavingSinceMs: nowMs, suspendedBeforeMs: this.readSuspended()};
+			this.#setLeaving(nowMs);
 		}
 	}
 
@@ -165,15 +165,23 @@
 
 	/** Applies what the server says of itself in the head of an answer to a request sent at `sentAtMs`. */
 	recordAnswerHead(
-		head: Pick<ServerAnswerHead, 'isMisdirected' | 'isNotRun' | 'limit'>,
+		head: Pick<ServerAnswerHead, 'isMisdirected' | 'isNotRun' | 'isLeaving' | 'limit'>,
 		sentAtMs: number,
 		nowMs: number,
 	): void {
+		if (head.isMisdirected) {
+			return;
+		}
+
 		// A server that turns requests away may do so before it knows its limit.
 		const isSilent = head.isNotRun && head.limit.kind === 'none';
-		if (!head.isMisdirected && !isSilent) {
+		if (!isSilent) {
 			this.pacer.recordNamed(head.limit, sentAtMs, nowMs);
 		}
+
+		if (head.isLeaving) {
+			this.#setLeaving(nowMs);
+		}
 	}
 
 	/** Records an answer of the server: one whose reports are late or lost is not down while it answers. */
@@ -232,6 +240,13 @@
 		return this.readState(nowMs) === 'leaving' ? 'leaving' : 'unreachable';
 	}
 
+	#setLeaving(nowMs: number): void {
+		if (this.#state !== undefined && this.#state.leavingSinceMs === undefined) {
+			const suspendedBeforeMs = this.readSuspended();
+			this.#state = {...this.#state, leavingSinceMs: nowMs, suspendedBeforeMs};
+		}
+	}
+
 	#applyLeave(message: ServerMessage & {kind: 'leave'}, nowMs: number): boolean {
 		const state = this.#state;
 		if (
@@ -241,16 +256,8 @@
 			return false;
 		}
 
-		const leavingSinceMs = state.leavingSinceMs ?? nowMs;
-		const suspendedBeforeMs =
-			state.leavingSinceMs === undefined ? this.readSuspended() : state.suspendedBeforeMs;
-		this.#state = {
-			...state,
-			leavingSinceMs,
-			suspendedBeforeMs,
-			hasLeft: true,
-			lastMessageAtMs: nowMs,
-		};
+		this.#setLeaving(nowMs);
+		this.#state = {...this.#state!, hasLeft: true, lastMessageAtMs: nowMs};
 		return true;
 	}
 
--- a/src/sidecar/link/codec.test.ts
+++ b/src/sidecar/link/codec.test.ts
@@ -63,7 +63,7 @@
 });
 
 test('answers and refusals carry reply metadata unchanged', t => {
-	const head = {status: 200, headers: ['A', '1'], isWhole: true, isNotRun: false};
+	const head = {status: 200, headers: ['A', '1'], isWhole: true, isNotRun: false, isLeaving: true};
 	t.deepEqual(decodeAnswer(encodeAnswer(head, metadata)), {head, metadata});
 	const nestedMetadata: ReplyMetadata = {...metadata, costs: undefined, isNested: true};
 	const refusal = {reason: 'full', member: undefined} as const;
--- a/src/sidecar/link/codec.ts
+++ b/src/sidecar/link/codec.ts
@@ -20,13 +20,13 @@
 		head.status,
 		head.headers,
 		head.isWhole ? 1 : 0,
-		head.isNotRun ? 1 : 0,
+		(head.isNotRun ? 1 : 0) + (head.isLeaving ? 2 : 0),
 		encodeMetadata(metadata),
 	]);
 }
 
 export function decodeAnswer(text: string): {head: AnswerHead; metadata: ReplyMetadata} {
-	const [status, headers, isWhole, isNotRun, metadata] = JSON.parse(text) as [
+	const [status, headers, isWhole, flags, metadata] = JSON.parse(text) as [
 		number,
 		string[],
 		number,
@@ -34,7 +34,13 @@
 		EncodedMetadata,
 	];
 	return {
-		head: {status, headers, isWhole: isWhole === 1, isNotRun: isNotRun === 1},
+		head: {
+			status,
+			headers,
+			isWhole: isWhole === 1,
+			isNotRun: flags % 2 === 1,
+			isLeaving: flags >= 2,
+		},
 		metadata: decodeMetadata(metadata),
 	};
 }
--- a/src/sidecar/link/messages.ts
+++ b/src/sidecar/link/messages.ts
@@ -89,6 +89,8 @@
 	readonly isWhole: boolean;
 	/** Whether the server states that it did not run the request. */
 	readonly isNotRun: boolean;
+	/** Whether the server states that it is leaving. */
+	readonly isLeaving: boolean;
 };
 
 export type RefusalHead = {
--- a/src/sidecar/local-server-manager.ts
+++ b/src/sidecar/local-server-manager.ts
@@ -286,6 +286,7 @@
 			serverId,
 			slots,
 			state: this.#computeMemberState(),
+			...(state.startedAtMs !== 0 && {serverStartMs: state.startedAtMs}),
 			...(state.leavingSinceMs !== undefined && {leftStartMs: state.startedAtMs}),
 		});
 		this.options.directory.apply(member);
--- a/src/sidecar/types.ts
+++ b/src/sidecar/types.ts
@@ -123,6 +123,8 @@
 	readonly state: MemberState;
 	/** Orders the announcements of one instance: a higher epoch replaces a lower one. */
 	readonly epoch: number;
+	/** Start of the server, in Unix milliseconds; missing until the server has reported it. */
+	readonly serverStartMs?: number | undefined;
 	/** Start of the server, in Unix milliseconds, if the server itself is leaving. */
 	readonly leftStartMs?: number | undefined;
 };
@@ -161,6 +163,8 @@
 	readonly isMisdirected: boolean;
 	/** Whether the server closes the connection after this answer. */
 	readonly closesConnection: boolean;
+	/** Whether the server says that it is leaving. */
+	readonly isLeaving: boolean;
 	/** How long the server keeps an idle connection open, if the answer says so. */
 	readonly keepAliveMs: number | undefined;
 	readonly limit: ServerLimit;
