Send a request that a server with a limit refuses to servers without one first, however far

After a refusal for a limit, servers without a known limit come first at any distance, then up to four with limits, then the request waits. When servers without limits are full, it waits at one with a limit instead of being refused.

--- a/src/sidecar/discovery/member-view.ts
+++ b/src/sidecar/discovery/member-view.ts
@@ -92,6 +92,13 @@
 		);
 	}
 
+	/** Whether the server names a limit, as far as known. */
+	hasLimit(): boolean {
+		return this.transport.kind === 'local'
+			? this.transport.readLoad().pace.limit.kind === 'paced'
+			: this.limitPerSecond > 0;
+	}
+
 	recordLoad(load: GuardLoad, nowMs: number): void {
 		const utilization = (load.running + load.waiting) / Math.max(1, load.limit);
 		this.#meanUtilization += (utilization - this.#meanUtilization) * utilizationSmoothingFactor;
--- a/src/sidecar/entry/attempt-history.ts
+++ b/src/sidecar/entry/attempt-history.ts
@@ -2,7 +2,7 @@
 import {type MemberView} from '../discovery/member-view.ts';
 import {type CallTreePosition} from '../overload/retry-budget.ts';
 import {type RefusalReason} from '../link/messages.ts';
-import {groupByDistance, pickMember} from '../routing/picker.ts';
+import {groupByDistance, type MembersByDistance, pickMember} from '../routing/picker.ts';
 import {type Route} from '../types.ts';
 import {type EntryContext} from './entry-context.ts';
 
@@ -54,15 +54,15 @@
 	 */
 	pickNext(nowMs: number): MemberView | undefined {
 		const members = this.ctx.directory.listService(this.service);
-		const {random} = this.ctx;
-		if (!this.isPatient && this.#limitedInstances.size < maxLimitedRefusals) {
-			const view = pickMember(members, this.triedInstances, nowMs, random);
+		if (!this.isPatient) {
+			const view = this.#pickUntried(members, nowMs);
 			if (view !== undefined || this.#limitedInstances.size === 0) {
 				return view;
 			}
+
+			this.isPatient = true;
 		}
 
-		this.isPatient = true;
 		const refused = new Set<string>();
 		for (const instance of this.triedInstances) {
 			if (!this.#limitedInstances.has(instance)) {
@@ -70,7 +70,7 @@
 			}
 		}
 
-		return pickMember(members, refused, nowMs, random);
+		return pickMember(members, refused, nowMs, this.ctx.random);
 	}
 
 	/** Picks among the members whose servers received the request, all of which refused it. */
@@ -110,6 +110,11 @@
 		}
 
 		this.#refusalCount++;
+		if (this.#refusalCount === maxRefusals && !this.isPatient && this.#limitedInstances.size > 0) {
+			this.isPatient = true;
+			return true;
+		}
+
 		return this.#refusalCount < maxRefusals;
 	}
 
@@ -134,6 +139,26 @@
 		return this.ctx.costs.readSlotTimeMs(this.route.name, this.service);
 	}
 
+	/** Picks an untried member; once a server with a limit has refused the request, servers without one come first. */
+	#pickUntried(members: MembersByDistance, nowMs: number): MemberView | undefined {
+		const {random} = this.ctx;
+		if (this.#limitedInstances.size === 0) {
+			return pickMember(members, this.triedInstances, nowMs, random);
+		}
+
+		const skipped = new Set(this.triedInstances);
+		for (const view of Object.values(members).flat()) {
+			if (view.hasLimit()) {
+				skipped.add(view.member.instance);
+			}
+		}
+
+		const unlimited = pickMember(members, skipped, nowMs, random);
+		return unlimited === undefined && this.#limitedInstances.size < maxLimitedRefusals
+			? pickMember(members, this.triedInstances, nowMs, random)
+			: unlimited;
+	}
+
 	#trySpend(remainingMs: number): boolean {
 		const {budget, costs} = this.ctx;
 		const position: CallTreePosition = costs.isLeaf(this.route.name, this.service)
