Apply what an answer says of its server only to that server

The head of an answer is applied only if its request was sent to the server that is there now. Tests: an answer of another server changes neither state nor limit.

--- a/src/sidecar/guard/guard.ts
+++ b/src/sidecar/guard/guard.ts
@@ -213,8 +213,8 @@
 			acquireConnection: (requestId: string, isOnce: boolean) =>
 				this.options.pool.acquire(requestId, isOnce),
 			readSuspended: this.options.readSuspended,
-			handleHead: (head: ServerAnswerHead, sentAtMs: number) => {
-				this.options.server.recordAnswerHead(head, sentAtMs, performance.now());
+			handleHead: (head: ServerAnswerHead, request: {serverId: string; sentAtMs: number}) => {
+				this.options.server.recordAnswerHead(head, request, performance.now());
 			},
 			handleEnded: (call: GuardedCall, outcome: CallOutcome) => {
 				this.#handleEnded(call, outcome);
--- a/src/sidecar/guard/guarded-call.ts
+++ b/src/sidecar/guard/guarded-call.ts
@@ -31,8 +31,11 @@
 	acquireConnection(requestId: string, isOnce: boolean): CallConnection;
 	/** Time for which this process has been suspended, in milliseconds. */
 	readSuspended(): number;
-	/** Called with the head of the answer; `sentAtMs` is when the request was sent. */
-	handleHead(head: ServerAnswerHead, sentAtMs: number): void;
+	/** Called with the head of the answer to a request that was sent to a server. */
+	handleHead(
+		head: ServerAnswerHead,
+		request: {readonly serverId: string; readonly sentAtMs: number},
+	): void;
 	handleEnded(call: GuardedCall, outcome: CallOutcome): void;
 };
 
@@ -201,7 +204,10 @@
 		return {
 			handleHead: (head: ServerAnswerHead) => {
 				this.#answer = head;
-				this.owner.handleHead(head, this.#startedAtMs);
+				this.owner.handleHead(head, {
+					serverId: this.head.serverId,
+					sentAtMs: this.#startedAtMs,
+				});
 			},
 			handleData: (chunk: Uint8Array) => {
 				this.#handleChunk(chunk);
--- a/src/sidecar/guard/local-server.test.ts
+++ b/src/sidecar/guard/local-server.test.ts
@@ -91,7 +91,10 @@
 test('a server that says in an answer that it leaves is leaving, whatever it reports', t => {
 	const server = LocalServer.create(2500, () => 0);
 	server.restore({id: 'i-1', service: 'shop', slots: 4}, 0);
-	server.recordAnswerHead({...testAnswer, isLeaving: true}, 0, 1000);
+	const leaving = {...testAnswer, isLeaving: true};
+	server.recordAnswerHead(leaving, {serverId: 'i-0', sentAtMs: 0}, 900);
+	t.is(server.readState(900), 'ready');
+	server.recordAnswerHead(leaving, {serverId: 'i-1', sentAtMs: 0}, 1000);
 	t.is(server.readState(1000), 'leaving');
 	const start = {id: 'i-1', service: 'shop', address: '', dataCentre: 'a', startedAtMs: 7};
 	const report = {...start, slots: 4, isLeaving: false, sequence: 1, warmupMs: 0};
--- a/src/sidecar/guard/local-server.ts
+++ b/src/sidecar/guard/local-server.ts
@@ -163,13 +163,17 @@
 		return Math.max(slotWaitMs, this.pacer.computeDelayMs(nowMs, ahead));
 	}
 
-	/** Applies what the server says of itself in the head of an answer to a request sent at `sentAtMs`. */
+	/**
+	 * Applies what a server says of itself in the head of an answer.
+	 *
+	 * @param request - the server that the request was sent to, and when; another one may use the address since
+	 */
 	recordAnswerHead(
 		head: Pick<ServerAnswerHead, 'isMisdirected' | 'isNotRun' | 'isLeaving' | 'limit'>,
-		sentAtMs: number,
+		{serverId, sentAtMs}: {readonly serverId: string; readonly sentAtMs: number},
 		nowMs: number,
 	): void {
-		if (head.isMisdirected) {
+		if (head.isMisdirected || serverId !== this.#state?.id) {
 			return;
 		}
 
--- a/src/sidecar/guard/server-limit.test.ts
+++ b/src/sidecar/guard/server-limit.test.ts
@@ -67,11 +67,15 @@
 	fixture.answer(1, {kind: 'none'});
 	fixture.send(1);
 	t.deepEqual(fixture.refusals, ['limited']);
-	server.recordAnswerHead(testAnswer, performance.now() + 1, performance.now() + 2);
+	const sentAtMs = performance.now() + 1;
+	server.recordAnswerHead(testAnswer, {serverId: 'i-0', sentAtMs}, sentAtMs + 1);
+	t.is(server.pacer.limit.kind, 'paced');
+	server.recordAnswerHead(testAnswer, {serverId: 'i-1', sentAtMs}, sentAtMs + 1);
 	fixture.send(20);
 	t.is(fixture.refusals.length, 1);
 
-	server.recordAnswerHead({...testAnswer, limit: {kind: 'named', perSecond: 10}}, 0, 0);
+	const named = {...testAnswer, limit: {kind: 'named', perSecond: 10}} as const;
+	server.recordAnswerHead(named, {serverId: 'i-1', sentAtMs: 0}, 0);
 	t.is(server.pacer.limit.kind, 'paced');
 	const report = {service: 'shop', address: '', dataCentre: 'a', slots: 200, sequence: 1};
 	const start = {id: 'i-2', startedAtMs: 1, isLeaving: false, warmupMs: 0};
