Log and count the restores of the store

The store client decodes the era of each answer; FencedTable, which all calls of a sidecar go through, logs each rise ('store was restored from an older copy', with both eras) and the metrics page shows it. What is read and written stays as it was.

--- a/src/sidecar/discovery/announcer.test.ts
+++ b/src/sidecar/discovery/announcer.test.ts
@@ -6,7 +6,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import test, {type ExecutionContext} from 'ava';
 import {Logger} from '../../reporting/logger.ts';
-import {type SharedTable, type StoreFailure} from '../shared-table.ts';
+import {type SharedTable, type StoreFailure, type StorePosition} from '../shared-table.ts';
 import {type Member} from '../types.ts';
 import {Announcer} from './announcer.ts';
 import {decodeMember} from './member-codec.ts';
@@ -23,7 +23,7 @@
 	state: 'ready',
 };
 
-type WriteResult = Result<number, StoreFailure>;
+type WriteResult = Result<StorePosition, StoreFailure>;
 
 /** Creates a table with one row; `decide` controls the result of each write. */
 function createTable(decide: (applied: () => WriteResult) => WriteResult) {
@@ -32,12 +32,12 @@
 		async writeRow(_table, _key, value, expectedVersion) {
 			return decide(() => {
 				if (expectedVersion !== row.version) {
-					return err({kind: 'conflict', version: row.version});
+					return err({kind: 'conflict', version: row.version, era: 1});
 				}
 
 				row.value = value;
 				row.version++;
-				return ok(row.version);
+				return ok({version: row.version, era: 1});
 			});
 		},
 	};
--- a/src/sidecar/discovery/announcer.ts
+++ b/src/sidecar/discovery/announcer.ts
@@ -109,7 +109,7 @@
 		}
 
 		if (result.isOk()) {
-			this.#rowVersion = result.value;
+			this.#rowVersion = result.value.version;
 			this.#rowText = text;
 			this.#backoff.reset();
 			this.#isFailing = false;
--- a/src/sidecar/discovery/store-sync.test.ts
+++ b/src/sidecar/discovery/store-sync.test.ts
@@ -47,7 +47,7 @@
 			const rows = [...this.#rows]
 				.filter(([key, row]) => key.startsWith(`${table}/`) && row.version > after)
 				.map(([, row]) => row);
-			return ok({rows, version: this.#version});
+			return ok({rows, version: this.#version, era: 1});
 		};
 
 		return {
@@ -67,7 +67,7 @@
 					await this.#waitForWrite(endMs - performance.now());
 				}
 			},
-			writeRow: async () => ok(1),
+			writeRow: async () => ok({version: 1, era: 1}),
 			close() {
 				// Holds no connections.
 			},
--- a/src/sidecar/reporting/metrics-page.ts
+++ b/src/sidecar/reporting/metrics-page.ts
@@ -11,6 +11,8 @@
 	readonly lag: LoopLag;
 	readLoad(): GuardLoad;
 	readConfigVersion(): number;
+	/** Era of the store, as it last answered. */
+	readStoreEra(): number;
 	countMembers(): number;
 	countOpenedConnections(): number;
 };
@@ -72,6 +74,11 @@
 			() => readLimit(source.readLoad()),
 		],
 		['primrosevalve_config_version', 'Configuration in force', () => source.readConfigVersion()],
+		[
+			'primrosevalve_store_era',
+			'How often the store has returned from an older copy',
+			() => source.readStoreEra(),
+		],
 		['primrosevalve_members', 'Backend servers known', () => source.countMembers()],
 		[
 			'primrosevalve_server_connections_total',
--- a/src/sidecar/shared-table.ts
+++ b/src/sidecar/shared-table.ts
@@ -13,8 +13,14 @@
 	readonly version: number;
 };
 
-/** Rows returned by one read, and the version of the store at that time. */
-export type RowSet = {readonly rows: readonly Row[]; readonly version: number};
+/**
+ * A point in the history of the store. The era rises each time that the store returns from an older copy; versions
+ * are then given out again, so that they order writes of one era only.
+ */
+export type StorePosition = {readonly era: number; readonly version: number};
+
+/** Rows returned by one read, and the position of the store at that time. */
+export type RowSet = StorePosition & {readonly rows: readonly Row[]};
 
 /** Why the store gave no result. */
 export type StoreFailure =
@@ -24,9 +30,9 @@
 	 */
 	| {readonly kind: 'unavailable'; readonly reason: string; readonly mayHaveRun: boolean}
 	/** Another write came first; `version` is the current one of the row, 0 if there is no row. */
-	| {readonly kind: 'conflict'; readonly version: number}
-	/** The changes after the given version are no longer kept; read all rows again. */
-	| {readonly kind: 'compacted'};
+	| {readonly kind: 'conflict'; readonly version: number; readonly era: number}
+	/** The changes after the given version are not kept; read all rows again. */
+	| {readonly kind: 'compacted'; readonly era: number};
 
 /** Formats a store failure for a log line. */
 export function formatFailure(failure: StoreFailure): string {
@@ -44,13 +50,16 @@
 		after: number,
 		waitMs: number,
 	): Promise<Result<RowSet, StoreFailure>>;
-	/** Writes a row, or removes it if the value is undefined, provided its version is `expectedVersion`. */
+	/**
+	 * Writes a row, or removes it if the value is undefined, provided its version is `expectedVersion`. Returns the
+	 * position of the write.
+	 */
 	writeRow(
 		table: TableName,
 		key: string,
 		value: string | undefined,
 		expectedVersion: number,
-	): Promise<Result<number, StoreFailure>>;
+	): Promise<Result<StorePosition, StoreFailure>>;
 	/** Closes all connections; later calls open new ones. */
 	close(): void;
 };
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -6,6 +6,7 @@
 import {EntryServer} from './entry/entry-server.ts';
 import {NonceGenerator} from './entry/nonce-generator.ts';
 import {ActiveConfig} from './discovery/active-config.ts';
+import {FencedTable} from './discovery/fenced-table.ts';
 import {Directory} from './discovery/directory.ts';
 import {createMemberHandler} from './discovery/member-handler.ts';
 import {ViewFactory} from './discovery/member-view-factory.ts';
@@ -38,6 +39,7 @@
 
 	readonly #incarnation = randomBytes(6).toString('hex');
 	readonly #directory: Directory;
+	readonly #table: FencedTable;
 	readonly #activeConfig: ActiveConfig;
 	readonly #localServer: LocalServerManager;
 	readonly #metadata: MetadataExchange;
@@ -49,7 +51,7 @@
 	readonly #storeSync: StoreSync;
 	readonly #stopSequence: StopSequence;
 	readonly #handleMember: (member: Member) => void;
-	readonly #closeLinks: () => void;
+	readonly #views: ViewFactory;
 	readonly #lag = LoopLag.create();
 	readonly #runQueue = RunQueue.create({lag: this.#lag});
 	readonly #endpoints: Endpoints;
@@ -60,12 +62,9 @@
 		private readonly logger: Logger,
 	) {
 		this.#requestLog = RequestLog.create(logger, this.#lag);
-		const factory = ViewFactory.create(settings, logger, () => this.#localServer.guard.readLoad());
-		this.#directory = Directory.create(member => factory.createView(member));
-		this.#closeLinks = () => {
-			factory.close();
-		};
-
+		this.#views = ViewFactory.create(settings, logger, () => this.#localServer.guard.readLoad());
+		this.#directory = Directory.create(member => this.#views.createView(member));
+		this.#table = FencedTable.create(platform.table, logger);
 		this.#activeConfig = this.#createActiveConfig();
 		this.#localServer = this.#createLocalServerManager();
 		this.#metadata = this.#createMetadataExchange();
@@ -122,11 +121,11 @@
 	close(): void {
 		this.#storeSync.stop();
 		this.#peerSync.stop();
-		this.platform.table.close();
+		this.#table.close();
 		this.#linkServer.close();
 		this.#entry.close();
 		this.#localServer.close();
-		this.#closeLinks();
+		this.#views.close();
 		this.#endpoints.close();
 		this.#lag.stop();
 	}
@@ -145,7 +144,7 @@
 		return LocalServerManager.create({
 			settings: this.settings,
 			codec: this.platform.codec,
-			table: this.platform.table,
+			table: this.#table,
 			logger: this.logger,
 			incarnation: this.#incarnation,
 			directory: this.#directory,
@@ -176,11 +175,11 @@
 
 	#createStoreSync(): StoreSync {
 		const {instance, dataCentre} = this.settings;
-		const {table, configKey} = this.platform;
+		const {configKey} = this.platform;
 		return StoreSync.create({
 			instance,
 			dataCentre,
-			table,
+			table: this.#table,
 			configKey,
 			directory: this.#directory,
 			logger: this.logger,
@@ -288,6 +287,7 @@
 				lag: this.#lag,
 				readLoad: () => this.#localServer.guard.readLoad(),
 				readConfigVersion: () => this.#activeConfig.version,
+				readStoreEra: () => this.#table.era,
 				countMembers: () => this.#directory.size,
 				countOpenedConnections: () => this.#localServer.pool.openedCount,
 			},
