Follow the store's tables by era and version

Cause: a sidecar went on from the version that it knew. The store answers 410 only while its counter is below that version; once the counter had passed it, the same number named another history, and each row written between the copy and that number was missed. Relays had the same fault in the other direction: followers dropped what was at or below the version that they knew, and nothing told them to read anything again, their own announcement included. Class: an order by a number that is given out again, without the epoch that tells its uses apart.

Change: each answer, position and relay has the era of the store beside the version. FencedTable refuses answers from an earlier era than the store has named. When the era rises, watchers read their tables again and relay what differs from what they knew; followers take that relay if it continues what they know, and otherwise read themselves. A relay of a later era counts only after the sidecar's own read of its own row has confirmed it, so that a forged or garbled one moves nothing; that read also shows whether the announcement is lost.

--- a/src/sidecar/discovery/announcer.test.ts
+++ b/src/sidecar/discovery/announcer.test.ts
@@ -64,7 +64,7 @@
 	t.teardown(() => {
 		announcer.close();
 	});
-	announcer.recordRow(undefined);
+	announcer.recordRow(undefined, {era: 1, version: 0});
 	const announced = announcer.announce(member);
 	await waitForWrites();
 	t.is(decodeMember(row.value!)?.epoch, announced.epoch);
@@ -86,7 +86,7 @@
 
 test('the table ends with the last of several changes', async t => {
 	const {row, announcer} = createAnnouncer(t);
-	announcer.recordRow(undefined);
+	announcer.recordRow(undefined, {era: 1, version: 0});
 	announcer.announce(member);
 	announcer.announce({...member, state: 'leaving'});
 	announcer.announce({...member, state: 'down'});
@@ -96,7 +96,7 @@
 
 test('the epoch is raised above one that a peer has from an earlier process', async t => {
 	const {row, announcer} = createAnnouncer(t);
-	announcer.recordRow(undefined);
+	announcer.recordRow(undefined, {era: 1, version: 0});
 	const announced = announcer.announce(member);
 	announcer.raiseEpoch(announced.epoch + 5000);
 	await waitForWrites();
--- a/src/sidecar/discovery/announcer.ts
+++ b/src/sidecar/discovery/announcer.ts
@@ -1,6 +1,6 @@
 /** Writes the announcement of this instance to its row in the shared table, with retries. */
 import {type Logger} from '../../reporting/logger.ts';
-import {formatFailure, type Row, type SharedTable} from '../shared-table.ts';
+import {formatFailure, type Row, type SharedTable, type StorePosition} from '../shared-table.ts';
 import {type Member} from '../types.ts';
 import {decodeMember, encodeMember} from './member-codec.ts';
 import {Backoff} from './backoff.ts';
@@ -72,7 +72,7 @@
 	}
 
 	/** Records the row of this instance as read from the table; undefined when there is none. */
-	recordRow(row: Row | undefined): void {
+	recordRow(row: Row | undefined, _position: StorePosition): void {
 		if (row !== undefined && row.version < this.#rowVersion) {
 			return;
 		}
--- a/src/sidecar/discovery/fenced-table.ts
+++ b/src/sidecar/discovery/fenced-table.ts
@@ -1,5 +1,5 @@
-/** A shared table whose answers are checked against the era of the store. */
-import {type Result} from 'neverthrow';
+/** A shared table whose answers count only while they are from the latest era of the store (fencing by epoch). */
+import {err, type Result} from 'neverthrow';
 import {type Logger} from '../../reporting/logger.ts';
 import {
 	type RowSet,
@@ -12,12 +12,13 @@
 
 export class FencedTable implements SharedTable {
 	/**
+	 * @param handleRestored - called when the store says for the first time that it was restored
 	 * @example
-	 * const fenced = FencedTable.create(table, logger);
+	 * const fenced = FencedTable.create(table, logger, readAllAgain);
 	 * const result = await fenced.readRows('members');
 	 */
-	static create(table: SharedTable, logger: Logger): FencedTable {
-		return new FencedTable(table, logger);
+	static create(table: SharedTable, logger: Logger, handleRestored: () => void): FencedTable {
+		return new FencedTable(table, logger, handleRestored);
 	}
 
 	readonly #era = StoreEra.create();
@@ -25,6 +26,7 @@
 	private constructor(
 		private readonly table: SharedTable,
 		private readonly logger: Logger,
+		private readonly handleRestored: () => void,
 	) {}
 
 	/** Era of the store, as it last answered. */
@@ -36,12 +38,17 @@
 		return this.#record(await this.table.readRows(table));
 	}
 
+	async readRow(table: TableName, key: string): Promise<Result<RowSet, StoreFailure>> {
+		return this.#record(await this.table.readRow(table, key));
+	}
+
 	async readChanges(
 		table: TableName,
 		after: number,
 		waitMs: number,
+		signal: AbortSignal,
 	): Promise<Result<RowSet, StoreFailure>> {
-		return this.#record(await this.table.readChanges(table, after, waitMs));
+		return this.#record(await this.table.readChanges(table, after, waitMs, signal));
 	}
 
 	async writeRow(
@@ -59,12 +66,27 @@
 
 	#record<T extends StorePosition>(result: Result<T, StoreFailure>): Result<T, StoreFailure> {
 		const era = readEra(result);
-		const before = this.era;
-		if (era !== undefined && this.#era.record(era) === 'restored') {
-			this.logger.warn({era, before}, 'store was restored from an older copy');
+		if (era === undefined) {
+			return result;
 		}
 
-		return result;
+		const before = this.era;
+		switch (this.#era.record(era)) {
+			case 'current': {
+				return result;
+			}
+
+			case 'restored': {
+				this.logger.warn({era, before}, 'store was restored from an older copy');
+				this.handleRestored();
+				return result;
+			}
+
+			case 'outdated': {
+				const reason = `the answer is from era ${era} of the store, before ${before}`;
+				return err({kind: 'unavailable', reason, mayHaveRun: true});
+			}
+		}
 	}
 }
 
--- a/src/sidecar/discovery/relay-message.ts
+++ b/src/sidecar/discovery/relay-message.ts
@@ -1,13 +1,12 @@
 /** Messages in which a watcher passes on what it read from the store and collects overload summaries, as JSON. */
 import {isOverloadSummary, type OverloadSummary} from '../overload/overload-summary.ts';
-import {type Row, type TableName} from '../shared-table.ts';
+import {type Row, type StorePosition, type TableName} from '../shared-table.ts';
+import {type PositionRange} from './table-position.ts';
 
-/** The rows of one table that changed after a version, up to another version. */
-export type TableChanges = {
+/** The rows of one table that changed from one position of the store to another. */
+export type TableChanges = PositionRange & {
 	readonly table: TableName;
-	readonly after: number;
-	readonly version: number;
-	/** Empty when nothing changed; the message then confirms the version. */
+	/** Empty when nothing changed; the message then confirms the position. */
 	readonly rows: readonly Row[];
 };
 
@@ -74,16 +73,29 @@
 		return false;
 	}
 
-	const {table, after, version, rows} = value as Partial<Record<keyof TableChanges, unknown>>;
+	const {table, base, position, rows} = value as Partial<Record<keyof TableChanges, unknown>>;
 	return (
 		tableNames.has(table) &&
-		typeof after === 'number' &&
-		typeof version === 'number' &&
+		isPosition(base) &&
+		isPosition(position) &&
 		Array.isArray(rows) &&
 		rows.every(each => isRow(each))
 	);
 }
 
+function isPosition(value: unknown): value is StorePosition {
+	if (typeof value !== 'object' || value === null) {
+		return false;
+	}
+
+	const {era, version} = value as Partial<Record<keyof StorePosition, unknown>>;
+	return isCount(era) && isCount(version);
+}
+
+function isCount(value: unknown): boolean {
+	return Number.isSafeInteger(value) && (value as number) >= 0;
+}
+
 function isRow(value: unknown): value is Row {
 	if (typeof value !== 'object' || value === null) {
 		return false;
--- a/src/sidecar/discovery/store-relay.test.ts
+++ b/src/sidecar/discovery/store-relay.test.ts
@@ -9,6 +9,7 @@
 import {maxSummaryPeers, StoreRelay} from './store-relay.ts';
 import {relayIntervalMs, WatcherGroup} from './watcher-group.ts';
 
+const position = {era: 1, version: 1};
 const empty = {demands: [], costs: [], origins: [], reports: []};
 
 for (const size of [4, 24, 175]) {
@@ -62,7 +63,7 @@
 			group,
 			directory,
 			logger: Logger.create('test', 'error'),
-			listConfirmed: () => [{table: 'members', after: 1, version: 1, rows: []}],
+			listConfirmed: () => [{table: 'members', base: position, position, rows: []}],
 			handleRelayed() {
 				t.fail('nothing is relayed to the watcher');
 			},
--- a/src/sidecar/discovery/store-sync.ts
+++ b/src/sidecar/discovery/store-sync.ts
@@ -1,9 +1,11 @@
 /** Keeps this sidecar up to date with the store: by its own calls while it is a watcher, else by relays. */
 import {type Logger} from '../../reporting/logger.ts';
 import {type OverloadSummary} from '../overload/overload-summary.ts';
-import {type Row, type SharedTable} from '../shared-table.ts';
+import {type Row, type StorePosition} from '../shared-table.ts';
 import {type Member} from '../types.ts';
 import {type Directory} from './directory.ts';
+import {type FencedTable} from './fenced-table.ts';
+import {OwnRowCheck} from './own-row-check.ts';
 import {StoreRelay} from './store-relay.ts';
 import {StoreWatcher} from './store-watcher.ts';
 import {WatcherGroup} from './watcher-group.ts';
@@ -11,12 +13,13 @@
 export type StoreSyncOptions = {
 	readonly instance: string;
 	readonly dataCentre: string;
-	readonly table: SharedTable;
+	readonly table: FencedTable;
 	readonly configKey: string;
 	readonly directory: Directory;
 	readonly logger: Logger;
-	handleConfig(source: string): void;
-	handleOwnRow(row: Row | undefined): void;
+	handleConfig(source: string, position: StorePosition): void;
+	/** Called with the row of this instance, undefined if there is none at the position. */
+	handleOwnRow(row: Row | undefined, position: StorePosition): void;
 	handleMember(member: Member): void;
 	/** Creates the overload summary of this instance, to be merged with those of its data centre. */
 	createSummary(nowMs: number): OverloadSummary;
@@ -36,10 +39,12 @@
 	readonly #group: WatcherGroup;
 	readonly #watcher: StoreWatcher;
 	readonly #relay: StoreRelay;
+	readonly #ownRowCheck: OwnRowCheck;
 
 	private constructor(private readonly options: StoreSyncOptions) {
 		this.#group = WatcherGroup.create(options);
 		this.#watcher = this.#createWatcher();
+		this.#ownRowCheck = OwnRowCheck.create({...options, random: Math.random});
 		this.#relay = StoreRelay.create({
 			...options,
 			group: this.#group,
@@ -66,10 +71,17 @@
 	}
 
 	stop(): void {
+		this.#ownRowCheck.stop();
 		this.#watcher.stop();
 		this.#relay.stop();
 	}
 
+	/** Handles a rise of the store's era, as named by the store itself. */
+	handleRestored(): void {
+		this.#watcher.handleRestored();
+		this.#ownRowCheck.schedule('restored');
+	}
+
 	/** Records a new announcement: it may change which sidecars watch the store. */
 	recordMember(member: Member): void {
 		this.#group.recordMember(member, performance.now());
@@ -85,7 +97,7 @@
 	}
 
 	#createWatcher(): StoreWatcher {
-		const {directory} = this.options;
+		const {directory, table} = this.options;
 		return StoreWatcher.create({
 			...this.options,
 			handleRemoved: instance => {
@@ -97,6 +109,10 @@
 			handleRead: changes => {
 				this.#relay.relayChanges(changes);
 			},
+			readEra: () => table.era,
+			handleEraHint: () => {
+				this.#ownRowCheck.schedule('hint');
+			},
 		});
 	}
 }
--- a/src/sidecar/discovery/store-watcher.ts
+++ b/src/sidecar/discovery/store-watcher.ts
@@ -1,6 +1,6 @@
 /** Watches the shared table for the configuration of operators and the announcements of sidecars. */
 import {type Logger} from '../../reporting/logger.ts';
-import {type Row, type SharedTable} from '../shared-table.ts';
+import {type Row, type SharedTable, type StorePosition} from '../shared-table.ts';
 import {type Member} from '../types.ts';
 import {decodeMember} from './member-codec.ts';
 import {type TableChanges} from './relay-message.ts';
@@ -25,8 +25,9 @@
 	readonly configKey: string;
 	readonly instance: string;
 	readonly logger: Logger;
-	handleConfig(source: string): void;
-	handleOwnRow(row: Row | undefined): void;
+	handleConfig(source: string, position: StorePosition): void;
+	/** Called with the row of this instance, undefined if there is none at the position. */
+	handleOwnRow(row: Row | undefined, position: StorePosition): void;
 	handleMember(member: Member): void;
 	handleRemoved(instance: string): void;
 	/** Whether a watcher relays the changes, so that this sidecar makes no calls. */
@@ -35,6 +36,10 @@
 	isFirstWatcher(): boolean;
 	/** Called with the changes that a call returned. */
 	handleRead(changes: TableChanges): void;
+	/** The era that the store itself last named. */
+	readEra(): number;
+	/** Called when a relay names a later era, which the store has to confirm. */
+	handleEraHint(): void;
 };
 
 export class StoreWatcher {
@@ -82,6 +87,12 @@
 		}
 	}
 
+	/** Handles a rise of the store's era, as named by the store itself. */
+	handleRestored(): void {
+		this.#config.handleRestored();
+		this.#members.handleRestored();
+	}
+
 	start(): void {
 		this.#config.start();
 		this.#members.start();
@@ -94,10 +105,10 @@
 
 	#createConfigWatcher(): TableWatcher {
 		const {table, logger, configKey} = this.options;
-		const handle = (rows: readonly Row[]) => {
+		const handle = (rows: readonly Row[], {era}: StorePosition) => {
 			for (const row of rows) {
 				if (row.key === configKey && row.value !== undefined) {
-					this.options.handleConfig(row.value);
+					this.options.handleConfig(row.value, {era, version: row.version});
 				}
 			}
 		};
@@ -123,14 +134,15 @@
 			waitMs: memberWaitMs,
 			computePollDelayMs: () =>
 				this.options.isFirstWatcher() ? memberPollDelayMs.first : memberPollDelayMs.standby,
-			handleAll: rows => {
-				this.options.handleOwnRow(rows.find(row => row.key === instance));
+			handleAll: (rows, position) => {
+				const ownRow = rows.find(row => row.key === instance);
+				this.options.handleOwnRow(ownRow, position);
 				this.#handleRows(rows);
 			},
-			handleChanges: rows => {
+			handleChanges: (rows, {era}) => {
 				for (const row of rows) {
 					if (row.key === instance) {
-						this.options.handleOwnRow(row);
+						this.options.handleOwnRow(row, {era, version: row.version});
 					}
 				}
 
@@ -146,6 +158,10 @@
 			handleRead: (changes: TableChanges) => {
 				this.options.handleRead(changes);
 			},
+			readEra: () => this.options.readEra(),
+			handleEraHint: () => {
+				this.options.handleEraHint();
+			},
 		};
 	}
 
--- a/src/sidecar/local-server-manager.ts
+++ b/src/sidecar/local-server-manager.ts
@@ -8,7 +8,7 @@
 import {Announcer} from './discovery/announcer.ts';
 import {type Directory} from './discovery/directory.ts';
 import {type MetadataExchange} from './metadata-exchange.ts';
-import {type Row, type SharedTable} from './shared-table.ts';
+import {type Row, type SharedTable, type StorePosition} from './shared-table.ts';
 import {type RequestLog} from './reporting/request-log.ts';
 import {type RunQueue} from './scheduling/run-queue.ts';
 import {decodeMember} from './discovery/member-codec.ts';
@@ -110,8 +110,8 @@
 	}
 
 	/** Handles the row of this instance as read from the shared table; undefined when there is none. */
-	handleOwnRow(row: Row | undefined): void {
-		this.#announcer.recordRow(row);
+	handleOwnRow(row: Row | undefined, position: StorePosition): void {
+		this.#announcer.recordRow(row, position);
 		const member = row?.value === undefined ? undefined : decodeMember(row.value);
 		if (member?.state === 'ready') {
 			void this.#probe(member);
--- a/src/sidecar/shared-table.ts
+++ b/src/sidecar/shared-table.ts
@@ -44,11 +44,14 @@
 
 export type SharedTable = {
 	readRows(table: TableName): Promise<Result<RowSet, StoreFailure>>;
+	/** Reads one row. */
+	readRow(table: TableName, key: string): Promise<Result<RowSet, StoreFailure>>;
 	/** Returns the rows that changed after a version; waits up to `waitMs` for the first change. */
 	readChanges(
 		table: TableName,
 		after: number,
 		waitMs: number,
+		signal: AbortSignal,
 	): Promise<Result<RowSet, StoreFailure>>;
 	/**
 	 * Writes a row, or removes it if the value is undefined, provided its version is `expectedVersion`. Returns the
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -64,7 +64,9 @@
 		this.#requestLog = RequestLog.create(logger, this.#lag);
 		this.#views = ViewFactory.create(settings, logger, () => this.#localServer.guard.readLoad());
 		this.#directory = Directory.create(member => this.#views.createView(member));
-		this.#table = FencedTable.create(platform.table, logger);
+		this.#table = FencedTable.create(platform.table, logger, () => {
+			this.#storeSync.handleRestored();
+		});
 		this.#activeConfig = this.#createActiveConfig();
 		this.#localServer = this.#createLocalServerManager();
 		this.#metadata = this.#createMetadataExchange();
@@ -186,8 +188,8 @@
 			handleConfig: source => {
 				this.#activeConfig.apply(source, 'store');
 			},
-			handleOwnRow: row => {
-				this.#localServer.handleOwnRow(row);
+			handleOwnRow: (row, position) => {
+				this.#localServer.handleOwnRow(row, position);
 			},
 			handleMember: this.#handleMember,
 			createSummary: nowMs => this.#metadata.createSummary(nowMs),
