Write an announcement again when the restored store has an older one

Cause: the announcer dropped its own row as outdated whenever the version was below that of its last write. In a restored store that lower version is the true one. Class: an order by a version without its era.

Change: the announcer keeps the position, era and version, at which its row was last seen, and drops what is from before it.

Evidence: 'an announcement that the store lost is written again...' failed before and passes.

--- a/src/sidecar/discovery/announcer.test.ts
+++ b/src/sidecar/discovery/announcer.test.ts
@@ -109,3 +109,33 @@
 	await waitForWrites();
 	t.is(row.value, undefined);
 });
+
+// CONFIG: the announcement stayed lost, since its older row in the restored store has a lower version.
+test('an announcement that the store lost is written again, though its older row has a lower version', async t => {
+	const {row, announcer} = createAnnouncer(t);
+	announcer.recordRow(undefined, {era: 1, version: 0});
+	announcer.announce(member);
+	await waitForWrites();
+	const older = row.value!;
+	const announced = announcer.announce({...member, slots: 30});
+	await waitForWrites();
+	row.value = older;
+	row.version = 1;
+	announcer.recordRow({key: 'one', value: older, version: 1}, {era: 2, version: 1});
+	await waitForWrites();
+	t.is(decodeMember(row.value)?.epoch, announced.epoch);
+});
+
+test('an answer from before the store was restored does not hide the lost row', async t => {
+	const {row, announcer} = createAnnouncer(t);
+	announcer.recordRow(undefined, {era: 1, version: 0});
+	const announced = announcer.announce(member);
+	await waitForWrites();
+	const text = row.value!;
+	row.value = undefined;
+	row.version = 0;
+	announcer.recordRow(undefined, {era: 2, version: 0});
+	announcer.recordRow({key: 'one', value: text, version: 9}, {era: 1, version: 9});
+	await waitForWrites();
+	t.is(decodeMember(row.value!)?.epoch, announced.epoch);
+});
--- a/src/sidecar/discovery/announcer.ts
+++ b/src/sidecar/discovery/announcer.ts
@@ -4,6 +4,7 @@
 import {type Member} from '../types.ts';
 import {decodeMember, encodeMember} from './member-codec.ts';
 import {Backoff} from './backoff.ts';
+import {comparePositions} from './table-position.ts';
 
 /** Longer than the delays of reads, because peers are told of a change directly. */
 const backoffBounds = {firstMs: 150, maxMs: 1500} as const;
@@ -27,6 +28,8 @@
 	#desired: Member | undefined;
 	/** Version of the row as last seen; 0 when there is none. */
 	#rowVersion = 0;
+	/** Position of the store at which the row was last seen. */
+	#position: StorePosition = {era: 0, version: 0};
 	#rowText: string | undefined;
 	#epoch = 0;
 	#isWriting = false;
@@ -71,13 +74,18 @@
 		return this.#desired;
 	}
 
-	/** Records the row of this instance as read from the table; undefined when there is none. */
-	recordRow(row: Row | undefined, _position: StorePosition): void {
-		if (row !== undefined && row.version < this.#rowVersion) {
+	/**
+	 * Records the row of this instance as read from the table; undefined when there is none.
+	 *
+	 * @param position - position of the read; an earlier one than that of the known row changes nothing
+	 */
+	recordRow(row: Row | undefined, position: StorePosition): void {
+		if (comparePositions(position, this.#position) < 0) {
 			return;
 		}
 
 		this.#isRowKnown = true;
+		this.#position = position;
 		this.#rowVersion = row?.value === undefined ? 0 : row.version;
 		this.#rowText = row?.value;
 		const stored = row?.value === undefined ? undefined : decodeMember(row.value);
@@ -110,6 +118,7 @@
 
 		if (result.isOk()) {
 			this.#rowVersion = result.value.version;
+			this.#position = result.value;
 			this.#rowText = text;
 			this.#backoff.reset();
 			this.#isFailing = false;
@@ -120,6 +129,7 @@
 		const failure = result.error;
 		if (failure.kind === 'conflict') {
 			this.#rowVersion = failure.version;
+			this.#position = {era: failure.era, version: failure.version};
 			this.#rowText = undefined;
 		}
 
