Ask a store that was away without waiting

Cause: the first call after an outage waited for changes after the known version. When the operators' writes had just brought the restored store back to that very version, there were none, and the era, which only an answer names, was not seen before the end of the wait.

Change: the first call after a failure doesn't wait.

--- a/src/sidecar/discovery/store-restore.test.ts
+++ b/src/sidecar/discovery/store-restore.test.ts
@@ -57,6 +57,28 @@
 	});
 }
 
+// CONFIG: the call after an outage waited for changes after a version that the restored store had just reached again.
+test('a change is in force in time though the restored store has just come to the known version', async t => {
+	const {store, fleet} = await startSettledFleet(t, 24);
+	const copy = store.takeCopy();
+	store.write('operator', 'config', 'lost');
+	await measureSpread(fleet, 'lost', boundMs);
+	for (const each of fleet) {
+		each.isCut = true;
+	}
+
+	store.write('other', 'key', 'ends the pending calls');
+	await wait(1500);
+	store.restoreCopy(copy);
+	store.write('operator', 'config', 'v3');
+	for (const each of fleet) {
+		each.isCut = false;
+	}
+
+	const spreadMs = await measureSpread(fleet, 'v3', 2 * boundMs);
+	t.true(spreadMs < boundMs, `in force everywhere after ${spreadMs} ms`);
+});
+
 // CONFIG: a route's server stayed unknown, since its announcement had a version that was given out before.
 test('an announcement after a restore reaches all sidecars, and no older one replaces a newer', async t => {
 	const {store, fleet} = await startSettledFleet(t, 24);
--- a/src/sidecar/discovery/table-watcher.ts
+++ b/src/sidecar/discovery/table-watcher.ts
@@ -225,10 +225,12 @@
 	}
 
 	async #readChanges(): Promise<StoreFailure | undefined> {
-		const {table, name, waitMs} = this.options;
+		const {table, name} = this.options;
 		const base = this.#position!;
 		const {signal} = this.#pendingRead;
-		const result = await table.readChanges(name, base.version, this.#hasGap ? 0 : waitMs, signal);
+		// The first call after an outage must not wait: only its answer tells whether the store was restored.
+		const waitMs = this.#hasGap || this.isUnavailable ? 0 : this.options.waitMs;
+		const result = await table.readChanges(name, base.version, waitMs, signal);
 		if (result.isErr()) {
 			return result.error;
 		}
