Apply a configuration whose version was used before the restore for other content

Cause: configurations were compared by the operators' version alone. The content that the store had lost under the same version counted as the one in force. Class: identity by a number that is given out again.

Change: the operators' version still goes first and never falls. Within one version, the content at the later position of the store, by era and version, is in force, unless it was replaced before: a further restore may bring it back. A peer's configuration has no position and doesn't replace one of the same version.

--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -185,8 +185,8 @@
 			configKey,
 			directory: this.#directory,
 			logger: this.logger,
-			handleConfig: source => {
-				this.#activeConfig.apply(source, 'store');
+			handleConfig: (source, position) => {
+				this.#activeConfig.apply(source, 'store', position);
 			},
 			handleOwnRow: (row, position) => {
 				this.#localServer.handleOwnRow(row, position);
