Ask peers for their configuration after a start

Cause: it took what the store said for the newest configuration, and heard of its peers' only with an answer to a request, which it does not send while it has no route. Class: the store's word taken as final.

The higher version wins, as before.

--- a/src/sidecar/discovery/peer-sync.ts
+++ b/src/sidecar/discovery/peer-sync.ts
@@ -1,5 +1,6 @@
 /**
- * Synchronizes configuration and members between peers when a sidecar can't reach the store.
+ * Synchronizes configuration and members between peers when a sidecar can't reach the store, or has just started:
+ * a store that was restored may show an older configuration until the operators write again.
  *
  * Replies carry the version of the peer's configuration, so a newer one is fetched from that peer. While
  * the store is unavailable, a few peers are polled for changes. A peer that announced directly that it is
@@ -68,6 +69,8 @@
 	readonly #departedPeers = new Map<string, number>();
 	#timer: NodeJS.Timeout | undefined;
 	#fetchTimer: NodeJS.Timeout | undefined;
+	/** Whether a peer has answered since the start. */
+	#hasHeardPeer = false;
 
 	private constructor(private readonly options: PeerSyncOptions) {}
 
@@ -75,6 +78,8 @@
 		this.#timer = setInterval(() => {
 			if (this.options.isStoreUnavailable()) {
 				this.#pollPeers();
+			} else if (!this.#hasHeardPeer) {
+				this.#pollFirstPeers();
 			}
 
 			this.#pollDepartedPeers();
@@ -225,6 +230,13 @@
 		}
 	}
 
+	/** Polls a few peers after the start for what the store may have lost. */
+	#pollFirstPeers(): void {
+		for (const view of pickRandom(this.#listPeers(), peersPerPoll)) {
+			void this.#sendRequest(view, {wantsMembers: false, state: this.#createOwnState()});
+		}
+	}
+
 	/** Polls peers that announced directly that they are leaving, until they are ready again. */
 	#pollDepartedPeers(): void {
 		const nowMs = performance.now();
@@ -266,6 +278,7 @@
 			return;
 		}
 
+		this.#hasHeardPeer = true;
 		this.#applyState(state, instance);
 		if (state.version < this.#readVersion() && request.state.config === undefined) {
 			this.#pushState(view);
