--- a/src/sidecar/discovery/peer-sync.ts
+++ b/src/sidecar/discovery/peer-sync.ts
@@ -10,6 +10,7 @@
 import {type Logger} from '../../reporting/logger.ts';
 import {type Member, type MeshConfig} from '../types.ts';
 import {noConfigVersion} from './active-config.ts';
+import {DepartedPeers} from './departed-peers.ts';
 import {type Directory} from './directory.ts';
 import {type MemberView} from './member-view.ts';
 import {
@@ -29,11 +30,6 @@
 /** A peer that still lacks a version after this time is sent it; most get it from the store sooner. */
 const pushDelayMs = 400;
 
-/**
- * How long a departed peer is polled: a planned stop takes up to the grace period of about 6 s and a
- * restart a few seconds more; doubled.
- */
-const departedPollMs = 20_000;
 /** Number of peers picked for one poll. */
 const peersPerPoll = 2;
 /** Number of random peers that are sent a change of the local server while the store is unavailable. */
@@ -65,14 +61,15 @@
 	readonly #pending = new Set<string>();
 	/** Peers with an older configuration, and when this was noticed or the state was last pushed to them. */
 	readonly #outdatedPeers = new Map<string, number>();
-	/** Peers that announced directly that they accept no requests, and when polling them ends. */
-	readonly #departedPeers = new Map<string, number>();
+	readonly #departedPeers: DepartedPeers;
 	#timer: NodeJS.Timeout | undefined;
 	#fetchTimer: NodeJS.Timeout | undefined;
 	/** Whether a peer has answered since the start. */
 	#hasHeardPeer = false;
 
-	private constructor(private readonly options: PeerSyncOptions) {}
+	private constructor(private readonly options: PeerSyncOptions) {
+		this.#departedPeers = DepartedPeers.create(options.directory);
+	}
 
 	start(): void {
 		this.#timer = setInterval(() => {
@@ -151,7 +148,7 @@
 	handleDirectAnnouncement(member: Member): void {
 		this.options.handleMember(member);
 		if (member.state !== 'ready') {
-			this.#departedPeers.set(member.instance, performance.now() + departedPollMs);
+			this.#departedPeers.add(member.instance, performance.now());
 		}
 	}
 
@@ -239,17 +236,7 @@
 
 	/** Polls peers that announced directly that they are leaving, until they are ready again. */
 	#pollDepartedPeers(): void {
-		const nowMs = performance.now();
-		const views: MemberView[] = [];
-		for (const [instance, untilMs] of this.#departedPeers) {
-			const view = this.options.directory.findMember(instance);
-			if (view === undefined || view.member.state === 'ready' || nowMs >= untilMs) {
-				this.#departedPeers.delete(instance);
-			} else {
-				views.push(view);
-			}
-		}
-
+		const views = this.#departedPeers.list(performance.now());
 		for (const view of pickRandom(views, peersPerPoll)) {
 			void this.#sendRequest(view, {wantsMembers: false, state: this.#createOwnState()});
 		}
