Keep the leave of a server that the restored store has forgotten

Cause: the row in the store was the only memory of a leave beyond its sidecar's process, and the sidecar's next announcement, with a higher epoch, replaced what its peers knew. Class: the store's word taken as final.

Change: a directory keeps a leave in later announcements of the same start of a server (server-leave.ts). A peer's answer tells the asking sidecar how it is known, and a sidecar takes its leave from there as from its row. Writing a guard's outcomes to the log has a file of its own.

--- a/src/sidecar/discovery/directory.ts
+++ b/src/sidecar/discovery/directory.ts
@@ -1,6 +1,7 @@
 /** All known backend servers, by instance and by service. */
 import {type Member} from '../types.ts';
 import {type Distance, distances, type MemberView} from './member-view.ts';
+import {retainLeave} from './server-leave.ts';
 
 /** Members of one service by their distance. */
 type ServiceMembers = Record<Distance, MemberView[]>;
@@ -59,12 +60,13 @@
 	 *
 	 * @returns false when it is not newer than the known one
 	 */
-	apply(member: Member): boolean {
-		const known = this.#views.get(member.instance);
-		if (known !== undefined && known.member.epoch >= member.epoch) {
+	apply(announced: Member): boolean {
+		const known = this.#views.get(announced.instance);
+		if (known !== undefined && known.member.epoch >= announced.epoch) {
 			return false;
 		}
 
+		const member = retainLeave(known?.member, announced);
 		if (known !== undefined && isSameServer(known.member, member)) {
 			if (known.member.state !== member.state) {
 				known.resetFailures();
--- a/src/sidecar/discovery/peer-state.ts
+++ b/src/sidecar/discovery/peer-state.ts
@@ -9,11 +9,15 @@
 	readonly config?: string;
 	/** The sender's announcement of its own instance. */
 	readonly own?: Member;
+	/** The receiver's announcement, as the sender knows it: a receiver that has restarted may not. */
+	readonly known?: Member;
 	readonly members?: readonly Member[];
 };
 
 export type SyncRequest = {
 	readonly wantsMembers: boolean;
+	/** Instance of the sender. */
+	readonly from: string;
 	/** State of the sender that the receiver may lack. */
 	readonly state: PeerState;
 };
@@ -35,7 +39,10 @@
  */
 export function decodeSyncRequest(text: string): SyncRequest | undefined {
 	const value = parseJson(text) as Partial<SyncRequest> | undefined;
-	const isRequest = typeof value?.wantsMembers === 'boolean' && isPeerState(value.state);
+	const isRequest =
+		typeof value?.wantsMembers === 'boolean' &&
+		typeof value.from === 'string' &&
+		isPeerState(value.state);
 	return isRequest ? (value as SyncRequest) : undefined;
 }
 
@@ -52,11 +59,12 @@
 		return false;
 	}
 
-	const {version, config, own, members} = value as Partial<Record<keyof PeerState, unknown>>;
+	const {version, config, own, known, members} = value as Partial<Record<keyof PeerState, unknown>>;
 	return (
 		typeof version === 'number' &&
 		(config === undefined || typeof config === 'string') &&
 		(own === undefined || isMember(own)) &&
+		(known === undefined || isMember(known)) &&
 		(members === undefined || (Array.isArray(members) && members.every(each => isMember(each))))
 	);
 }
--- a/src/sidecar/discovery/peer-sync.test.ts
+++ b/src/sidecar/discovery/peer-sync.test.ts
@@ -39,6 +39,7 @@
 	);
 	directory.apply(ready);
 	const sync = PeerSync.create({
+		instance: 'own',
 		directory,
 		logger: Logger.create('test', 'error'),
 		readConfig: () => undefined,
@@ -56,7 +57,9 @@
 }
 
 function sendAnnouncement(sync: PeerSync, own: Member): void {
-	sync.answerRequest(JSON.stringify({wantsMembers: false, state: {version: -1, own}}));
+	sync.answerRequest(
+		JSON.stringify({wantsMembers: false, from: 'peer', state: {version: -1, own}}),
+	);
 }
 
 async function waitUntil(isDone: () => boolean): Promise<void> {
@@ -93,7 +96,11 @@
 test('an invalid request changes nothing', t => {
 	const {sync, readState} = createSync(() => undefined);
 	const own = {...leaving, epoch: 'late'};
-	for (const text of ['', '{}', JSON.stringify({wantsMembers: false, state: {version: 1, own}})]) {
+	for (const text of [
+		'',
+		'{}',
+		JSON.stringify({wantsMembers: false, from: 'peer', state: {version: 1, own}}),
+	]) {
 		t.throws(() => sync.answerRequest(text), {instanceOf: TypeError});
 	}
 
--- a/src/sidecar/discovery/peer-sync.ts
+++ b/src/sidecar/discovery/peer-sync.ts
@@ -36,6 +36,7 @@
 const maxDirectPeers = 24;
 
 export type PeerSyncOptions = {
+	readonly instance: string;
 	readonly directory: Directory;
 	readonly logger: Logger;
 	readConfig(): MeshConfig | undefined;
@@ -104,10 +105,12 @@
 		const config = this.options.readConfig();
 		const version = config?.version ?? noConfigVersion;
 		const own = this.options.readOwnMember();
+		const known = this.options.directory.findMember(request.from)?.member;
 		const state: PeerState = {
 			version,
 			...(version > request.state.version && {config: config!.source}),
 			...(own !== undefined && {own}),
+			...(known !== undefined && {known}),
 			...(request.wantsMembers && {members: this.#listMembers()}),
 		};
 		return JSON.stringify(state);
@@ -201,6 +204,10 @@
 			this.handleDirectAnnouncement(state.own);
 		}
 
+		if (state.known !== undefined) {
+			this.options.handleMember(state.known);
+		}
+
 		for (const member of state.members ?? []) {
 			this.options.handleMember(member);
 		}
@@ -242,12 +249,13 @@
 		}
 	}
 
-	async #sendRequest(view: MemberView, request: SyncRequest): Promise<void> {
+	async #sendRequest(view: MemberView, body: Omit<SyncRequest, 'from'>): Promise<void> {
 		const {instance} = view.member;
 		if (this.#pending.has(instance) || view.transport.kind !== 'link') {
 			return;
 		}
 
+		const request: SyncRequest = {...body, from: this.options.instance};
 		this.#pending.add(instance);
 		const text = await view.transport.pool.sync(JSON.stringify(request), responseTimeoutMs);
 		this.#pending.delete(instance);
--- /dev/null
+++ b/src/sidecar/discovery/server-leave.test.ts
@@ -0,0 +1,17 @@
+/** DRAIN: a leave that the store had lost was forgotten when the sidecar of the server restarted. */
+import test from 'ava';
+import {testMember} from '../guard/fixtures.ts';
+import {type Member} from '../types.ts';
+import {retainLeave} from './server-leave.ts';
+
+const left: Member = {...testMember, state: 'leaving', serverStartMs: 7, leftStartMs: 7, epoch: 2};
+
+test('a leave is kept until the server has started again', t => {
+	const unknownStart = {...testMember, epoch: 3};
+	t.like(retainLeave(left, unknownStart), {state: 'leaving', leftStartMs: 7, epoch: 3});
+	t.like(retainLeave(left, {...unknownStart, serverStartMs: 7}), {state: 'leaving'});
+	t.like(retainLeave(left, {...unknownStart, state: 'down'}), {state: 'down', leftStartMs: 7});
+	t.is(retainLeave(left, {...unknownStart, serverStartMs: 8}).state, 'ready');
+	t.is(retainLeave(left, {...unknownStart, serverId: 'i-2'}).state, 'ready');
+	t.is(retainLeave(undefined, unknownStart).state, 'ready');
+});
--- a/src/sidecar/guard/local-server.ts
+++ b/src/sidecar/guard/local-server.ts
@@ -86,7 +86,10 @@
 				}
 
 				const known = this.#state;
-				const isSame = known !== undefined && !isOtherStart(known, report);
+				const isSame =
+					known !== undefined &&
+					!isOtherStart(known, report) &&
+					!(known.startedAtMs === 0 && this.#hasStartedAgain(report));
 				if (!isSame) {
 					this.pacer.reset();
 				}
@@ -143,7 +146,13 @@
 	restoreLeave(start: ServerStart, nowMs: number): void {
 		this.#formerLeave = start;
 		const state = this.#state;
-		if (state !== undefined && this.#hasLeftBefore(state) && state.leavingSinceMs === undefined) {
+		if (state === undefined || state.leavingSinceMs !== undefined) {
+			return;
+		}
+
+		// The start of a server that was identified by a probe is not known before its first report.
+		const mayBeStart = state.startedAtMs === 0 && state.id === start.id;
+		if (mayBeStart || this.#hasLeftBefore(state)) {
 			this.#setLeaving(nowMs);
 		}
 	}
@@ -269,6 +278,11 @@
 		return this.#formerLeave?.id === id && this.#formerLeave.startedAtMs === startedAtMs;
 	}
 
+	/** Whether a report is from a later start than the one that has left. */
+	#hasStartedAgain({id, startedAtMs}: ServerStart): boolean {
+		return this.#formerLeave?.id === id && this.#formerLeave.startedAtMs < startedAtMs;
+	}
+
 	/** Whether a report is from an earlier start of the server or precedes the latest report of this one. */
 	#isOlder(report: {id: string; startedAtMs: number; sequence: number}): boolean {
 		const state = this.#state;
--- a/src/sidecar/local-server-manager.ts
+++ b/src/sidecar/local-server-manager.ts
@@ -1,7 +1,7 @@
 /** Manages the local server, the one beside the sidecar: its reports, its guard and its announcements. */
 import {type Logger} from '../reporting/logger.ts';
 import {Guard} from './guard/guard.ts';
-import {type CallOutcome, type GuardedCall} from './guard/guarded-call.ts';
+import {type CallOutcome} from './guard/guarded-call.ts';
 import {probeHealth} from './guard/health-probe.ts';
 import {LocalServer} from './guard/local-server.ts';
 import {ServerPool} from './guard/server-pool.ts';
@@ -9,6 +9,7 @@
 import {type Directory} from './discovery/directory.ts';
 import {type MetadataExchange} from './metadata-exchange.ts';
 import {type Row, type SharedTable, type StorePosition} from './shared-table.ts';
+import {recordOutcome} from './reporting/outcome-log.ts';
 import {type RequestLog} from './reporting/request-log.ts';
 import {type RunQueue} from './scheduling/run-queue.ts';
 import {decodeMember} from './discovery/member-codec.ts';
@@ -117,10 +118,8 @@
 			void this.#probe(member);
 		}
 
-		if (member?.leftStartMs !== undefined) {
-			const start = {id: member.serverId, startedAtMs: member.leftStartMs};
-			this.#server.restoreLeave(start, performance.now());
-			this.#reconcile();
+		if (member !== undefined) {
+			this.#restoreLeave(member);
 		}
 	}
 
@@ -134,6 +133,8 @@
 			this.#announcer.raiseEpoch(member.epoch);
 			this.options.directory.apply(this.#announcer.current!);
 		}
+
+		this.#restoreLeave(member);
 	}
 
 	/** Announces to peers that this instance accepts no new requests. */
@@ -142,6 +143,14 @@
 		this.#reconcile();
 	}
 
+	/** Restores a leave that an earlier process of this sidecar acknowledged. */
+	#restoreLeave({serverId: id, leftStartMs: startedAtMs}: Member): void {
+		if (startedAtMs !== undefined) {
+			this.#server.restoreLeave({id, startedAtMs}, performance.now());
+			this.#reconcile();
+		}
+	}
+
 	#createGuard(): Guard {
 		return Guard.create({
 			server: this.#server,
@@ -166,7 +175,7 @@
 				},
 				handleOutcome: (call, outcome) => {
 					this.#handleOutcome(call.head.route, outcome);
-					this.#logOutcome(call, outcome);
+					recordOutcome(this.options.requestLog, call, outcome, this.guard.readLoad());
 				},
 			},
 		});
@@ -190,38 +199,6 @@
 		}
 	}
 
-	#logOutcome(call: GuardedCall, outcome: CallOutcome): void {
-		const {requestLog} = this.options;
-		const {requestId, route, callerService, remainingMs} = call.head;
-		const afterMs = Math.round(performance.now() - call.arrivedAtMs);
-		switch (outcome.kind) {
-			case 'answered': {
-				break;
-			}
-
-			case 'cancelled': {
-				const phase = outcome.mayHaveRun ? 'running' : 'waiting';
-				requestLog.recordCancellation({requestId, route, callerService, afterMs, phase});
-				break;
-			}
-
-			case 'refused':
-			case 'failed': {
-				requestLog.recordGuardFailure({
-					requestId,
-					route,
-					callerService,
-					reason: outcome.reason,
-					mayHaveRun: outcome.kind === 'failed' && outcome.hasSent,
-					afterMs,
-					remainingMs: Math.round(remainingMs),
-					...this.guard.readLoad(),
-				});
-				break;
-			}
-		}
-	}
-
 	/**
 	 * Identifies the server with a health probe after a restart of the sidecar alone, so that requests can
 	 * arrive before its next report. A leaving server is not healthy; after a refused probe, the next
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -202,6 +202,7 @@
 
 	#createPeerSync(): PeerSync {
 		return PeerSync.create({
+			instance: this.settings.instance,
 			directory: this.#directory,
 			logger: this.logger,
 			readConfig: () => this.#activeConfig.routes?.config,
