Log the end of a server with the digests of the requests that it ran

When a request fails without an answer, its guard checks whether the server's address still accepts connections; if not, one line names the server and the digests of all requests that ran on it, and a metric counts it. The check delays the report of the failure by one connect to the own machine. What is sent where stays as it was.

--- a/src/sidecar/entry/call-head.ts
+++ b/src/sidecar/entry/call-head.ts
@@ -1,6 +1,7 @@
 /** Builds the head of a request that is sent to a guard. */
 import {type MemberView} from '../discovery/member-view.ts';
 import {type CallHead} from '../link/messages.ts';
+import {computeDigest} from '../quarantine/request-digest.ts';
 import {type Route} from '../types.ts';
 import {type CallerRequest} from './caller-request.ts';
 import {type EntryContext} from './entry-context.ts';
@@ -13,6 +14,7 @@
 	readonly remainingMs: number;
 	readonly isNested: boolean;
 	readonly isPatient: boolean;
+	readonly digest: string;
 };
 
 /**
@@ -26,8 +28,8 @@
 	caller: CallerRequest,
 	details: AttemptDetails,
 ): CallHead {
-	const {request, head, isWhole} = caller;
-	const {route, service, view, remainingMs, isNested, isPatient} = details;
+	const {request, head} = caller;
+	const {route, service, view, remainingMs, isNested, isPatient, digest} = details;
 	return {
 		nonce: ctx.createNonce(),
 		requestId: head.requestId,
@@ -41,9 +43,17 @@
 		route: route.name,
 		isOnce: route.callKind === 'once',
 		priority: route.priority,
-		isWhole,
+		isWhole: caller.isWhole,
 		isNested,
 		isPatient,
 		serverLimitPerSecond: view.limitPerSecond,
+		digest,
 	};
 }
+
+/** Computes what identifies the request if it comes again. */
+export function computeCallerDigest(caller: CallerRequest, callerService: string): string {
+	const {request, body, isWhole} = caller;
+	const {method = 'GET', url: path = '/', headers} = request;
+	return computeDigest({method, host: headers.host ?? '', path, callerService, body, isWhole});
+}
--- a/src/sidecar/entry/entry-call.ts
+++ b/src/sidecar/entry/entry-call.ts
@@ -6,7 +6,7 @@
 import {CallerReply} from './caller-reply.ts';
 import {type EntryContext} from './entry-context.ts';
 import {decideCallAdmission} from './call-admission.ts';
-import {createCallHead} from './call-head.ts';
+import {computeCallerDigest, createCallHead} from './call-head.ts';
 import {type CallerRequest, hasCallerLeft, streamBody} from './caller-request.ts';
 import {checkRequest} from './request-checks.ts';
 import {createRequestRecord} from './request-record.ts';
@@ -34,6 +34,7 @@
 	#attempt: Attempt | undefined;
 	#history: AttemptHistory | undefined;
 	#isNested = false;
+	#digest = '';
 	readonly #reply: CallerReply;
 	#reportAgeMs = -1;
 
@@ -76,6 +77,7 @@
 	#startOnRoute(route: Route): void {
 		const {response, head} = this.caller;
 		this.#route = route;
+		this.#digest = computeCallerDigest(this.caller, this.ctx.readCallerService());
 		this.#service = this.ctx.readRoutes()!.pickService(route);
 		this.#history = AttemptHistory.create(this.ctx, route, this.#service);
 		const timeoutMs = Math.min(head.deadlineMs ?? defaultDeadlineMs, route.timeoutMs);
@@ -137,6 +139,7 @@
 			remainingMs: this.#deadlineAtMs - nowMs,
 			isNested: this.#isNested,
 			isPatient: history.isPatient,
+			digest: this.#digest,
 		});
 		history.recordAttempt(view);
 		this.#attempt = Attempt.create(view, callHead, this.#createListener(view));
@@ -252,11 +255,7 @@
 		}
 	}
 
-	/**
-	 * Spends a retry from the budget; false if the request may not be retried.
-	 *
-	 * @param spend - spends the retry, given the remaining time; false if it is not allowed
-	 */
+	/** Spends a retry from the budget, given the remaining time; false if the request may not be retried. */
 	#trySpend(spend: (remainingMs: number) => boolean): boolean {
 		const remainingMs = this.#deadlineAtMs - performance.now();
 		return !this.#reply.isDone && this.caller.isWhole && spend(remainingMs);
@@ -290,6 +289,7 @@
 				outcome,
 				tookMs: performance.now() - this.#arrivedAtMs,
 				reportAgeMs: this.#reportAgeMs,
+				digest: this.#digest,
 				configVersion: this.ctx.readRoutes()?.config.version,
 			}),
 		);
--- a/src/sidecar/entry/request-record.ts
+++ b/src/sidecar/entry/request-record.ts
@@ -14,6 +14,7 @@
 	readonly outcome: string;
 	readonly tookMs: number;
 	readonly reportAgeMs: number;
+	readonly digest: string;
 	readonly configVersion: number | undefined;
 };
 
@@ -24,8 +25,7 @@
  * log.recordRequest(createRequestRecord(finishedRequest));
  */
 export function createRequestRecord(request: FinishedRequest): RequestRecord {
-	const {caller, route, history, configVersion, service, status, outcome, tookMs, reportAgeMs} =
-		request;
+	const {caller, route, history, configVersion, service, status, outcome, tookMs} = request;
 	const member = history?.lastView?.member;
 	return {
 		requestId: caller.head.requestId,
@@ -42,6 +42,7 @@
 		serverId: member?.serverId ?? '',
 		configVersion: configVersion ?? -1,
 		deadlineMs: caller.head.deadlineMs ?? 0,
-		reportAgeMs,
+		digest: request.digest,
+		reportAgeMs: request.reportAgeMs,
 	};
 }
--- a/src/sidecar/guard/call-registry.ts
+++ b/src/sidecar/guard/call-registry.ts
@@ -72,6 +72,18 @@
 		}
 	}
 
+	/** Lists the digests of the calls that were sent and have not ended. */
+	listRunningDigests(): string[] {
+		const digests: string[] = [];
+		for (const {phase, head} of this.#calls.values()) {
+			if (phase === 'running') {
+				digests.push(head.digest);
+			}
+		}
+
+		return digests;
+	}
+
 	addOrphan(call: GuardedCall, nowMs: number): void {
 		this.#orphans.set(call, nowMs);
 	}
--- a/src/sidecar/guard/fixtures.ts
+++ b/src/sidecar/guard/fixtures.ts
@@ -5,7 +5,7 @@
 import {type CallHead} from '../link/messages.ts';
 import {type HeadCodec, type Member, type ServerAnswerHead} from '../types.ts';
 import {Guard} from './guard.ts';
-import {type CallConnection} from './guarded-call.ts';
+import {type CallConnection} from './call-owner.ts';
 import {LocalServer} from './local-server.ts';
 import {type ConnectionListener} from './server-connection.ts';
 
@@ -72,6 +72,7 @@
 		isNested: false,
 		isPatient: false,
 		serverLimitPerSecond: 0,
+		digest: '0123456789abcdef',
 		...more,
 	};
 }
@@ -120,6 +121,7 @@
 		runQueue: immediateQueue,
 		readSuspended,
 		readMember: () => testMember,
+		checkEnded: async () => false,
 		events: {
 			handleArrival: ignore,
 			handleStart: ignore,
--- a/src/sidecar/guard/guard-options.ts
+++ b/src/sidecar/guard/guard-options.ts
@@ -2,7 +2,8 @@
 import {type CallHead} from '../link/messages.ts';
 import {type RunQueue} from '../scheduling/run-queue.ts';
 import {type HeadCodec, type Member} from '../types.ts';
-import {type CallConnection, type CallOutcome, type GuardedCall} from './guarded-call.ts';
+import {type CallConnection, type CallOutcome} from './call-owner.ts';
+import {type GuardedCall} from './guarded-call.ts';
 import {type LocalServer} from './local-server.ts';
 
 export type GuardEvents = {
@@ -28,6 +29,8 @@
 	readonly runQueue: Pick<RunQueue, 'submit'>;
 	/** Time for which this process was suspended. */
 	readonly readSuspended: () => number;
+	/** Checks whether the server has ended, after a request that it may have run has failed. */
+	readonly checkEnded: (digest: string) => Promise<boolean>;
 	/** Reads the member record that this instance currently announces. */
 	readMember(): Member | undefined;
 };
--- a/src/sidecar/guard/guard.ts
+++ b/src/sidecar/guard/guard.ts
@@ -5,7 +5,8 @@
 import {endedExchange, type Exchange, type ExchangeListener} from '../link/exchange.ts';
 import {type CallHead, type GuardLoad, type RefusalReason} from '../link/messages.ts';
 import {type ServerAnswerHead} from '../types.ts';
-import {type CallOutcome, GuardedCall} from './guarded-call.ts';
+import {type CallOutcome} from './call-owner.ts';
+import {GuardedCall} from './guarded-call.ts';
 import {CallRegistry} from './call-registry.ts';
 import {type GuardOptions} from './guard-options.ts';
 import {AdmissionQueue} from './admission-queue.ts';
@@ -45,12 +46,13 @@
 
 	readLoad(): GuardLoad {
 		const {limit, pacer} = this.options.server;
-		return {
-			running: this.#running,
-			waiting: this.#queue.length,
-			limit,
-			pace: {limit: pacer.limit, fill: pacer.computeFill(performance.now())},
-		};
+		const pace = {limit: pacer.limit, fill: pacer.computeFill(performance.now())};
+		return {running: this.#running, waiting: this.#queue.length, limit, pace};
+	}
+
+	/** Lists the digests of the requests that the server runs. */
+	listRunningDigests(): string[] {
+		return this.#calls.listRunningDigests();
 	}
 
 	/** Running and waiting requests. */
@@ -208,13 +210,16 @@
 	}
 
 	#createCallOwner() {
+		const {codec, pool, server, readSuspended, checkEnded} = this.options;
 		return {
-			codec: this.options.codec,
-			acquireConnection: (requestId: string, isOnce: boolean) =>
-				this.options.pool.acquire(requestId, isOnce),
-			readSuspended: this.options.readSuspended,
+			codec,
+			readSuspended,
+			checkEnded,
+			acquireConnection(requestId: string, isOnce: boolean) {
+				return pool.acquire(requestId, isOnce);
+			},
 			handleHead: (head: ServerAnswerHead, request: {serverId: string; sentAtMs: number}) => {
-				this.options.server.recordAnswerHead(head, request, performance.now());
+				server.recordAnswerHead(head, request, performance.now());
 			},
 			handleEnded: (call: GuardedCall, outcome: CallOutcome) => {
 				this.#handleEnded(call, outcome);
--- a/src/sidecar/guard/guarded-call.ts
+++ b/src/sidecar/guard/guarded-call.ts
@@ -2,8 +2,8 @@
 import {Buffer} from 'node:buffer';
 import {type Exchange, type ExchangeListener} from '../link/exchange.ts';
 import {type AnswerHead, type CallHead, type RefusalReason} from '../link/messages.ts';
-import {type HeadCodec, type ServerAnswerHead} from '../types.ts';
-import {type ServerConnection} from './server-connection.ts';
+import {type ServerAnswerHead} from '../types.ts';
+import {type CallConnection, type CallOutcome, type CallOwner} from './call-owner.ts';
 
 /** Answers up to this size are buffered and sent as one frame; larger ones are streamed. */
 const maxBufferedBytes = 64 * 1024;
@@ -18,38 +18,6 @@
 /** Nested calls precede requests of callers of any priority. */
 const nestedPriority = -1;
 
-/** The methods of a server connection that a call needs. */
-export type CallConnection = Pick<
-	ServerConnection,
-	'send' | 'sendChunk' | 'sendLastChunk' | 'setPaused' | 'close'
->;
-
-/** The guard's functions that a call needs. */
-export type CallOwner = {
-	readonly codec: HeadCodec;
-	/** Opens or reuses a connection to the server. */
-	acquireConnection(requestId: string, isOnce: boolean): CallConnection;
-	/** Time for which this process has been suspended, in milliseconds. */
-	readSuspended(): number;
-	/** Called with the head of the answer to a request that was sent to a server. */
-	handleHead(
-		head: ServerAnswerHead,
-		request: {readonly serverId: string; readonly sentAtMs: number},
-	): void;
-	handleEnded(call: GuardedCall, outcome: CallOutcome): void;
-};
-
-/**
- * How a call ended.
- *
- * `ranMs` is the service time. `hasSent` and `mayHaveRun` are false when the server can't have run it.
- */
-export type CallOutcome =
-	| {readonly kind: 'answered'; readonly head: ServerAnswerHead; readonly ranMs: number}
-	| {readonly kind: 'refused'; readonly reason: RefusalReason}
-	| {readonly kind: 'failed'; readonly reason: string; readonly hasSent: boolean}
-	| {readonly kind: 'cancelled'; readonly mayHaveRun: boolean; readonly ranMs: number};
-
 type Phase = 'waiting' | 'running' | 'ended';
 
 export class GuardedCall implements Exchange {
@@ -268,12 +236,20 @@
 	}
 
 	#fail(reason: string, hasSent: boolean): void {
+		if (hasSent) {
+			void this.#failSent(reason);
+			return;
+		}
+
 		this.#end({kind: 'failed', reason, hasSent}, listener => {
-			if (hasSent) {
-				listener.handleFailure({reason});
-			} else {
-				listener.handleRefusal({reason: 'unreachable', member: undefined});
-			}
+			listener.handleRefusal({reason: 'unreachable', member: undefined});
+		});
+	}
+
+	async #failSent(reason: string): Promise<void> {
+		const hasServerEnded = await this.owner.checkEnded(this.head.digest);
+		this.#end({kind: 'failed', reason, hasSent: true, hasServerEnded}, listener => {
+			listener.handleFailure({reason, hasServerEnded});
 		});
 	}
 
--- a/src/sidecar/link/codec.test.ts
+++ b/src/sidecar/link/codec.test.ts
@@ -51,6 +51,7 @@
 	isNested: fc.boolean(),
 	isPatient: fc.boolean(),
 	serverLimitPerSecond: fc.nat(),
+	digest: fc.string(),
 });
 
 test('the head of a call is decoded to what was encoded', t => {
--- a/src/sidecar/link/codec.ts
+++ b/src/sidecar/link/codec.ts
@@ -62,12 +62,12 @@
 }
 
 export function encodeFailure(head: FailureHead, metadata: ReplyMetadata): string {
-	return JSON.stringify([head.reason, encodeMetadata(metadata)]);
+	return JSON.stringify([head.reason, encodeMetadata(metadata), head.hasServerEnded ? 1 : 0]);
 }
 
 export function decodeFailure(text: string): {head: FailureHead; metadata: ReplyMetadata} {
-	const [reason, metadata] = JSON.parse(text) as [string, EncodedMetadata];
-	return {head: {reason}, metadata: decodeMetadata(metadata)};
+	const [reason, metadata, ended] = JSON.parse(text) as [string, EncodedMetadata, number];
+	return {head: {reason, hasServerEnded: ended === 1}, metadata: decodeMetadata(metadata)};
 }
 
 /** A decoded reply of a guard. */
@@ -138,6 +138,7 @@
 	flags: number,
 	priority: number,
 	serverLimitPerSecond: number,
+	digest: string,
 ];
 
 export function encodeCall(head: CallHead): string {
@@ -155,6 +156,7 @@
 		encodeCallFlags(head),
 		head.priority,
 		head.serverLimitPerSecond,
+		head.digest,
 	];
 	return JSON.stringify(encoded);
 }
@@ -174,6 +176,7 @@
 		flags,
 		priority,
 		serverLimitPerSecond,
+		digest,
 	] = JSON.parse(text) as EncodedCall;
 	return {
 		nonce,
@@ -189,6 +192,7 @@
 		...decodeCallFlags(flags),
 		priority,
 		serverLimitPerSecond,
+		digest,
 	};
 }
 
--- a/src/sidecar/link/messages.ts
+++ b/src/sidecar/link/messages.ts
@@ -43,6 +43,8 @@
 	readonly isNested: boolean;
 	/** Whether the request may wait at a server with a limit, since the others can't take it either. */
 	readonly isPatient: boolean;
+	/** Identifies requests that come again; see `quarantine/request-digest.ts`. */
+	readonly digest: string;
 	/** Limit of the server as its guard reported it, for a guard that has restarted since; 0 without one. */
 	readonly serverLimitPerSecond: number;
 };
@@ -101,6 +103,8 @@
 
 export type FailureHead = {
 	readonly reason: string;
+	/** Whether the server ended while it ran the request. */
+	readonly hasServerEnded?: boolean;
 };
 
 /**
--- a/src/sidecar/local-server-manager.ts
+++ b/src/sidecar/local-server-manager.ts
@@ -1,7 +1,7 @@
 /** Manages the local server, the one beside the sidecar: its reports, its guard and its announcements. */
 import {type Logger} from '../reporting/logger.ts';
 import {Guard} from './guard/guard.ts';
-import {type CallOutcome} from './guard/guarded-call.ts';
+import {type CallOutcome} from './guard/call-owner.ts';
 import {probeHealth} from './guard/health-probe.ts';
 import {LocalServer} from './guard/local-server.ts';
 import {ServerPool} from './guard/server-pool.ts';
@@ -9,6 +9,8 @@
 import {type Directory} from './discovery/directory.ts';
 import {type MetadataExchange} from './metadata-exchange.ts';
 import {type Row, type SharedTable, type StorePosition} from './shared-table.ts';
+import {CrashDetector} from './quarantine/crash-detector.ts';
+import {probeListening} from './quarantine/listening-probe.ts';
 import {recordOutcome} from './reporting/outcome-log.ts';
 import {type RequestLog} from './reporting/request-log.ts';
 import {type RunQueue} from './scheduling/run-queue.ts';
@@ -55,6 +57,7 @@
 	readonly pool: ServerPool;
 	readonly #server: LocalServer;
 	readonly #announcer: Announcer;
+	readonly #crashDetector: CrashDetector;
 	#timer: NodeJS.Timeout | undefined;
 	#announcedKey = '';
 	#isStopping = false;
@@ -67,6 +70,14 @@
 		this.#announcer = Announcer.create(settings.instance, table, logger, () => {
 			options.handleAnnounced();
 		});
+		this.#crashDetector = CrashDetector.create({
+			isListening: async () => probeListening(settings.serverAddress),
+			listRunning: () => this.guard.listRunningDigests(),
+			readNow: () => performance.now(),
+			handleCrash: digests => {
+				options.requestLog.recordCrash(this.member?.serverId ?? '', digests);
+			},
+		});
 		this.guard = this.#createGuard();
 	}
 
@@ -160,6 +171,7 @@
 			runQueue: this.options.runQueue,
 			readSuspended: readSuspendedMs,
 			readMember: () => this.#announcer.current,
+			checkEnded: async digest => this.#crashDetector.check(digest),
 			events: {
 				handleArrival: (head, utilization) => {
 					this.options
--- /dev/null
+++ b/src/sidecar/quarantine/crash-detector.ts
@@ -0,0 +1,63 @@
+/**
+ * Tells whether the local server has ended when a request to it fails without an answer, and which requests ran on it
+ * then: each of them may have ended it.
+ */
+
+/** Failures of one end of the server come within this time. */
+const sameEndMs = 1000;
+
+export type CrashDetectorOptions = {
+	/** Whether the server's address accepts connections. */
+	isListening(): Promise<boolean>;
+	/** Lists the digests of the requests that run on the server. */
+	listRunning(): Iterable<string>;
+	readNow(): number;
+	/** Called once for each end of the server, with the digests of the requests that ran on it. */
+	handleCrash(digests: ReadonlySet<string>): void;
+};
+
+export class CrashDetector {
+	/**
+	 * @example
+	 * const detector = CrashDetector.create(options);
+	 * const hasEnded = await detector.check(digest);
+	 */
+	static create(options: CrashDetectorOptions): CrashDetector {
+		return new CrashDetector(options);
+	}
+
+	/** Requests that failed since the check began. */
+	readonly #failed = new Set<string>();
+	#check: Promise<boolean> | undefined;
+	#endedAtMs = Number.NEGATIVE_INFINITY;
+
+	private constructor(private readonly options: CrashDetectorOptions) {}
+
+	/**
+	 * Checks whether the server has ended, after the request with this digest has failed without an answer. Requests that
+	 * fail at the same time share one check.
+	 */
+	async check(digest: string): Promise<boolean> {
+		this.#failed.add(digest);
+		this.#check ??= this.#run();
+		return this.#check;
+	}
+
+	async #run(): Promise<boolean> {
+		const isListening = await this.options.isListening();
+		this.#check = undefined;
+		const suspects = new Set([...this.#failed, ...this.options.listRunning()]);
+		this.#failed.clear();
+		const nowMs = this.options.readNow();
+		if (isListening) {
+			return false;
+		}
+
+		if (nowMs - this.#endedAtMs > sameEndMs) {
+			this.options.handleCrash(suspects);
+		}
+
+		this.#endedAtMs = nowMs;
+		return true;
+	}
+}
--- a/src/sidecar/reporting/metrics-page.ts
+++ b/src/sidecar/reporting/metrics-page.ts
@@ -74,6 +74,11 @@
 			() => readLimit(source.readLoad()),
 		],
 		['primrosevalve_config_version', 'Configuration in force', () => source.readConfigVersion()],
+		[
+			'primrosevalve_server_crashes_total',
+			'Ends of the server while it ran requests',
+			() => source.log.crashCount,
+		],
 		[
 			'primrosevalve_store_era',
 			'How often the store has returned from an older copy',
--- a/src/sidecar/reporting/outcome-log.ts
+++ b/src/sidecar/reporting/outcome-log.ts
@@ -1,5 +1,6 @@
 /** Writes how a guard's request ended to the request log. */
-import {type CallOutcome, type GuardedCall} from '../guard/guarded-call.ts';
+import {type CallOutcome} from '../guard/call-owner.ts';
+import {type GuardedCall} from '../guard/guarded-call.ts';
 import {type GuardLoad} from '../link/messages.ts';
 import {type RequestLog} from './request-log.ts';
 
--- a/src/sidecar/reporting/request-log.test.ts
+++ b/src/sidecar/reporting/request-log.test.ts
@@ -19,6 +19,7 @@
 	serverId: 'i-1',
 	configVersion: 1,
 	deadlineMs: 1000,
+	digest: '',
 	reportAgeMs: -1,
 };
 
--- a/src/sidecar/reporting/request-log.ts
+++ b/src/sidecar/reporting/request-log.ts
@@ -27,6 +27,8 @@
 	readonly serverId: string;
 	readonly configVersion: number;
 	readonly deadlineMs: number;
+	/** Identifies requests that come again; empty without a route. */
+	readonly digest: string;
 	/** Age of the overload report behind the admission decision; -1 without one. */
 	readonly reportAgeMs: number;
 };
@@ -62,6 +64,8 @@
 const maxFailedLinesPerSecond = 20;
 /** Limit of lines about requests that the guard refused, that failed at the local server or were cancelled. */
 const maxGuardFailureLinesPerSecond = 10;
+/** Digests in the line about a server that has ended. */
+const maxLoggedSuspects = 32;
 /** Upper bounds of the latency buckets. */
 export const latencyBucketsMs = [5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10_000] as const;
 
@@ -87,6 +91,8 @@
 	readonly cancelledCounts: Record<CancelledPhase, number> = {unread: 0, waiting: 0, running: 0};
 	/** Requests that the guard passed over to other servers, since its own names a limit. */
 	limitedCount = 0;
+	/** Ends of the local server while it ran requests. */
+	crashCount = 0;
 	/** Lines dropped by the limits since the start. */
 	droppedLineCount = 0;
 	#second = 0;
@@ -100,6 +106,14 @@
 		private readonly lag: Pick<LoopLag, 'readLagMs'>,
 	) {}
 
+	/** Counts and logs an end of the local server; each of the requests that ran may have caused it. */
+	recordCrash(serverId: string, digests: ReadonlySet<string>): void {
+		this.crashCount++;
+		const suspects = [...digests].slice(0, maxLoggedSuspects).join(' ');
+		const fields = {serverId, running: digests.size, suspects};
+		this.logger.warn(fields, 'local server ended while it ran requests');
+	}
+
 	/** Counts and logs the result of a request at the entry. */
 	recordRequest(record: RequestRecord): void {
 		this.#updateCounts(record);
