--- a/src/sidecar/guard/guard.ts
+++ b/src/sidecar/guard/guard.ts
@@ -215,10 +215,8 @@
 			codec,
 			readSuspended,
 			checkEnded,
-			acquireConnection(requestId: string, isOnce: boolean) {
-				return pool.acquire(requestId, isOnce);
-			},
-			handleHead: (head: ServerAnswerHead, request: {serverId: string; sentAtMs: number}) => {
+			acquireConnection: (requestId: string, isOnce: boolean) => pool.acquire(requestId, isOnce),
+			handleHead(head: ServerAnswerHead, request: {serverId: string; sentAtMs: number}) {
 				server.recordAnswerHead(head, request, performance.now());
 			},
 			handleEnded: (call: GuardedCall, outcome: CallOutcome) => {
