Quarantine requests under which servers end

Cause: nothing recognised a request that came again. Each attempt of a caller has an id of its own, the retry budget counts by service, and a guard took the end of its server for a lost answer, on which the entry sent the request to a second server. Class: poison message without a dead-letter rule.

Change: when a server ends, all requests that ran on it are suspects by their digest. One that runs to an end later is cleared. A request under which a server ended isn't sent to a second one. Its caller gets 502, in quarantine 503 with a Retry-After of 60 s: that attempt has not run. The guard announces its ended server as down at once.

A popular innocent request is cleared by its next run.

--- a/src/sidecar/entry/attempt-history.ts
+++ b/src/sidecar/entry/attempt-history.ts
@@ -12,6 +12,8 @@
 const maxLimitedRefusals = 4;
 /** Upper bound for attempts that reached a server, when servers refuse the request without running it. */
 const maxArrivals = 10;
+/** Retry-After of a request under which servers have ended: another try would not be sent either. */
+const quarantinedRetryAfterMs = 60_000;
 /** A request with less remaining time is not sent, since the round trip takes part of it. */
 export const minRemainingMs = 5;
 
@@ -21,8 +23,8 @@
 	 * const history = AttemptHistory.create(ctx, route, 'catalogue');
 	 * history.recordAttempt(view);
 	 */
-	static create(ctx: EntryContext, route: Route, service: string): AttemptHistory {
-		return new AttemptHistory(ctx, route, service);
+	static create(ctx: EntryContext, route: Route, service: string, digest = ''): AttemptHistory {
+		return new AttemptHistory(ctx, route, service, digest);
 	}
 
 	/** Instances to which the request was sent, whatever the result. */
@@ -44,6 +46,8 @@
 		private readonly ctx: EntryContext,
 		private readonly route: Route,
 		private readonly service: string,
+		/** Identifies requests that come again. */
+		readonly digest: string,
 	) {}
 
 	/**
@@ -73,6 +77,16 @@
 		return pickMember(members, refused, nowMs, this.ctx.random);
 	}
 
+	/** Whether servers have ended under such requests, so that none gets a further one. */
+	isQuarantined(): boolean {
+		return this.ctx.quarantine.has(this.digest);
+	}
+
+	/** Returns when the caller may retry; undefined for the usual time. */
+	readRetryAfterMs(): number | undefined {
+		return this.isQuarantined() ? quarantinedRetryAfterMs : undefined;
+	}
+
 	/** Picks among the members whose servers received the request, all of which refused it. */
 	pickReached(nowMs: number): MemberView | undefined {
 		const reached = groupByDistance(this.reachedMembers);
@@ -104,6 +118,10 @@
 	 */
 	recordRefusal(reason: RefusalReason): boolean {
 		this.lastReason = reason;
+		if (reason === 'quarantined') {
+			return false;
+		}
+
 		if (reason === 'limited' && !this.isPatient && this.lastView !== undefined) {
 			this.#limitedInstances.add(this.lastView.member.instance);
 			return true;
--- a/src/sidecar/entry/entry-call.ts
+++ b/src/sidecar/entry/entry-call.ts
@@ -34,7 +34,6 @@
 	#attempt: Attempt | undefined;
 	#history: AttemptHistory | undefined;
 	#isNested = false;
-	#digest = '';
 	readonly #reply: CallerReply;
 	#reportAgeMs = -1;
 
@@ -77,9 +76,9 @@
 	#startOnRoute(route: Route): void {
 		const {response, head} = this.caller;
 		this.#route = route;
-		this.#digest = computeCallerDigest(this.caller, this.ctx.readCallerService());
 		this.#service = this.ctx.readRoutes()!.pickService(route);
-		this.#history = AttemptHistory.create(this.ctx, route, this.#service);
+		const digest = computeCallerDigest(this.caller, this.ctx.readCallerService());
+		this.#history = AttemptHistory.create(this.ctx, route, this.#service, digest);
 		const timeoutMs = Math.min(head.deadlineMs ?? defaultDeadlineMs, route.timeoutMs);
 		this.#deadlineAtMs = this.#arrivedAtMs + timeoutMs;
 		this.#timer = setTimeout(() => {
@@ -119,6 +118,11 @@
 			return;
 		}
 
+		if (this.#history!.isQuarantined()) {
+			this.#fail('servers have ended under such requests');
+			return;
+		}
+
 		const nowMs = performance.now();
 		const view = this.#history!.pickNext(nowMs);
 		if (view === undefined || this.#deadlineAtMs - nowMs < minRemainingMs) {
@@ -139,7 +143,7 @@
 			remainingMs: this.#deadlineAtMs - nowMs,
 			isNested: this.#isNested,
 			isPatient: history.isPatient,
-			digest: this.#digest,
+			digest: history.digest,
 		});
 		history.recordAttempt(view);
 		this.#attempt = Attempt.create(view, callHead, this.#createListener(view));
@@ -225,13 +229,13 @@
 	#handleFailure(view: MemberView, head: FailureHead, wasReached: boolean): void {
 		const history = this.#history!;
 		history.recordFailure(view, head.reason);
-		if (!wasReached) {
+		if (!wasReached || head.hasServerEnded) {
 			view.recordFailure(performance.now());
 		}
 
 		if (this.#reply.hasBegun) {
 			this.#reply.abort();
-		} else if (this.#trySpend(ms => history.trySpendAfterFailure(ms))) {
+		} else if (!head.hasServerEnded && this.#trySpend(ms => history.trySpendAfterFailure(ms))) {
 			this.#sendToNext();
 		} else {
 			this.#fail(head.reason);
@@ -266,7 +270,7 @@
 		if (this.#history?.mayHaveRun) {
 			this.#reply.answer(localStatuses.failed, reason);
 		} else {
-			this.#reply.refuse(reason);
+			this.#reply.refuse(reason, this.#history?.readRetryAfterMs());
 		}
 	}
 
@@ -289,7 +293,6 @@
 				outcome,
 				tookMs: performance.now() - this.#arrivedAtMs,
 				reportAgeMs: this.#reportAgeMs,
-				digest: this.#digest,
 				configVersion: this.ctx.readRoutes()?.config.version,
 			}),
 		);
--- a/src/sidecar/entry/entry-context.ts
+++ b/src/sidecar/entry/entry-context.ts
@@ -9,6 +9,7 @@
 import {type Guard} from '../guard/guard.ts';
 import {type ReplyMetadata} from '../link/messages.ts';
 import {type Logger} from '../../reporting/logger.ts';
+import {type Quarantine} from '../quarantine/quarantine.ts';
 import {type RequestLog} from '../reporting/request-log.ts';
 import {type RunQueue} from '../scheduling/run-queue.ts';
 import {type HeadCodec, type Member} from '../types.ts';
@@ -22,6 +23,7 @@
 	readonly callRatios: CallRatioEstimator;
 	readonly costs: CostTable;
 	readonly log: RequestLog;
+	readonly quarantine: Pick<Quarantine, 'has'>;
 	/** Starts requests, after further input was read when the event loop lags. */
 	readonly runQueue: Pick<RunQueue, 'submit'>;
 	readonly logger: Logger;
--- a/src/sidecar/entry/request-record.test.ts
+++ b/src/sidecar/entry/request-record.test.ts
@@ -22,7 +22,7 @@
 		status: 404,
 		outcome: 'version 1 has no such route',
 		tookMs: 1,
-		digest: '',
+
 		reportAgeMs: -1,
 		configVersion: 1,
 	});
--- a/src/sidecar/entry/request-record.ts
+++ b/src/sidecar/entry/request-record.ts
@@ -14,7 +14,6 @@
 	readonly outcome: string;
 	readonly tookMs: number;
 	readonly reportAgeMs: number;
-	readonly digest: string;
 	readonly configVersion: number | undefined;
 };
 
@@ -26,7 +25,6 @@
  */
 export function createRequestRecord(request: FinishedRequest): RequestRecord {
 	const {caller, route, history, configVersion, service, status, outcome, tookMs} = request;
-	const member = history?.lastView?.member;
 	return {
 		requestId: caller.head.requestId,
 		route: route?.name ?? '',
@@ -35,14 +33,21 @@
 		status,
 		outcome,
 		tookMs,
+		...createHistoryFields(history),
+		configVersion: configVersion ?? -1,
+		deadlineMs: caller.head.deadlineMs ?? 0,
+		reportAgeMs: request.reportAgeMs,
+	};
+}
+
+function createHistoryFields(history: AttemptHistory | undefined) {
+	const member = history?.lastView?.member;
+	return {
 		sends: history?.triedInstances.size ?? 0,
 		arrivals: history?.arrivals ?? 0,
 		lastReason: history?.lastReason ?? '',
 		lastInstance: member?.instance ?? '',
 		serverId: member?.serverId ?? '',
-		configVersion: configVersion ?? -1,
-		deadlineMs: caller.head.deadlineMs ?? 0,
-		digest: request.digest,
-		reportAgeMs: request.reportAgeMs,
+		digest: history?.digest ?? '',
 	};
 }
--- a/src/sidecar/guard/fixtures.ts
+++ b/src/sidecar/guard/fixtures.ts
@@ -122,6 +122,7 @@
 		readSuspended,
 		readMember: () => testMember,
 		checkEnded: async () => false,
+		isQuarantined: () => false,
 		events: {
 			handleArrival: ignore,
 			handleStart: ignore,
--- a/src/sidecar/guard/guard-options.ts
+++ b/src/sidecar/guard/guard-options.ts
@@ -31,6 +31,8 @@
 	readonly readSuspended: () => number;
 	/** Checks whether the server has ended, after a request that it may have run has failed. */
 	readonly checkEnded: (digest: string) => Promise<boolean>;
+	/** Whether requests with this digest are not to be sent to the server. */
+	isQuarantined(digest: string): boolean;
 	/** Reads the member record that this instance currently announces. */
 	readMember(): Member | undefined;
 };
--- a/src/sidecar/guard/guard.ts
+++ b/src/sidecar/guard/guard.ts
@@ -1,6 +1,6 @@
 /**
- * Admission control in front of the local backend server, for all requests to it. Limits how many run at
- * a time, queues or refuses the rest, and can prove for a request that the server has not run it.
+ * Admission control in front of the local backend server. Limits how many requests run at a time, queues or refuses
+ * the rest, and can prove for a request that the server has not run it.
  */
 import {endedExchange, type Exchange, type ExchangeListener} from '../link/exchange.ts';
 import {type CallHead, type GuardLoad, type RefusalReason} from '../link/messages.ts';
@@ -15,6 +15,8 @@
 const serviceTimeWeight = 0.03;
 const initialServiceMs = 50;
 const sweepIntervalMs = 100;
+/** Refusals of requests whose entry does not know the current announcement. */
+const outdatedViewReasons = new Set<RefusalReason>(['wrongServer', 'leaving', 'unreachable']);
 /** A request that is cancelled after this long without an answer suggests a dead connection. */
 const minUnansweredMs = 700;
 const minUnansweredServiceTimes = 5;
@@ -28,12 +30,13 @@
 		return new Guard(options);
 	}
 
+	/** Calls that wait, run, or have ended recently. */
+	readonly calls = CallRegistry.create();
 	/** Moving average of the service time over all routes. */
 	meanServiceMs = initialServiceMs;
 	isStopping = false;
 
 	readonly #queue = AdmissionQueue.create<GuardedCall>();
-	readonly #calls = CallRegistry.create();
 	#running = 0;
 	readonly #timer: NodeJS.Timeout;
 
@@ -50,11 +53,6 @@
 		return {running: this.#running, waiting: this.#queue.length, limit, pace};
 	}
 
-	/** Lists the digests of the requests that the server runs. */
-	listRunningDigests(): string[] {
-		return this.#calls.listRunningDigests();
-	}
-
 	/** Running and waiting requests. */
 	countActive(): number {
 		return this.#running + this.#queue.length;
@@ -64,15 +62,14 @@
 	submit(head: CallHead, body: Uint8Array, listener: ExchangeListener): Exchange {
 		const reason = this.#findRefusal(head);
 		if (reason !== undefined) {
-			const isViewOutdated =
-				reason === 'wrongServer' || reason === 'leaving' || reason === 'unreachable';
+			const isViewOutdated = outdatedViewReasons.has(reason);
 			const member = isViewOutdated ? this.options.readMember() : undefined;
 			listener.handleRefusal({reason, member});
 			return endedExchange;
 		}
 
 		const call = GuardedCall.create(head, body, listener, this.#createCallOwner());
-		this.#calls.add(call);
+		this.calls.add(call);
 		const {server, events} = this.options;
 		events.handleArrival(head, server.computeUtilization(this.readLoad(), this.meanServiceMs));
 		const nowMs = performance.now();
@@ -98,15 +95,15 @@
 	 * @param incarnation - identifies the start of the guard to which the request was sent
 	 */
 	resume(nonce: string, incarnation: string, listener: ExchangeListener): Exchange {
-		const call = this.#calls.findCall(nonce);
+		const call = this.calls.findCall(nonce);
 		if (call !== undefined) {
-			this.#calls.removeOrphan(call);
+			this.calls.removeOrphan(call);
 			return this.#resumeCall(call, listener);
 		}
 
 		if (incarnation !== this.options.incarnation) {
 			listener.handleFailure({reason: 'the guard has restarted'});
-		} else if (this.#calls.revoke(nonce) === 'neverSent') {
+		} else if (this.calls.revoke(nonce) === 'neverSent') {
 			listener.handleRefusal({reason: 'forgotten', member: undefined});
 		} else {
 			listener.handleFailure({reason: 'the end of the request is not kept any more'});
@@ -117,7 +114,7 @@
 
 	/** Handles a lost link: cancels its waiting request; a running one may be resumed for some time. */
 	handleLinkLost(nonce: string, listener: ExchangeListener): void {
-		const call = this.#calls.findCall(nonce);
+		const call = this.calls.findCall(nonce);
 		if (call?.listener !== listener) {
 			return;
 		}
@@ -130,7 +127,7 @@
 			}
 
 			case 'running': {
-				this.#calls.addOrphan(call, performance.now());
+				this.calls.addOrphan(call, performance.now());
 				break;
 			}
 
@@ -159,7 +156,7 @@
 	}
 
 	#findRefusal(head: CallHead): RefusalReason | undefined {
-		if (this.#calls.isRevoked(head.nonce)) {
+		if (this.calls.isRevoked(head.nonce)) {
 			return 'forgotten';
 		}
 
@@ -173,8 +170,9 @@
 	}
 
 	#start(call: GuardedCall): void {
-		if (!this.#calls.tryStart(call)) {
-			call.refuse('forgotten');
+		const isQuarantined = this.options.isQuarantined(call.head.digest);
+		if (isQuarantined || !this.calls.tryStart(call)) {
+			call.refuse(isQuarantined ? 'quarantined' : 'forgotten');
 			return;
 		}
 
@@ -261,7 +259,7 @@
 			}
 		}
 
-		this.#calls.removeOrphan(call);
+		this.calls.removeOrphan(call);
 		this.options.events.handleOutcome(call, outcome);
 		queueMicrotask(() => {
 			this.#startQueuedLater();
@@ -270,7 +268,7 @@
 
 	#releaseSlot(call: GuardedCall, mayHaveRun: boolean): void {
 		this.#running--;
-		this.#calls.recordEnd(call, mayHaveRun);
+		this.calls.recordEnd(call, mayHaveRun);
 	}
 
 	/** Closes connections idle since before an unanswered request: they may be dead like the one it used. */
@@ -286,11 +284,11 @@
 	 */
 	#sweep(): void {
 		const nowMs = performance.now();
-		for (const call of this.#calls.listExpiredOrphans(nowMs)) {
+		for (const call of this.calls.listExpiredOrphans(nowMs)) {
 			call.cancel();
 		}
 
-		this.#calls.removeExpired(nowMs);
+		this.calls.removeExpired(nowMs);
 		for (const call of this.#queue.removeWhere(each => nowMs - each.arrivedAtMs > each.maxWaitMs)) {
 			call.refuse('late');
 		}
--- a/src/sidecar/link/messages.ts
+++ b/src/sidecar/link/messages.ts
@@ -58,7 +58,9 @@
 	| 'wrongServer'
 	| 'unreachable'
 	| 'forgotten'
-	| 'stopping';
+	| 'stopping'
+	/** Servers have ended under such requests. */
+	| 'quarantined';
 
 /** Metadata that a guard adds to every reply. */
 export type ReplyMetadata = {
@@ -103,7 +105,7 @@
 
 export type FailureHead = {
 	readonly reason: string;
-	/** Whether the server ended while it ran the request. */
+	/** Whether the server ended while it ran the request, which may be the cause and isn't sent to another server. */
 	readonly hasServerEnded?: boolean;
 };
 
--- a/src/sidecar/local-server-manager.ts
+++ b/src/sidecar/local-server-manager.ts
@@ -7,10 +7,12 @@
 import {ServerPool} from './guard/server-pool.ts';
 import {Announcer} from './discovery/announcer.ts';
 import {type Directory} from './discovery/directory.ts';
+import {type CallHead} from './link/messages.ts';
 import {type MetadataExchange} from './metadata-exchange.ts';
 import {type Row, type SharedTable, type StorePosition} from './shared-table.ts';
 import {CrashDetector} from './quarantine/crash-detector.ts';
 import {probeListening} from './quarantine/listening-probe.ts';
+import {type Quarantine} from './quarantine/quarantine.ts';
 import {recordOutcome} from './reporting/outcome-log.ts';
 import {type RequestLog} from './reporting/request-log.ts';
 import {type RunQueue} from './scheduling/run-queue.ts';
@@ -37,6 +39,7 @@
 	readonly directory: Directory;
 	readonly requestLog: RequestLog;
 	readonly runQueue: RunQueue;
+	readonly quarantine: Quarantine;
 	readMetadataExchange(): MetadataExchange;
 	readConfig(): MeshConfig | undefined;
 	/** Called when the announcement of this instance has changed or can't be written to the table. */
@@ -72,10 +75,10 @@
 		});
 		this.#crashDetector = CrashDetector.create({
 			isListening: async () => probeListening(settings.serverAddress),
-			listRunning: () => this.guard.listRunningDigests(),
+			listRunning: () => this.guard.calls.listRunningDigests(),
 			readNow: () => performance.now(),
 			handleCrash: digests => {
-				options.requestLog.recordCrash(this.member?.serverId ?? '', digests);
+				this.#handleCrash(digests);
 			},
 		});
 		this.guard = this.#createGuard();
@@ -129,9 +132,7 @@
 			void this.#probe(member);
 		}
 
-		if (member !== undefined) {
-			this.#restoreLeave(member);
-		}
+		this.#restoreLeave(member);
 	}
 
 	/**
@@ -155,13 +156,24 @@
 	}
 
 	/** Restores a leave that an earlier process of this sidecar acknowledged. */
-	#restoreLeave({serverId: id, leftStartMs: startedAtMs}: Member): void {
-		if (startedAtMs !== undefined) {
-			this.#server.restoreLeave({id, startedAtMs}, performance.now());
+	#restoreLeave(member: Member | undefined): void {
+		if (member?.leftStartMs !== undefined) {
+			const start = {id: member.serverId, startedAtMs: member.leftStartMs};
+			this.#server.restoreLeave(start, performance.now());
 			this.#reconcile();
 		}
 	}
 
+	/** Handles the end of the server under the requests with these digests. */
+	#handleCrash(digests: ReadonlySet<string>): void {
+		const {requestLog, quarantine} = this.options;
+		const {serverId = '', serverStartMs = 0} = this.member ?? {};
+		requestLog.recordCrash(serverId, digests);
+		quarantine.recordCrash(`${serverId}:${serverStartMs}`, digests);
+		this.#server.setUnreachable();
+		this.#reconcile();
+	}
+
 	#createGuard(): Guard {
 		return Guard.create({
 			server: this.#server,
@@ -171,12 +183,11 @@
 			runQueue: this.options.runQueue,
 			readSuspended: readSuspendedMs,
 			readMember: () => this.#announcer.current,
+			isQuarantined: digest => this.options.quarantine.has(digest),
 			checkEnded: async digest => this.#crashDetector.check(digest),
 			events: {
-				handleArrival: (head, utilization) => {
-					this.options
-						.readMetadataExchange()
-						.recordArrival(head.route, head.callerService, utilization);
+				handleArrival: ({route, callerService}, utilization) => {
+					this.options.readMetadataExchange().recordArrival(route, callerService, utilization);
 				},
 				handleStart: head => {
 					this.options.readMetadataExchange().recordStart(head.route);
@@ -186,14 +197,14 @@
 					this.#reconcile();
 				},
 				handleOutcome: (call, outcome) => {
-					this.#handleOutcome(call.head.route, outcome);
+					this.#handleOutcome(call.head, outcome);
 					recordOutcome(this.options.requestLog, call, outcome, this.guard.readLoad());
 				},
 			},
 		});
 	}
 
-	#handleOutcome(route: string, outcome: CallOutcome): void {
+	#handleOutcome({route, digest}: CallHead, outcome: CallOutcome): void {
 		if (outcome.kind !== 'answered') {
 			return;
 		}
@@ -201,6 +212,9 @@
 		const {head, ranMs} = outcome;
 		if (!head.isMisdirected) {
 			this.#server.recordAnswer(performance.now());
+			if (!head.isNotRun) {
+				this.options.quarantine.recordCompletion(digest);
+			}
 		}
 
 		this.options.readMetadataExchange().recordAnswer(route, head.isNotRun, ranMs);
--- a/src/sidecar/overload/retry-budget.ts
+++ b/src/sidecar/overload/retry-budget.ts
@@ -5,6 +5,7 @@
  * requests. A retry runs the calls of the request again, and these may be retried in turn, so each sidecar
  * uses only a part of the ratio.
  */
+import {type SidecarSettings} from '../types.ts';
 
 /**
  * Parts of the configured ratio, by whether a request makes calls of its own. Leaf services also receive
@@ -49,6 +50,23 @@
 		return new RetryBudget(limits, countSidecars);
 	}
 
+	/** Creates the budget that the settings of a sidecar name. */
+	static createFor(
+		settings: Pick<
+			SidecarSettings,
+			'retryBudgetRatio' | 'retryBudgetWindowMs' | 'retryBudgetSlack'
+		>,
+		countMembers: () => number,
+	): RetryBudget {
+		const {retryBudgetRatio, retryBudgetWindowMs, retryBudgetSlack} = settings;
+		const limits = {
+			ratio: retryBudgetRatio,
+			windowMs: retryBudgetWindowMs,
+			slack: retryBudgetSlack,
+		};
+		return RetryBudget.create(limits, countMembers);
+	}
+
 	readonly #windows = new Map<string, SlidingWindow>();
 
 	private constructor(
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -12,14 +12,15 @@
 import {ViewFactory} from './discovery/member-view-factory.ts';
 import {type MemberView} from './discovery/member-view.ts';
 import {PeerSync} from './discovery/peer-sync.ts';
-import {isRelay} from './discovery/relay-message.ts';
 import {StoreSync} from './discovery/store-sync.ts';
+import {createSyncHandler} from './discovery/sync-handler.ts';
 import {LinkServer} from './link/link-server.ts';
 import {type ReplyMetadata} from './link/messages.ts';
 import {MetadataExchange} from './metadata-exchange.ts';
 import {AdmissionController} from './overload/admission-controller.ts';
 import {RetryBudget} from './overload/retry-budget.ts';
 import {type SidecarPlatform} from './sidecar-platform.ts';
+import {Quarantine} from './quarantine/quarantine.ts';
 import {RequestLog} from './reporting/request-log.ts';
 import {LoopLag} from './scheduling/loop-lag.ts';
 import {RunQueue} from './scheduling/run-queue.ts';
@@ -48,6 +49,7 @@
 	readonly #entry: EntryServer;
 	readonly #linkServer: LinkServer;
 	readonly #requestLog: RequestLog;
+	readonly #quarantine: Quarantine;
 	readonly #storeSync: StoreSync;
 	readonly #stopSequence: StopSequence;
 	readonly #handleMember: (member: Member) => void;
@@ -64,6 +66,7 @@
 		this.#requestLog = RequestLog.create(logger, this.#lag);
 		this.#views = ViewFactory.create(settings, logger, () => this.#localServer.guard.readLoad());
 		this.#directory = Directory.create(member => this.#views.createView(member));
+		this.#quarantine = Quarantine.create(this.#directory, logger);
 		this.#table = FencedTable.create(platform.table, logger, () => {
 			this.#storeSync.handleRestored();
 		});
@@ -98,14 +101,14 @@
 
 	/** Starts all listeners and watches the store; callers are served once a configuration is known. */
 	async start(): Promise<void> {
-		const {callerAddress, linkAddress} = this.settings;
+		const {instance, callerAddress, linkAddress} = this.settings;
 		this.#lag.start();
 		this.#storeSync.start();
 		await Promise.all([this.#linkServer.listen(linkAddress), this.#entry.listen(callerAddress)]);
 		await this.#endpoints.start();
 		this.#peerSync.start();
+		this.#quarantine.start();
 		this.#localServer.start();
-		const {instance} = this.settings;
 		this.logger.info({instance, incarnation: this.#incarnation}, 'sidecar is listening');
 	}
 
@@ -123,6 +126,7 @@
 	close(): void {
 		this.#storeSync.stop();
 		this.#peerSync.stop();
+		this.#quarantine.stop();
 		this.#table.close();
 		this.#linkServer.close();
 		this.#entry.close();
@@ -151,6 +155,7 @@
 			incarnation: this.#incarnation,
 			directory: this.#directory,
 			requestLog: this.#requestLog,
+			quarantine: this.#quarantine,
 			runQueue: this.#runQueue,
 			readMetadataExchange: () => this.#metadata,
 			readConfig: () => this.#activeConfig.routes?.config,
@@ -177,12 +182,11 @@
 
 	#createStoreSync(): StoreSync {
 		const {instance, dataCentre} = this.settings;
-		const {configKey} = this.platform;
 		return StoreSync.create({
 			instance,
 			dataCentre,
 			table: this.#table,
-			configKey,
+			configKey: this.platform.configKey,
 			directory: this.#directory,
 			logger: this.logger,
 			handleConfig: (source, position) => {
@@ -217,22 +221,18 @@
 	}
 
 	#createEntryContext(): EntryContext {
-		const {
-			retryBudgetRatio: ratio,
-			retryBudgetWindowMs: windowMs,
-			retryBudgetSlack: slack,
-		} = this.settings;
 		const {callRatios, costs} = this.#metadata;
 		const nonces = NonceGenerator.create(this.#incarnation);
 		return {
 			codec: this.platform.codec,
 			directory: this.#directory,
 			guard: this.#localServer.guard,
-			budget: RetryBudget.create({ratio, windowMs, slack}, () => this.#directory.size),
+			budget: RetryBudget.createFor(this.settings, () => this.#directory.size),
 			admission: this.#admission,
 			callRatios,
 			costs,
 			log: this.#requestLog,
+			quarantine: this.#quarantine,
 			runQueue: this.#runQueue,
 			logger: this.logger,
 			readRoutes: () => this.#activeConfig.routes,
@@ -255,8 +255,7 @@
 			guard: this.#localServer.guard,
 			incarnation: this.#incarnation,
 			createMetadata: (route, callerService) => this.#metadata.createMetadata(route, callerService),
-			answerSync: text =>
-				isRelay(text) ? this.#storeSync.answerRelay(text) : this.#peerSync.answerRequest(text),
+			answerSync: createSyncHandler(this.#quarantine, this.#storeSync, this.#peerSync),
 			runQueue: this.#runQueue,
 			handleUnread: head => {
 				this.#requestLog.recordCancellation({...head, afterMs: 0, phase: 'unread'});
