--- a/src/sidecar/discovery/directory.ts
+++ b/src/sidecar/discovery/directory.ts
@@ -1,7 +1,7 @@
 /** All known backend servers, by instance and by service. */
 import {type Member} from '../types.ts';
 import {type Distance, distances, type MemberView} from './member-view.ts';
-import {retainLeave} from './server-leave.ts';
+import {mergeLeave} from './server-leave.ts';
 
 /** Members of one service by their distance. */
 type ServiceMembers = Record<Distance, MemberView[]>;
@@ -66,7 +66,7 @@
 			return false;
 		}
 
-		const member = retainLeave(known?.member, announced);
+		const member = mergeLeave(known?.member, announced);
 		if (known !== undefined && isSameServer(known.member, member)) {
 			if (known.member.state !== member.state) {
 				known.resetFailures();
--- a/src/sidecar/discovery/fixtures.ts
+++ b/src/sidecar/discovery/fixtures.ts
@@ -37,7 +37,7 @@
 	}
 
 	/** Copies the rows and the counter. */
-	takeCopy(): StoreCopy {
+	createCopy(): StoreCopy {
 		return {rows: new Map(this.#rows), version: this.#version};
 	}
 
--- a/src/sidecar/discovery/server-leave.test.ts
+++ b/src/sidecar/discovery/server-leave.test.ts
@@ -2,16 +2,16 @@
 import test from 'ava';
 import {testMember} from '../guard/fixtures.ts';
 import {type Member} from '../types.ts';
-import {retainLeave} from './server-leave.ts';
+import {mergeLeave} from './server-leave.ts';
 
 const left: Member = {...testMember, state: 'leaving', serverStartMs: 7, leftStartMs: 7, epoch: 2};
 
 test('a leave is kept until the server has started again', t => {
 	const unknownStart = {...testMember, epoch: 3};
-	t.like(retainLeave(left, unknownStart), {state: 'leaving', leftStartMs: 7, epoch: 3});
-	t.like(retainLeave(left, {...unknownStart, serverStartMs: 7}), {state: 'leaving'});
-	t.like(retainLeave(left, {...unknownStart, state: 'down'}), {state: 'down', leftStartMs: 7});
-	t.is(retainLeave(left, {...unknownStart, serverStartMs: 8}).state, 'ready');
-	t.is(retainLeave(left, {...unknownStart, serverId: 'i-2'}).state, 'ready');
-	t.is(retainLeave(undefined, unknownStart).state, 'ready');
+	t.like(mergeLeave(left, unknownStart), {state: 'leaving', leftStartMs: 7, epoch: 3});
+	t.like(mergeLeave(left, {...unknownStart, serverStartMs: 7}), {state: 'leaving'});
+	t.like(mergeLeave(left, {...unknownStart, state: 'down'}), {state: 'down', leftStartMs: 7});
+	t.is(mergeLeave(left, {...unknownStart, serverStartMs: 8}).state, 'ready');
+	t.is(mergeLeave(left, {...unknownStart, serverId: 'i-2'}).state, 'ready');
+	t.is(mergeLeave(undefined, unknownStart).state, 'ready');
 });
--- a/src/sidecar/discovery/server-leave.ts
+++ b/src/sidecar/discovery/server-leave.ts
@@ -8,9 +8,9 @@
  * Returns the announcement with the leave that is known of the same start of its server.
  *
  * @example
- * retainLeave({...member, state: 'leaving', leftStartMs: 7}, member).state; // 'leaving'
+ * mergeLeave({...member, state: 'leaving', leftStartMs: 7}, member).state; // 'leaving'
  */
-export function retainLeave(known: Member | undefined, next: Member): Member {
+export function mergeLeave(known: Member | undefined, next: Member): Member {
 	const leftStartMs = known?.leftStartMs;
 	if (known === undefined || leftStartMs === undefined || known.serverId !== next.serverId) {
 		return next;
--- a/src/sidecar/discovery/store-restore.test.ts
+++ b/src/sidecar/discovery/store-restore.test.ts
@@ -36,7 +36,7 @@
 	// CONFIG: versions that were given out again hid an acknowledged change from all sidecars of a data centre.
 	test(`a change after a restore reaches ${size} sidecars, and few of them read whole tables`, async t => {
 		const {store, fleet} = await startSettledFleet(t, size);
-		const copy = store.takeCopy();
+		const copy = store.createCopy();
 		writeFiller(store, 20);
 		store.write('operator', 'config', 'lost');
 		await measureSpread(fleet, 'lost', boundMs);
@@ -60,7 +60,7 @@
 // CONFIG: the call after an outage waited for changes after a version that the restored store had just reached again.
 test('a change is in force in time though the restored store has just come to the known version', async t => {
 	const {store, fleet} = await startSettledFleet(t, 24);
-	const copy = store.takeCopy();
+	const copy = store.createCopy();
 	store.write('operator', 'config', 'lost');
 	await measureSpread(fleet, 'lost', boundMs);
 	for (const each of fleet) {
@@ -82,7 +82,7 @@
 // CONFIG: a route's server stayed unknown, since its announcement had a version that was given out before.
 test('an announcement after a restore reaches all sidecars, and no older one replaces a newer', async t => {
 	const {store, fleet} = await startSettledFleet(t, 24);
-	const copy = store.takeCopy();
+	const copy = store.createCopy();
 	const changed = {...testMember, instance: 'sidecar-5', dataCentre: 'a', epoch: 9, slots: 7};
 	store.write('members', changed.instance, encodeMember(changed));
 	writeFiller(store, 20);
--- a/src/sidecar/quarantine/crash-gossip.test.ts
+++ b/src/sidecar/quarantine/crash-gossip.test.ts
@@ -43,9 +43,9 @@
 		return this.#seed / 2_147_483_647;
 	}
 
-	crash(index: number, event: string, digests: string[]): void {
+	injectCrash(index: number, event: string, digests: string[]): void {
 		const {records, gossip} = this.nodes[index]!;
-		gossip.spread(records.recordCrash(event, digests, this.nowMs));
+		gossip.broadcast(records.recordCrash(event, digests, this.nowMs));
 	}
 
 	runUntil(endMs: number): void {
@@ -119,7 +119,7 @@
 	#deliver(peer: number, text: string): void {
 		const {records, gossip, isUp} = this.nodes[peer]!;
 		if (isUp) {
-			gossip.spread(records.merge(decodeCrashUpdate(text), this.nowMs));
+			gossip.broadcast(records.merge(decodeCrashUpdate(text), this.nowMs));
 		}
 	}
 }
@@ -131,11 +131,11 @@
 			Array.from({length: 40}, (_, index) => (first + index).toString(16).padStart(16, '0'));
 		// One instance is cut off until later.
 		simulation.nodes.at(-1)!.isUp = false;
-		simulation.crash(1, 'one', [guilty, ...beside(1000)]);
+		simulation.injectCrash(1, 'one', [guilty, ...beside(1000)]);
 		simulation.runUntil(500);
-		simulation.crash(2, 'two', [guilty, ...beside(2000)]);
+		simulation.injectCrash(2, 'two', [guilty, ...beside(2000)]);
 		simulation.runUntil(1000);
-		simulation.crash(3, 'three', [guilty, ...beside(3000)]);
+		simulation.injectCrash(3, 'three', [guilty, ...beside(3000)]);
 		simulation.runUntil(1000 + contactMs);
 		t.is(simulation.countInformed(), size - 1);
 
--- a/src/sidecar/quarantine/crash-gossip.ts
+++ b/src/sidecar/quarantine/crash-gossip.ts
@@ -32,7 +32,7 @@
 	 * @example
 	 * const gossip = CrashGossip.create(options);
 	 * gossip.start();
-	 * gossip.spread(freshEntries);
+	 * gossip.broadcast(freshEntries);
 	 */
 	static create(options: CrashGossipOptions): CrashGossip {
 		return new CrashGossip(options);
@@ -57,7 +57,7 @@
 	}
 
 	/** Spreads entries that were new to this instance. */
-	spread(entries: readonly CrashEntry[]): void {
+	broadcast(entries: readonly CrashEntry[]): void {
 		if (entries.length === 0) {
 			return;
 		}
--- a/src/sidecar/quarantine/quarantine.ts
+++ b/src/sidecar/quarantine/quarantine.ts
@@ -90,12 +90,12 @@
 
 		// Of many, those that were there before matter most, then the newest.
 		const suspects = [...known, ...others.toReversed()].slice(0, maxEntries);
-		this.#spread(this.#records.recordCrash(event, suspects, nowMs));
+		this.#broadcast(this.#records.recordCrash(event, suspects, nowMs));
 	}
 
 	/** Records that the local server ran a request to an end. */
 	recordCompletion(digest: string): void {
-		this.#spread(this.#records.recordCompletion(digest, performance.now()));
+		this.#broadcast(this.#records.recordCompletion(digest, performance.now()));
 	}
 
 	/**
@@ -104,11 +104,11 @@
 	 * @throws {TypeError} when the text is not a valid message; it then changes nothing
 	 */
 	applyUpdate(text: string): void {
-		this.#spread(this.#records.merge(decodeCrashUpdate(text), performance.now()));
+		this.#broadcast(this.#records.merge(decodeCrashUpdate(text), performance.now()));
 	}
 
 	/** Spreads what was new here, and logs what it leads to. */
-	#spread(fresh: readonly CrashEntry[]): void {
+	#broadcast(fresh: readonly CrashEntry[]): void {
 		const nowMs = performance.now();
 		for (const {digest} of fresh) {
 			const isQuarantined = this.#records.isQuarantined(digest, nowMs);
@@ -121,7 +121,7 @@
 			}
 		}
 
-		this.#gossip.spread(fresh);
+		this.#gossip.broadcast(fresh);
 	}
 
 	#pickPeers(count: number): string[] {
