--- a/src/sidecar/discovery/store-era.ts
+++ b/src/sidecar/discovery/era-tracker.ts
@@ -6,14 +6,14 @@
 /** How an answer relates to those before it; an `outdated` one was given before the store was restored. */
 export type EraRelation = 'current' | 'restored' | 'outdated';
 
-export class StoreEra {
+export class EraTracker {
 	/**
 	 * @example
-	 * const era = StoreEra.create();
+	 * const era = EraTracker.create();
 	 * if (era.record(result.era) === 'restored') readAllAgain();
 	 */
-	static create(): StoreEra {
-		return new StoreEra();
+	static create(): EraTracker {
+		return new EraTracker();
 	}
 
 	#current: number | undefined;
--- a/src/sidecar/discovery/fenced-table.ts
+++ b/src/sidecar/discovery/fenced-table.ts
@@ -8,7 +8,7 @@
 	type StorePosition,
 	type TableName,
 } from '../shared-table.ts';
-import {StoreEra} from './store-era.ts';
+import {EraTracker} from './era-tracker.ts';
 
 export class FencedTable implements SharedTable {
 	/**
@@ -21,7 +21,7 @@
 		return new FencedTable(table, logger, handleRestored);
 	}
 
-	readonly #era = StoreEra.create();
+	readonly #era = EraTracker.create();
 
 	private constructor(
 		private readonly table: SharedTable,
