--- a/src/sidecar/quarantine/crash-message.ts
+++ b/src/sidecar/quarantine/crash-message.ts
@@ -51,7 +51,7 @@
 }
 
 /** Whether a decoded value is a list of entries, within the bounds of one message. */
-export function isCrashEntries(value: unknown): value is CrashEntry[] {
+function isCrashEntries(value: unknown): value is CrashEntry[] {
 	return (
 		Array.isArray(value) && value.length <= maxEntries && value.every(each => isCrashEntry(each))
 	);
--- a/src/sidecar/quarantine/crash-records.ts
+++ b/src/sidecar/quarantine/crash-records.ts
@@ -12,7 +12,7 @@
 /** A suspicion that nothing confirms ends after this time. */
 const suspicionMs = 120_000;
 /** A quarantine ends this long after the last end of a server under the request. */
-export const quarantineMs = 600_000;
+const quarantineMs = 600_000;
 /** Suspects kept at a time; the oldest suspicions go first. */
 const maxSuspects = 1024;
 /** Ends kept for each suspect. */
--- a/src/sidecar/quarantine/quarantine.ts
+++ b/src/sidecar/quarantine/quarantine.ts
@@ -50,11 +50,6 @@
 		});
 	}
 
-	/** Number of suspects. */
-	get size(): number {
-		return this.#records.size;
-	}
-
 	start(): void {
 		this.#gossip.start();
 		this.#sweepTimer = setInterval(() => {
--- a/src/sidecar/quarantine/request-digest.ts
+++ b/src/sidecar/quarantine/request-digest.ts
@@ -4,7 +4,7 @@
 /** Bytes of the body that count; the rest counts by its length only. */
 const maxDigestedBodyBytes = 64 * 1024;
 /** Hexadecimal digits of a digest: 64 bits. */
-export const digestLength = 16;
+const digestLength = 16;
 
 export type DigestedRequest = {
 	readonly method: string;
