Reproduce that a change is late while calls to the store hang or both watchers end

Callers got a 404 for a route that an acknowledged version had added (CONFIG). Followers of two watchers that have ended ask the store after 3.4 s.

--- a/src/sidecar/discovery/fixtures.ts
+++ b/src/sidecar/discovery/fixtures.ts
@@ -12,6 +12,9 @@
 import {distances, MemberView} from './member-view.ts';
 import {StoreSync} from './store-sync.ts';
 
+/** Time beyond its wait after which a call without an answer fails. */
+const callTimeoutMs = 1500;
+
 export type StoreCopy = {readonly rows: ReadonlyMap<string, Row>; readonly version: number};
 
 /** A store in memory: one counter of versions for all tables, and waits that end at a change. */
@@ -52,8 +55,12 @@
 		return this.#rows.get(`${table}/${key}`)?.value;
 	}
 
-	/** The table as one sidecar reaches it. */
-	createTable(isCut: () => boolean): SharedTable {
+	/**
+	 * The table as one sidecar reaches it.
+	 *
+	 * @param isSilent - whether calls of this sidecar, also those that wait, get no answer
+	 */
+	createTable(isCut: () => boolean, isSilent = () => false): SharedTable {
 		const read = (table: string, after: number): Result<RowSet, StoreFailure> => {
 			if (isCut()) {
 				return err({kind: 'unavailable', reason: 'cut off', mayHaveRun: false});
@@ -82,6 +89,11 @@
 				this.calls++;
 				const endMs = performance.now() + waitMs;
 				for (;;) {
+					if (isSilent()) {
+						await this.#waitForAbort(endMs + callTimeoutMs - performance.now(), signal);
+						return err({kind: 'unavailable', reason: 'no answer', mayHaveRun: false});
+					}
+
 					const result = after > this.#version ? this.#createCompacted() : read(table, after);
 					if (result.isErr() || result.value.rows.length > 0 || performance.now() >= endMs) {
 						return result;
@@ -101,6 +113,16 @@
 		};
 	}
 
+	async #waitForAbort(timeoutMs: number, signal: AbortSignal): Promise<void> {
+		return new Promise(resolve => {
+			const timer = setTimeout(resolve, timeoutMs);
+			signal.addEventListener('abort', () => {
+				clearTimeout(timer);
+				resolve();
+			});
+		});
+	}
+
 	#createCompacted(): Result<RowSet, StoreFailure> {
 		return err({kind: 'compacted', era: this.#era});
 	}
@@ -128,6 +150,8 @@
 	ownRow: {readonly value: string | undefined; readonly era: number};
 	readonly directory: Directory;
 	isCut: boolean;
+	/** Whether its calls to the store get no answer. */
+	isSilent: boolean;
 	isStopped: boolean;
 };
 
@@ -169,7 +193,10 @@
 			instance,
 			dataCentre: 'a',
 			table: FencedTable.create(
-				store.createTable(() => sidecar.isCut),
+				store.createTable(
+					() => sidecar.isCut,
+					() => sidecar.isSilent,
+				),
 				logger,
 				() => {
 					sync.handleRestored();
@@ -207,6 +234,7 @@
 			config: '',
 			ownRow: {value: undefined, era: 0},
 			isCut: false,
+			isSilent: false,
 			isStopped: false,
 		};
 		fleet.push(sidecar);
