Match answers of the server to requests by their id alone

Cause: an answer without an id was taken for that of the waiting request if it denied its run. On a kept connection it can be an earlier refusal once more. The same held for the refusal of an earlier send of the same request, on a connection that had carried another since, and a 503, 429 or 408 without the server's statement was passed on as a promise.

Change: AnswerMatcher decides, without network (correlation identifier). An answer without an id counts only for a request without one, on a connection of its own. A promising status without the statement fails the request.

--- a/src/sidecar/guard/fixtures.ts
+++ b/src/sidecar/guard/fixtures.ts
@@ -7,7 +7,7 @@
 import {Guard} from './guard.ts';
 import {type CallConnection} from './call-owner.ts';
 import {LocalServer} from './local-server.ts';
-import {type ConnectionListener} from './server-connection.ts';
+import {type ConnectionListener} from './connection-events.ts';
 
 export const testIncarnation = 'g1';
 
--- a/src/sidecar/guard/run-proof-model.test.ts
+++ b/src/sidecar/guard/run-proof-model.test.ts
@@ -21,7 +21,7 @@
 	testMember,
 } from './fixtures.ts';
 import {type Guard} from './guard.ts';
-import {type ConnectionListener} from './server-connection.ts';
+import {type ConnectionListener} from './connection-events.ts';
 
 /** A simulated link with undelivered messages in both directions. */
 class TestLink implements LinkExchange {
--- a/src/sidecar/guard/server-connection.ts
+++ b/src/sidecar/guard/server-connection.ts
@@ -7,9 +7,11 @@
 import {Buffer} from 'node:buffer';
 import net from 'node:net';
 import {HTTPParser} from 'http-parser-js';
-import {type HeadCodec, type ServerAnswerHead, type SocketAddress} from '../types.ts';
+import {type HeadCodec, type SocketAddress} from '../types.ts';
 import {checkHeaders, hasLengthHeader} from './answer-headers.ts';
+import {AnswerMatcher} from './answer-match.ts';
 import {createAnswerParser} from './answer-parser.ts';
+import {type ConnectionListener, type ConnectionOwner} from './connection-events.ts';
 
 /** A server on the same machine usually accepts within a millisecond. */
 const connectTimeoutMs = 500;
@@ -19,26 +21,10 @@
  */
 const maxBytesWithoutData = 256 * 1024;
 
-/** Receives the events of the request on a connection. */
-export type ConnectionListener = {
-	handleHead(head: ServerAnswerHead): void;
-	handleData(chunk: Uint8Array): void;
-	/** The answer is complete. */
-	handleEnd(): void;
-	/** No complete answer will follow; without `hasSent` the connection was never established. */
-	handleFailure(reason: string, hasSent: boolean): void;
-};
-
 type ParserChunk = Parameters<InstanceType<typeof HTTPParser>['execute']>[0];
 
 type PendingRequest = {readonly requestId: string; readonly listener: ConnectionListener};
 
-/** Receives the state changes of a connection; implemented by its pool. */
-export type ConnectionOwner = {
-	handleIdle(connection: ServerConnection): void;
-	handleClosed(connection: ServerConnection): void;
-};
-
 /** Shared by all connections: each read is copied out of it immediately. */
 const readBuffer = Buffer.allocUnsafe(64 * 1024);
 
@@ -57,14 +43,13 @@
 	idleSinceMs = 0;
 	/** Keep-alive time-out that the server last stated. */
 	keepAliveMs: number | undefined;
-	/** Id of the last request on this connection. */
-	lastRequestId = '';
 
 	readonly #socket: net.Socket;
 	readonly #codec: HeadCodec;
 	readonly #owner: ConnectionOwner;
 	readonly #parser = createAnswerParser();
 	#pending: PendingRequest | undefined;
+	readonly #matcher = AnswerMatcher.create();
 	#isAnswerMatched = false;
 	#isAnswerComplete = false;
 	#mustClose = false;
@@ -103,7 +88,7 @@
 		listener: ConnectionListener,
 	): void {
 		this.#pending = {requestId: request.requestId, listener};
-		this.lastRequestId = request.requestId;
+		this.#matcher.begin(request.requestId);
 		this.#isHeadRequest = request.method === 'HEAD';
 		this.#isRequestSent = request.isWhole;
 		this.#bytesWithoutData = 0;
@@ -118,6 +103,11 @@
 		this.#socket.uncork();
 	}
 
+	/** Whether an answer to an earlier send of a request may still arrive here. */
+	hasCarried(requestId: string): boolean {
+		return this.#matcher.hasCarried(requestId);
+	}
+
 	/** Sends a part of a body as one chunk; returns false when the sender should pause. */
 	sendChunk(chunk: Uint8Array): boolean {
 		const size = Buffer.from(`${chunk.length.toString(16)}\r\n`, 'latin1');
@@ -258,13 +248,22 @@
 
 		checkHeaders(headers);
 		const head = this.#codec.decodeAnswer(status, headers);
-		const isMatch =
-			head.requestId === pending.requestId || (head.requestId === undefined && head.isNotRun);
-		if (!isMatch) {
-			this.#mustClose = true;
-			return 0;
+		switch (this.#matcher.match(head)) {
+			case 'matched': {
+				break;
+			}
+
+			case 'foreign': {
+				this.#mustClose = true;
+				return 0;
+			}
+
+			case 'unproved': {
+				throw new Error(`status ${status} without the statement that the request was not run`);
+			}
 		}
 
+		this.#mustClose ||= this.#matcher.isFull;
 		this.#isAnswerMatched = true;
 		this.#lacksLengthHeader = !hasLengthHeader(headers);
 		this.#mustClose ||= head.closesConnection || !shouldKeepAlive;
--- a/src/sidecar/guard/server-pool.ts
+++ b/src/sidecar/guard/server-pool.ts
@@ -78,8 +78,10 @@
 		const usualMaxIdleMs = computeMaxIdleMs(connection);
 		const maxIdleMs = use.isOnce ? Math.min(maxIdleForOnceMs, usualMaxIdleMs) : usualMaxIdleMs;
 		// Answers are matched by request id. On a connection that has carried the same id before, a late
-		// answer to that attempt would be taken for the answer to this one.
-		return idleMs <= maxIdleMs && connection.lastRequestId !== use.requestId;
+		// answer to that attempt would be taken for the answer to this one. Without an id, only a connection
+		// that has carried nothing else tells which request was refused.
+		const isAmbiguous = use.requestId === '' || connection.hasCarried(use.requestId);
+		return idleMs <= maxIdleMs && !isAmbiguous;
 	}
 
 	#closeStale(): void {
