Reject answers whose head isn't valid, or is made of two

Cause: http-parser-js passes over header lines that it can't read and takes a length that is no number for 0. A head that stops and goes on as nonsense lost its length, so that the body was empty or ended with the connection. Part of a head after an answer stayed in the parser; the head of the next answer was appended to it, and a 503 with X-Not-Executed got the id of the request that was running.

A connection with bytes after an answer, even part of a line, isn't kept. Trailers, which failed their answer, are checked and dropped.

--- a/src/sidecar/guard/answer-parser.ts
+++ b/src/sidecar/guard/answer-parser.ts
@@ -1,15 +1,26 @@
 /**
- * Parser of backend servers' answers that rejects chunk sizes that are not hexadecimal numbers.
+ * Parser of backend servers' answers that rejects what is no valid answer.
  *
- * http-parser-js reads such a size as 0, the end of the body, so that a garbled answer would look complete.
+ * http-parser-js passes over lines that it can't read, and takes a length that is no number for the end of the body: a
+ * garbled answer would look complete, and the rest of one head could become part of the next.
  */
 import {HTTPParser} from 'http-parser-js';
 
 const chunkHeadPattern = /^[\da-f]{1,12}[\t ]*(?:;.*)?$/iv;
+/** A field line, with the name in the first group and the value in the second (RFC 9112, section 5). */
+const fieldPattern = /^([\w!#$%\u0026'*+.^`\|~\-]+):[\t ]*([^\0\r\n]*?)[\t ]*$/v;
+const lengthPattern = /^\d{1,15}$/v;
+/** A status line within a head: the bytes before it belong to another answer. */
+const statusLinePattern = /HTTP\/\d\.\d \d{3}/v;
 
-/** The parser's state handlers that are not part of its published types. */
-type ChunkHeadReader = {
+/** The parser's state and handlers that are not part of its published types. */
+type ParserInternals = {
+	readonly offset: number;
+	readonly end: number;
+	readonly info: {readonly statusMessage?: string};
 	consumeLine(): string | undefined;
+	parseHeader(line: string, headers: string[]): void;
+	RESPONSE_LINE(): void;
 	BODY_CHUNKHEAD(): void;
 };
 
@@ -22,14 +33,15 @@
  */
 export function createAnswerParser(): InstanceType<typeof HTTPParser> {
 	const parser = new HTTPParser(HTTPParser.RESPONSE);
-	const reader = parser as unknown as ChunkHeadReader;
-	const consumeLine = reader.consumeLine.bind(parser);
-	const readChunkHead = reader.BODY_CHUNKHEAD.bind(parser);
-	reader.BODY_CHUNKHEAD = () => {
-		reader.consumeLine = () => {
+	const internals = parser as unknown as ParserInternals;
+	const consumeLine = internals.consumeLine.bind(parser);
+	const readChunkHead = internals.BODY_CHUNKHEAD.bind(parser);
+	const readStatusLine = internals.RESPONSE_LINE.bind(parser);
+	internals.BODY_CHUNKHEAD = () => {
+		internals.consumeLine = () => {
 			const line = consumeLine();
 			if (line !== undefined && !chunkHeadPattern.test(line)) {
-				throw new Error(`invalid chunk size ${JSON.stringify(line.slice(0, 40))}`);
+				throw new Error(`invalid chunk size ${formatLine(line)}`);
 			}
 
 			return line;
@@ -38,9 +50,52 @@
 		try {
 			readChunkHead();
 		} finally {
-			reader.consumeLine = consumeLine;
+			internals.consumeLine = consumeLine;
 		}
 	};
 
+	internals.RESPONSE_LINE = () => {
+		readStatusLine();
+		const {statusMessage = ''} = internals.info;
+		if (statusLinePattern.test(statusMessage)) {
+			throw new Error(`two status lines in one: ${formatLine(statusMessage)}`);
+		}
+	};
+
+	internals.parseHeader = (line, headers) => {
+		headers.push(...parseField(line));
+	};
+
+	// Trailers are checked like the head and not forwarded.
+	parser[HTTPParser.kOnHeaders] = () => undefined;
 	return parser;
 }
+
+/** Counts the bytes after the message that has just ended, which belong to no request. */
+export function countExcessBytes(parser: InstanceType<typeof HTTPParser>): number {
+	const {offset, end} = parser as unknown as ParserInternals;
+	return end - offset;
+}
+
+/** @throws {Error} when the line is no valid field, or can't frame a body */
+function parseField(line: string): [name: string, value: string] {
+	const [, name, value] = fieldPattern.exec(line) ?? [];
+	if (name === undefined || value === undefined) {
+		throw new Error(`invalid header line ${formatLine(line)}`);
+	}
+
+	const lowerName = name.toLowerCase();
+	const isInvalid =
+		statusLinePattern.test(value) ||
+		(lowerName === 'content-length' && !lengthPattern.test(value)) ||
+		(lowerName === 'transfer-encoding' && value.toLowerCase() !== 'chunked');
+	if (isInvalid) {
+		throw new Error(`invalid value in header line ${formatLine(line)}`);
+	}
+
+	return [name, value];
+}
+
+function formatLine(line: string): string {
+	return JSON.stringify(line.slice(0, 40));
+}
--- a/src/sidecar/guard/server-connection.ts
+++ b/src/sidecar/guard/server-connection.ts
@@ -10,7 +10,7 @@
 import {type HeadCodec, type SocketAddress} from '../types.ts';
 import {checkHeaders, hasLengthHeader} from './answer-headers.ts';
 import {AnswerMatcher} from './answer-match.ts';
-import {createAnswerParser} from './answer-parser.ts';
+import {countExcessBytes, createAnswerParser} from './answer-parser.ts';
 import {type ConnectionListener, type ConnectionOwner} from './connection-events.ts';
 
 /** A server on the same machine usually accepts within a millisecond. */
@@ -170,6 +170,7 @@
 			if (this.#isAnswerMatched) {
 				this.#isAnswerComplete = true;
 				this.#isAnswerMatched = false;
+				this.#mustClose ||= countExcessBytes(parser) > 0;
 			}
 		};
 	}
--- a/src/sidecar/types.ts
+++ b/src/sidecar/types.ts
@@ -181,6 +181,7 @@
 	decodeRequest(rawHeaders: RawHeaders): RequestHead;
 	/** Encodes the head of a request to a backend server, including the final blank line. */
 	encodeServerRequest(request: ServerRequestHead): string;
+	/** @throws {TypeError} when the head can't belong to one answer */
 	decodeAnswer(status: number, rawHeaders: RawHeaders): ServerAnswerHead;
 };
 
