Reject an answer of the backend server that echoes the context of another call

Nothing in the answer told to which call it belongs. A server may now echo the context that it got; another one fails the call as unknown. Without the echo an answer that comes after the next call was sent is still taken for that call's: listed as open in the postmortem.

--- a/src/daemon/guard/guarded-call.ts
+++ b/src/daemon/guard/guarded-call.ts
@@ -176,7 +176,16 @@
 			const result = await this.#exchange.head;
 			switch (result.kind) {
 				case 'head': {
-					return await this.#relayAnswer(this.#exchange, result.head);
+					// A server may echo the context; an answer with another one is not this call's.
+					const {[headerNames.context]: echoed = running.token} = result.head.headers;
+					if (echoed === running.token) {
+						return await this.#relayAnswer(this.#exchange, result.head);
+					}
+
+					this.#exchange.cancel();
+					const outcome = {kind: 'unknown', reason: 'foreign answer'} as const;
+					this.#refuse(outcome, 'the answer echoes the context of another call');
+					return 'failed';
 				}
 
 				case 'notSent': {
