Accept in a planned stop only what can be answered before its end

Cause: the stop took every request until 0.7 of the grace time, whatever time it needed, and the process ended at 0.95 with what was under way. The end took a further 0.3 s, so that a busy process was there when the grace time was over.

Change: a module without network plans the stop (connection draining with a deadline). In the first 2.7 s all requests are accepted; then those whose deadline or time-out lies before the end, until 0.7; then none. At 0.9 what has not run is withdrawn and refused as such, and what is left gets 504 at 0.93. The guard refuses what waits when it stops, and ends what it runs for others with a failure that their entries see at once.

--- a/src/daemon/guard/faulty-answers.test.ts
+++ b/src/daemon/guard/faulty-answers.test.ts
@@ -121,10 +121,7 @@
 
 // REFUSED, TWICE: a call that the server ran was reported as not run.
 test('an earlier refusal once more never denies the run of a call', async t => {
-	const refusal = encodeAnswer(
-		'503 Full',
-		'X-Not-Executed: 1\r\nPrimrosevalve-Outcome: notRun\r\n',
-	);
+	const refusal = encodeAnswer('503 Full', 'X-Refused: 1\r\nPrimrosevalve-Outcome: notRun\r\n');
 	const guard = await startGuard(t, (socket, index) => {
 		socket.write(index === 0 ? refusal : `${refusal}${encodeAnswer('200 OK')}`);
 	});
--- a/src/sidecar/entry/attempt.ts
+++ b/src/sidecar/entry/attempt.ts
@@ -95,6 +95,13 @@
 		}
 	}
 
+	/** Asks the guard to give the request up; its refusal or failure tells whether the request may have run. */
+	withdraw(): void {
+		if (!this.#isEnded && !this.#hasAnswerBegun) {
+			this.#exchange?.cancel();
+		}
+	}
+
 	sendBody(chunk: Uint8Array): boolean {
 		return this.#exchange?.sendBody(chunk) ?? true;
 	}
--- a/src/sidecar/entry/entry-call.ts
+++ b/src/sidecar/entry/entry-call.ts
@@ -5,17 +5,15 @@
 import {localStatuses} from './caller-answer.ts';
 import {CallerReply} from './caller-reply.ts';
 import {type EntryContext} from './entry-context.ts';
-import {decideCallAdmission} from './call-admission.ts';
+import {type CallAdmission, decideCallAdmission} from './call-admission.ts';
 import {computeCallerDigest, createCallHead} from './call-head.ts';
 import {type CallerRequest, hasCallerLeft, streamBody} from './caller-request.ts';
-import {checkRequest} from './request-checks.ts';
+import {createStreamListener} from './stream-listener.ts';
+import {checkRequest, computeTimeoutMs} from './request-checks.ts';
 import {createRequestRecord} from './request-record.ts';
 import {minRemainingMs, AttemptHistory} from './attempt-history.ts';
 import {Attempt, type AttemptListener} from './attempt.ts';
 
-/** Deadline of requests that carry none. */
-const defaultDeadlineMs = 30_000;
-
 export class EntryCall {
 	/**
 	 * @example
@@ -33,9 +31,10 @@
 	#timer: NodeJS.Timeout | undefined;
 	#attempt: Attempt | undefined;
 	#history: AttemptHistory | undefined;
-	#isNested = false;
+	#admission: CallAdmission | undefined;
 	readonly #reply: CallerReply;
-	#reportAgeMs = -1;
+	/** Whether the request is not to be sent to another server any more. */
+	#isWithdrawn = false;
 
 	private constructor(
 		private readonly ctx: EntryContext,
@@ -60,32 +59,44 @@
 		}
 
 		const result = checkRequest(this.ctx, this.caller);
-		switch (result.kind) {
-			case 'passed': {
-				this.#startOnRoute(result.route);
-				break;
-			}
+		if (result.kind === 'passed') {
+			this.#startOnRoute(result.route);
+		} else {
+			this.#reply.answer(result.status, result.reason, result.retryAfterMs);
+		}
+	}
 
-			case 'rejected': {
-				this.#reply.answer(result.status, result.reason, result.retryAfterMs);
-				break;
-			}
+	/** Gives the request up unless its server answers: one that has not run is refused. */
+	withdraw(): void {
+		this.#isWithdrawn = true;
+		this.#attempt?.withdraw();
+	}
+
+	/** Answers at once; what has become of the request isn't known. */
+	end(): void {
+		if (this.#attempt === undefined) {
+			this.#reply.refuse('the sidecar stops');
+		} else {
+			this.#answerTimeout('the sidecar stops');
 		}
 	}
 
+	#answerTimeout(reason: string): void {
+		this.#attempt?.cancel();
+		this.#reply.answer(localStatuses.timeout, reason);
+	}
+
 	#startOnRoute(route: Route): void {
-		const {response, head} = this.caller;
 		this.#route = route;
 		this.#service = this.ctx.readRoutes()!.pickService(route);
 		const digest = computeCallerDigest(this.caller, this.ctx.readCallerService());
 		this.#history = AttemptHistory.create(this.ctx, route, this.#service, digest);
-		const timeoutMs = Math.min(head.deadlineMs ?? defaultDeadlineMs, route.timeoutMs);
+		const timeoutMs = computeTimeoutMs(this.caller.head, route);
 		this.#deadlineAtMs = this.#arrivedAtMs + timeoutMs;
 		this.#timer = setTimeout(() => {
-			this.#attempt?.cancel();
-			this.#reply.answer(localStatuses.timeout, 'no answer in time');
+			this.#answerTimeout('no answer in time');
 		}, timeoutMs);
-		response.on('close', () => {
+		this.caller.response.on('close', () => {
 			this.#handleCallerClosed();
 		});
 		this.#admit(route);
@@ -93,18 +104,11 @@
 
 	#admit(route: Route): void {
 		const admission = decideCallAdmission(this.ctx, route, this.#service, performance.now());
-		switch (admission.kind) {
-			case 'admitted': {
-				this.#isNested = admission.isNested;
-				this.#sendToNext();
-				break;
-			}
-
-			case 'shed': {
-				this.#reportAgeMs = admission.reportAgeMs;
-				this.#reply.refuse(admission.reason, admission.retryAfterMs);
-				break;
-			}
+		this.#admission = admission;
+		if (admission.kind === 'admitted') {
+			this.#sendToNext();
+		} else {
+			this.#reply.refuse(admission.reason, admission.retryAfterMs);
 		}
 	}
 
@@ -118,8 +122,10 @@
 			return;
 		}
 
-		if (this.#history!.isQuarantined()) {
-			this.#fail('servers have ended under such requests');
+		if (this.#isWithdrawn || this.#history!.isQuarantined()) {
+			this.#fail(
+				this.#isWithdrawn ? 'the sidecar stops' : 'servers have ended under such requests',
+			);
 			return;
 		}
 
@@ -130,18 +136,18 @@
 			return;
 		}
 
-		this.#sendTo(view, nowMs);
+		this.#sendTo(view);
 	}
 
-	#sendTo(view: MemberView, nowMs: number): void {
+	#sendTo(view: MemberView): void {
 		const history = this.#history!;
 		const {body, isWhole} = this.caller;
 		const callHead = createCallHead(this.ctx, this.caller, {
 			route: this.#route!,
 			service: this.#service,
 			view,
-			remainingMs: this.#deadlineAtMs - nowMs,
-			isNested: this.#isNested,
+			remainingMs: this.#deadlineAtMs - performance.now(),
+			isNested: this.#admission?.kind === 'admitted' && this.#admission.isNested,
 			isPatient: history.isPatient,
 			digest: history.digest,
 		});
@@ -158,29 +164,21 @@
 
 	#createListener(view: MemberView): AttemptListener {
 		return {
+			...createStreamListener(this.caller.request, this.#reply, isPaused => {
+				this.#attempt?.setPaused(isPaused);
+			}),
 			handleMetadata: metadata => {
 				this.ctx.handleMetadata(view, this.#route!.name, metadata);
 			},
 			handleAnswer: (head, body) => {
 				this.#handleAnswer(view, head, body);
 			},
-			handleData: chunk => {
-				if (!this.#reply.relayChunk(chunk)) {
-					this.#attempt?.setPaused(true);
-				}
-			},
-			handleEnd: () => {
-				this.#reply.end();
-			},
 			handleRefusal: (head, wasReached) => {
 				this.#handleRefusal(view, head, wasReached);
 			},
 			handleFailure: (head, wasReached) => {
 				this.#handleFailure(view, head, wasReached);
 			},
-			handleDrain: () => {
-				this.caller.request.resume();
-			},
 		};
 	}
 
@@ -250,12 +248,11 @@
 			return;
 		}
 
-		const nowMs = performance.now();
-		const view = history.pickReached(nowMs);
+		const view = history.pickReached(performance.now());
 		if (view === undefined) {
 			this.#fail('no server has room');
 		} else {
-			this.#sendTo(view, nowMs);
+			this.#sendTo(view);
 		}
 	}
 
@@ -292,7 +289,7 @@
 				status,
 				outcome,
 				tookMs: performance.now() - this.#arrivedAtMs,
-				reportAgeMs: this.#reportAgeMs,
+				reportAgeMs: this.#admission?.kind === 'shed' ? this.#admission.reportAgeMs : -1,
 				configVersion: this.ctx.readRoutes()?.config.version,
 			}),
 		);
--- a/src/sidecar/entry/entry-context.ts
+++ b/src/sidecar/entry/entry-context.ts
@@ -33,8 +33,8 @@
 	readCallerService(): string;
 	/** Whether the sidecar is stopping; answers then ask callers to reconnect to another instance. */
 	isStopping(): boolean;
-	/** Whether new requests are refused: the last phase of the stop. */
-	isClosing(): boolean;
+	/** Whether a new request is accepted that is answered within a time in any case; all are unless the sidecar stops. */
+	canAccept(boundMs: number): boolean;
 	/** Processes the metadata of a guard's reply. */
 	handleMetadata(from: MemberView, route: string, metadata: ReplyMetadata): void;
 	/** Processes a member announcement that came with a refusal. */
--- a/src/sidecar/entry/entry-server.ts
+++ b/src/sidecar/entry/entry-server.ts
@@ -31,6 +31,7 @@
 	}
 
 	readonly #server: http.Server;
+	readonly #calls = new Set<EntryCall>();
 	#activeRequests = 0;
 
 	private constructor(private readonly ctx: EntryContext) {
@@ -85,6 +86,20 @@
 		});
 	}
 
+	/** Withdraws the requests that have not run, so that their callers get a refusal. */
+	withdrawRequests(): void {
+		for (const call of this.#calls) {
+			call.withdraw();
+		}
+	}
+
+	/** Gives the requests that are left a final answer. */
+	endRequests(): void {
+		for (const call of this.#calls) {
+			call.end();
+		}
+	}
+
 	close(): void {
 		this.#server.closeAllConnections();
 		this.#server.close();
@@ -113,6 +128,10 @@
 			headers['transfer-encoding'] !== undefined || (headers['content-length'] ?? '0') !== '0';
 		const start = (body: Uint8Array, isWhole: boolean) => {
 			const call = EntryCall.create(this.ctx, {request, response, head, body, isWhole});
+			this.#calls.add(call);
+			response.on('close', () => {
+				this.#calls.delete(call);
+			});
 			this.ctx.runQueue.submit(() => {
 				this.#runOrClose(request, response, () => {
 					call.start();
--- a/src/sidecar/entry/request-checks.test.ts
+++ b/src/sidecar/entry/request-checks.test.ts
@@ -44,7 +44,7 @@
 
 function check(caller: CallerRequest, hasConfig = true, isClosing = false) {
 	const routes = hasConfig ? RouteTable.create(config) : undefined;
-	return checkRequest({readRoutes: () => routes, isClosing: () => isClosing}, caller);
+	return checkRequest({readRoutes: () => routes, canAccept: () => !isClosing}, caller);
 }
 
 test('a request within the limits is passed to its route', t => {
--- a/src/sidecar/entry/request-checks.ts
+++ b/src/sidecar/entry/request-checks.ts
@@ -1,6 +1,6 @@
 /** Checks a request against limits and routes before any work is done for it. */
 import {type IncomingHttpHeaders} from 'node:http';
-import {type Route} from '../types.ts';
+import {type RequestHead, type Route} from '../types.ts';
 import {type LocalStatus, localStatuses} from './caller-answer.ts';
 import {type CallerRequest, formatBodyTooLong} from './caller-request.ts';
 import {type EntryContext} from './entry-context.ts';
@@ -17,6 +17,8 @@
 
 /** Retry-After while the sidecar is stopping or has no configuration yet; both states are short. */
 const unavailableRetryAfterMs = 500;
+/** Deadline of requests that carry none. */
+const defaultDeadlineMs = 30_000;
 /** Bytes of a header line beside name and value: colon, space and CRLF. */
 const headerSeparatorBytes = 4;
 
@@ -27,15 +29,11 @@
  * const result = checkRequest(ctx, caller);
  */
 export function checkRequest(
-	ctx: Pick<EntryContext, 'readRoutes' | 'isClosing'>,
+	ctx: Pick<EntryContext, 'readRoutes' | 'canAccept'>,
 	caller: CallerRequest,
 ): CheckResult {
 	const {request} = caller;
 	const routes = ctx.readRoutes();
-	if (ctx.isClosing()) {
-		return rejectTemporarily('the sidecar stops');
-	}
-
 	if (routes === undefined) {
 		return rejectTemporarily('no configuration is known yet');
 	}
@@ -54,13 +52,19 @@
 	}
 
 	const route = routes.findRoute(request.headers.host ?? '', request.url ?? '/');
-	return route === undefined
-		? {
-				kind: 'rejected',
-				status: localStatuses.noRoute,
-				reason: `version ${version} has no such route`,
-			}
-		: {kind: 'passed', route};
+	if (route === undefined) {
+		const reason = `version ${version} has no such route`;
+		return {kind: 'rejected', status: localStatuses.noRoute, reason};
+	}
+
+	return ctx.canAccept(computeTimeoutMs(caller.head, route))
+		? {kind: 'passed', route}
+		: rejectTemporarily('the sidecar stops');
+}
+
+/** Computes the time within which a request is answered in any case, in milliseconds. */
+export function computeTimeoutMs({deadlineMs}: RequestHead, route: Route): number {
+	return Math.min(deadlineMs ?? defaultDeadlineMs, route.timeoutMs);
 }
 
 /** Whether a body exceeds the limit of the active configuration; without one, any length is allowed. */
--- a/src/sidecar/guard/call-registry.ts
+++ b/src/sidecar/guard/call-registry.ts
@@ -72,16 +72,9 @@
 		}
 	}
 
-	/** Lists the digests of the calls that were sent and have not ended. */
-	listRunningDigests(): string[] {
-		const digests: string[] = [];
-		for (const {phase, head} of this.#calls.values()) {
-			if (phase === 'running') {
-				digests.push(head.digest);
-			}
-		}
-
-		return digests;
+	/** Lists the calls that were sent and have not ended. */
+	listRunning(): GuardedCall[] {
+		return [...this.#calls.values()].filter(({phase}) => phase === 'running');
 	}
 
 	addOrphan(call: GuardedCall, nowMs: number): void {
--- a/src/sidecar/guard/guard.ts
+++ b/src/sidecar/guard/guard.ts
@@ -10,6 +10,7 @@
 import {CallRegistry} from './call-registry.ts';
 import {type GuardOptions} from './guard-options.ts';
 import {AdmissionQueue} from './admission-queue.ts';
+import {LinkRecovery} from './link-recovery.ts';
 
 /** Weight of one finished request in the moving average of the service time, and its initial value. */
 const serviceTimeWeight = 0.03;
@@ -37,10 +38,18 @@
 	isStopping = false;
 
 	readonly #queue = AdmissionQueue.create<GuardedCall>();
+	readonly #recovery: LinkRecovery;
 	#running = 0;
 	readonly #timer: NodeJS.Timeout;
 
 	private constructor(private readonly options: GuardOptions) {
+		this.#recovery = LinkRecovery.create({
+			calls: this.calls,
+			incarnation: options.incarnation,
+			removeWaiting: call => {
+				this.#queue.remove(call);
+			},
+		});
 		this.#timer = setInterval(() => {
 			this.#sweep();
 		}, sweepIntervalMs);
@@ -88,52 +97,26 @@
 		return call;
 	}
 
-	/**
-	 * Reports the outcome of an earlier request to a listener on a new link. A nonce that has not arrived
-	 * is revoked, so that the refusal stays true.
-	 *
-	 * @param incarnation - identifies the start of the guard to which the request was sent
-	 */
+	/** Reports the outcome of an earlier request to a listener on a new link; see `LinkRecovery`. */
 	resume(nonce: string, incarnation: string, listener: ExchangeListener): Exchange {
-		const call = this.calls.findCall(nonce);
-		if (call !== undefined) {
-			this.calls.removeOrphan(call);
-			return this.#resumeCall(call, listener);
-		}
-
-		if (incarnation !== this.options.incarnation) {
-			listener.handleFailure({reason: 'the guard has restarted'});
-		} else if (this.calls.revoke(nonce) === 'neverSent') {
-			listener.handleRefusal({reason: 'forgotten', member: undefined});
-		} else {
-			listener.handleFailure({reason: 'the end of the request is not kept any more'});
-		}
-
-		return endedExchange;
+		return this.#recovery.resume(nonce, incarnation, listener);
 	}
 
-	/** Handles a lost link: cancels its waiting request; a running one may be resumed for some time. */
 	handleLinkLost(nonce: string, listener: ExchangeListener): void {
-		const call = this.calls.findCall(nonce);
-		if (call?.listener !== listener) {
-			return;
-		}
-
-		switch (call.phase) {
-			case 'waiting': {
-				this.#queue.remove(call);
-				call.cancel();
-				break;
-			}
+		this.#recovery.handleLinkLost(nonce, listener);
+	}
 
-			case 'running': {
-				this.calls.addOrphan(call, performance.now());
-				break;
-			}
+	/** Refuses all requests from now on, and those that wait. */
+	setStopping(): void {
+		this.isStopping = true;
+		this.refuseWaiting('stopping');
+	}
 
-			case 'ended': {
-				break;
-			}
+	/** Ends the calls that are left, so that their entries learn it at once. */
+	endCalls(): void {
+		this.refuseWaiting('stopping');
+		for (const call of this.calls.listRunning()) {
+			call.cancel();
 		}
 	}
 
@@ -144,17 +127,6 @@
 		}
 	}
 
-	#resumeCall(call: GuardedCall, listener: ExchangeListener): Exchange {
-		if (call.isStreaming) {
-			call.cancel();
-			listener.handleFailure({reason: 'the answer was partly sent'});
-			return endedExchange;
-		}
-
-		call.attach(listener);
-		return call;
-	}
-
 	#findRefusal(head: CallHead): RefusalReason | undefined {
 		if (this.calls.isRevoked(head.nonce)) {
 			return 'forgotten';
--- a/src/sidecar/local-server-manager.ts
+++ b/src/sidecar/local-server-manager.ts
@@ -75,7 +75,7 @@
 		});
 		this.#crashDetector = CrashDetector.create({
 			isListening: async () => probeListening(settings.serverAddress),
-			listRunning: () => this.guard.calls.listRunningDigests(),
+			listRunning: () => this.guard.calls.listRunning().map(({head}) => head.digest),
 			readNow: () => performance.now(),
 			handleCrash: digests => {
 				this.#handleCrash(digests);
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -238,7 +238,7 @@
 			readRoutes: () => this.#activeConfig.routes,
 			readCallerService: () => this.#localServer.service ?? this.settings.service,
 			isStopping: () => this.#stopSequence.isStopping,
-			isClosing: () => this.#stopSequence.isClosing,
+			canAccept: boundMs => this.#stopSequence.canAccept(boundMs),
 			handleMetadata: (from, route, metadata) => {
 				this.#handleReplyMetadata(from, route, metadata);
 			},
--- a/src/sidecar/stop-sequence.ts
+++ b/src/sidecar/stop-sequence.ts
@@ -3,18 +3,17 @@
 import {type Logger} from '../reporting/logger.ts';
 import {type EntryServer} from './entry/entry-server.ts';
 import {type LocalServerManager} from './local-server-manager.ts';
+import {DrainPlan} from './drain-plan.ts';
 
 /** Gives peers time to receive the announcement of the stop before the guard refuses their requests. */
 const guardRefusalDelayMs = 700;
-/** Fraction of the grace period after which callers are refused and asked to go elsewhere. */
-const acceptFraction = 0.7;
-/** Fraction of the grace period after which the stop ends in any case; at its end the process is killed. */
-const deadlineFraction = 0.95;
 /** Time without any request after which no more are expected. */
 const quietPeriodMs = 1200;
 const pollIntervalMs = 50;
 /** Time in which the first requests on connections that were accepted last arrive and are answered. */
 const settleMs = 250;
+/** The same as a share of a short grace period. */
+const settleShare = 0.04;
 
 export type StopOptions = {
 	readonly graceMs: number;
@@ -33,40 +32,75 @@
 		return new StopSequence(options);
 	}
 
-	isStopping = false;
-	/** Whether new requests of callers are refused. */
-	isClosing = false;
+	#startedAtMs: number | undefined;
+	readonly #plan: DrainPlan;
 
-	private constructor(private readonly options: StopOptions) {}
+	private constructor(private readonly options: StopOptions) {
+		this.#plan = DrainPlan.create(options.graceMs);
+	}
+
+	get isStopping(): boolean {
+		return this.#startedAtMs !== undefined;
+	}
+
+	/**
+	 * Whether a new request is accepted.
+	 *
+	 * @param boundMs - time within which it is answered in any case
+	 */
+	canAccept(boundMs: number): boolean {
+		return (
+			this.#startedAtMs === undefined ||
+			this.#plan.canAccept(performance.now() - this.#startedAtMs, boundMs)
+		);
+	}
 
 	/** Resolves when all requests are answered and no more arrive, or the grace period is nearly over. */
 	async run(): Promise<void> {
-		if (this.isStopping) {
+		if (this.#startedAtMs !== undefined) {
 			return;
 		}
 
-		this.isStopping = true;
 		const {graceMs, logger, localServer, entry} = this.options;
-		const startedAtMs = performance.now();
-		let lastActiveAtMs = startedAtMs;
+		this.#startedAtMs = performance.now();
 		logger.info({active: entry.activeRequests}, 'sidecar is stopping');
 		localServer.setStopping();
+		await this.#drain(this.#startedAtMs);
+		const left = {active: entry.activeRequests, running: localServer.guard.countActive()};
+		entry.endRequests();
+		localServer.guard.endCalls();
+		await entry.stopListening();
+		await wait(Math.min(settleMs, graceMs * settleShare));
+		logger.info({...left, tookMs: performance.now() - this.#startedAtMs}, 'sidecar stopped');
+	}
+
+	/** Waits until no request is left, or the time is over. */
+	async #drain(startedAtMs: number): Promise<void> {
+		const {localServer, entry} = this.options;
+		const {guard} = localServer;
+		let lastActiveAtMs = startedAtMs;
+		let isWithdrawn = false;
 		for (;;) {
 			await wait(pollIntervalMs);
 			const nowMs = performance.now();
 			const elapsedMs = nowMs - startedAtMs;
-			const active = entry.activeRequests + localServer.guard.countActive();
+			const active = entry.activeRequests + guard.countActive();
 			lastActiveAtMs = active > 0 ? nowMs : lastActiveAtMs;
-			localServer.guard.isStopping = elapsedMs > guardRefusalDelayMs;
-			this.isClosing = elapsedMs > graceMs * acceptFraction;
-			const isDone = active === 0 && (this.isClosing || nowMs - lastActiveAtMs > quietPeriodMs);
-			if (isDone || elapsedMs > graceMs * deadlineFraction) {
-				break;
+			if (elapsedMs > guardRefusalDelayMs && !guard.isStopping) {
+				guard.setStopping();
 			}
-		}
 
-		await entry.stopListening();
-		await wait(Math.min(settleMs, graceMs * (1 - deadlineFraction)));
-		logger.info({active: entry.activeRequests}, 'sidecar stopped');
+			const phase = this.#plan.decidePhase(elapsedMs);
+			if (phase === 'withdrawing' && !isWithdrawn) {
+				isWithdrawn = true;
+				entry.withdrawRequests();
+			}
+
+			const isClosed = phase !== 'open' && phase !== 'bounded';
+			const isQuiet = isClosed || nowMs - lastActiveAtMs > quietPeriodMs;
+			if (phase === 'over' || (active === 0 && isQuiet)) {
+				return;
+			}
+		}
 	}
 }
