Send a request that ran beside a crashing one on once

Cause: a request under which a server ended was never sent to a second one, whatever else ran there. One of them is guilty.

Change: the evidence is weighed (server-end.ts, without network). A request that was at no end before and ran beside others may be sent on once; one that ran there alone, or was at an end before, may not. The quarantine is as before.

The tests of the crashing request hold.

--- a/src/sidecar/entry/attempt-history.ts
+++ b/src/sidecar/entry/attempt-history.ts
@@ -1,7 +1,8 @@
 /** Attempts of one request so far, and whether a further one is allowed. */
 import {type MemberView} from '../discovery/member-view.ts';
 import {type CallTreePosition} from '../overload/retry-budget.ts';
-import {type RefusalReason} from '../link/messages.ts';
+import {type FailureHead, type RefusalReason} from '../link/messages.ts';
+import {canSendOn, serverEnds} from '../quarantine/server-end.ts';
 import {groupByDistance, type MembersByDistance, pickMember} from '../routing/picker.ts';
 import {type Route} from '../types.ts';
 import {type EntryContext} from './entry-context.ts';
@@ -34,11 +35,15 @@
 	/** Attempts that reached a server. */
 	arrivals = 0;
 	mayHaveRun = false;
+	/** Whether a server has ended under the request. */
+	hasServerEnded = false;
 	lastReason = '';
 	lastView: MemberView | undefined;
 	/** Whether the request waits for a server with a limit, since no other has room. */
 	isPatient = false;
 	#refusalCount = 0;
+	/** Whether the ends of servers allow that the request is sent on. */
+	#canSendOn = true;
 	/** Instances that refused the request because of their servers' limits. */
 	readonly #limitedInstances = new Set<string>();
 
@@ -105,10 +110,12 @@
 	}
 
 	/** Records an attempt without an answer whose request may have run. */
-	recordFailure(view: MemberView, reason: string): void {
+	recordFailure(view: MemberView, {reason, serverEnd = serverEnds.none}: FailureHead): void {
 		this.recordArrival(view);
 		this.mayHaveRun = true;
 		this.lastReason = reason;
+		this.#canSendOn &&= canSendOn(serverEnd, this.hasServerEnded);
+		this.hasServerEnded ||= serverEnd !== serverEnds.none;
 	}
 
 	/**
@@ -149,7 +156,8 @@
 	/** Spends a retry after an attempt that may have run; false if not allowed. */
 	trySpendAfterFailure(remainingMs: number): boolean {
 		const isRepeatable = this.route.callKind === 'repeatable';
-		return isRepeatable && this.canTryFurtherServer() && this.#trySpend(remainingMs);
+		const mayRepeat = isRepeatable && this.#canSendOn && this.canTryFurtherServer();
+		return mayRepeat && this.#trySpend(remainingMs);
 	}
 
 	/** Returns the mean slot time of such requests at the server, in milliseconds; 0 while unknown. */
--- a/src/sidecar/entry/entry-call.ts
+++ b/src/sidecar/entry/entry-call.ts
@@ -226,14 +226,14 @@
 
 	#handleFailure(view: MemberView, head: FailureHead, wasReached: boolean): void {
 		const history = this.#history!;
-		history.recordFailure(view, head.reason);
-		if (!wasReached || head.hasServerEnded) {
+		history.recordFailure(view, head);
+		if (!wasReached || history.hasServerEnded) {
 			view.recordFailure(performance.now());
 		}
 
 		if (this.#reply.hasBegun) {
 			this.#reply.abort();
-		} else if (!head.hasServerEnded && this.#trySpend(ms => history.trySpendAfterFailure(ms))) {
+		} else if (this.#trySpend(ms => history.trySpendAfterFailure(ms))) {
 			this.#sendToNext();
 		} else {
 			this.#fail(head.reason);
--- a/src/sidecar/guard/call-owner.ts
+++ b/src/sidecar/guard/call-owner.ts
@@ -1,4 +1,5 @@
 /** What a request in the guard needs from its guard, and how it may end. */
+import {type ServerEnd} from '../quarantine/server-end.ts';
 import {type RefusalReason} from '../link/messages.ts';
 import {type HeadCodec, type ServerAnswerHead} from '../types.ts';
 import {type GuardedCall} from './guarded-call.ts';
@@ -14,7 +15,7 @@
 export type CallOwner = {
 	readonly codec: HeadCodec;
 	/** Checks whether the server has ended, after a request that it may have run has failed. */
-	readonly checkEnded: (digest: string) => Promise<boolean>;
+	readonly checkEnded: (digest: string) => Promise<ServerEnd>;
 	/** Opens or reuses a connection to the server. */
 	acquireConnection(requestId: string, isOnce: boolean): CallConnection;
 	/** Time for which this process has been suspended, in milliseconds. */
@@ -39,6 +40,6 @@
 			readonly kind: 'failed';
 			readonly reason: string;
 			readonly hasSent: boolean;
-			readonly hasServerEnded?: boolean;
+			readonly serverEnd?: ServerEnd;
 	  }
 	| {readonly kind: 'cancelled'; readonly mayHaveRun: boolean; readonly ranMs: number};
--- a/src/sidecar/guard/fixtures.ts
+++ b/src/sidecar/guard/fixtures.ts
@@ -121,7 +121,7 @@
 		runQueue: immediateQueue,
 		readSuspended,
 		readMember: () => testMember,
-		checkEnded: async () => false,
+		checkEnded: async () => 'none',
 		isQuarantined: () => false,
 		events: {
 			handleArrival: ignore,
--- a/src/sidecar/guard/guard-options.ts
+++ b/src/sidecar/guard/guard-options.ts
@@ -1,5 +1,6 @@
 /** What a guard needs from its sidecar. */
 import {type CallHead} from '../link/messages.ts';
+import {type ServerEnd} from '../quarantine/server-end.ts';
 import {type RunQueue} from '../scheduling/run-queue.ts';
 import {type HeadCodec, type Member} from '../types.ts';
 import {type CallConnection, type CallOutcome} from './call-owner.ts';
@@ -30,7 +31,7 @@
 	/** Time for which this process was suspended. */
 	readonly readSuspended: () => number;
 	/** Checks whether the server has ended, after a request that it may have run has failed. */
-	readonly checkEnded: (digest: string) => Promise<boolean>;
+	readonly checkEnded: (digest: string) => Promise<ServerEnd>;
 	/** Whether requests with this digest are not to be sent to the server. */
 	isQuarantined(digest: string): boolean;
 	/** Reads the member record that this instance currently announces. */
--- a/src/sidecar/guard/guarded-call.ts
+++ b/src/sidecar/guard/guarded-call.ts
@@ -247,9 +247,9 @@
 	}
 
 	async #failSent(reason: string): Promise<void> {
-		const hasServerEnded = await this.owner.checkEnded(this.head.digest);
-		this.#end({kind: 'failed', reason, hasSent: true, hasServerEnded}, listener => {
-			listener.handleFailure({reason, hasServerEnded});
+		const serverEnd = await this.owner.checkEnded(this.head.digest);
+		this.#end({kind: 'failed', reason, hasSent: true, serverEnd}, listener => {
+			listener.handleFailure({reason, serverEnd});
 		});
 	}
 
--- a/src/sidecar/link/codec.ts
+++ b/src/sidecar/link/codec.ts
@@ -3,6 +3,7 @@
  * links that are billed by volume.
  */
 import {type Member, type RawHeaders} from '../types.ts';
+import {type ServerEnd, serverEnds} from '../quarantine/server-end.ts';
 import {type Frame, frameTypes} from './frames.ts';
 import {decodeMetadata, type EncodedMetadata, encodeMetadata} from './metadata-codec.ts';
 import {
@@ -61,13 +62,22 @@
 	};
 }
 
+/** Codes of the ends in a frame; a release that knows fewer takes the last for a lost answer. */
+const serverEndCodes: readonly ServerEnd[] = [
+	serverEnds.none,
+	serverEnds.suspect,
+	serverEnds.shared,
+];
+
 export function encodeFailure(head: FailureHead, metadata: ReplyMetadata): string {
-	return JSON.stringify([head.reason, encodeMetadata(metadata), head.hasServerEnded ? 1 : 0]);
+	const code = serverEndCodes.indexOf(head.serverEnd ?? serverEnds.none);
+	return JSON.stringify([head.reason, encodeMetadata(metadata), code]);
 }
 
 export function decodeFailure(text: string): {head: FailureHead; metadata: ReplyMetadata} {
 	const [reason, metadata, ended] = JSON.parse(text) as [string, EncodedMetadata, number];
-	return {head: {reason, hasServerEnded: ended === 1}, metadata: decodeMetadata(metadata)};
+	const serverEnd = serverEndCodes[ended] ?? serverEnds.none;
+	return {head: {reason, serverEnd}, metadata: decodeMetadata(metadata)};
 }
 
 /** A decoded reply of a guard. */
--- a/src/sidecar/link/messages.ts
+++ b/src/sidecar/link/messages.ts
@@ -1,5 +1,6 @@
 /** Contents of the heads of frames between sidecars. */
 import {type CostVector} from '../overload/cost-table.ts';
+import {type ServerEnd} from '../quarantine/server-end.ts';
 import {type KnownLimit, type Member, type RawHeaders} from '../types.ts';
 
 /** Load of a guard, sent with each reply. */
@@ -105,8 +106,8 @@
 
 export type FailureHead = {
 	readonly reason: string;
-	/** Whether the server ended while it ran the request, which may be the cause and isn't sent to another server. */
-	readonly hasServerEnded?: boolean;
+	/** Whether the server ended while it ran the request, which may be the cause; not known to have when missing. */
+	readonly serverEnd?: ServerEnd;
 };
 
 /**
--- a/src/sidecar/local-server-manager.ts
+++ b/src/sidecar/local-server-manager.ts
@@ -65,7 +65,6 @@
 	#announcedKey = '';
 	#isStopping = false;
 	#hasProbed = false;
-
 	private constructor(private readonly options: LocalServerManagerOptions) {
 		const {settings, codec, table, logger} = options;
 		this.#server = LocalServer.create(settings.drainMs);
@@ -77,6 +76,7 @@
 			isListening: async () => probeListening(settings.serverAddress),
 			listRunning: () => this.guard.calls.listRunning().map(({head}) => head.digest),
 			readNow: () => performance.now(),
+			countEnds: digest => options.quarantine.countEnds(digest),
 			handleCrash: digests => {
 				this.#handleCrash(digests);
 			},
--- a/src/sidecar/quarantine/crash-detector.test.ts
+++ b/src/sidecar/quarantine/crash-detector.test.ts
@@ -12,26 +12,34 @@
 		handleCrash(digests) {
 			crashes.push([...digests].toSorted());
 		},
+		countEnds: digest => crashes.filter(each => each.includes(digest)).length,
 	});
 	return {detector, crashes, time};
 }
 
 test('a failure while the server accepts connections is no end of it', async t => {
 	const {detector, crashes} = createDetector(true, ['b']);
-	t.false(await detector.check('a'));
+	t.is(await detector.check('a'), 'none');
 	t.deepEqual(crashes, []);
 });
 
 test('one end is reported once, with the requests that failed and those that still run', async t => {
 	const {detector, crashes, time} = createDetector(false, ['c']);
-	t.deepEqual(await Promise.all([detector.check('a'), detector.check('b')]), [true, true]);
+	const ends = await Promise.all([detector.check('a'), detector.check('b')]);
+	t.deepEqual(ends, ['shared', 'shared']);
 	time.nowMs = 500;
-	t.true(await detector.check('c'));
+	t.is(await detector.check('c'), 'shared');
 	t.deepEqual(crashes, [['a', 'b', 'c']]);
 	time.nowMs = 5000;
-	t.true(await detector.check('d'));
+	t.is(await detector.check('d'), 'shared');
+	t.is(await detector.check('c'), 'suspect');
 	t.deepEqual(crashes, [
 		['a', 'b', 'c'],
 		['c', 'd'],
 	]);
 });
+
+test('a request that ran alone is the suspect', async t => {
+	const {detector} = createDetector(false);
+	t.is(await detector.check('a'), 'suspect');
+});
--- a/src/sidecar/quarantine/crash-detector.ts
+++ b/src/sidecar/quarantine/crash-detector.ts
@@ -3,6 +3,8 @@
  * then: each of them may have ended it.
  */
 
+import {judgeServerEnd, type ServerEnd, serverEnds} from './server-end.ts';
+
 /** Failures of one end of the server come within this time. */
 const sameEndMs = 1000;
 
@@ -14,13 +16,15 @@
 	readNow(): number;
 	/** Called once for each end of the server, with the digests of the requests that ran on it. */
 	handleCrash(digests: ReadonlySet<string>): void;
+	/** Counts the ends of servers that a request was at, with those that were just reported. */
+	countEnds(digest: string): number;
 };
 
 export class CrashDetector {
 	/**
 	 * @example
 	 * const detector = CrashDetector.create(options);
-	 * const hasEnded = await detector.check(digest);
+	 * const end = await detector.check(digest);
 	 */
 	static create(options: CrashDetectorOptions): CrashDetector {
 		return new CrashDetector(options);
@@ -29,6 +33,8 @@
 	/** Requests that failed since the check began. */
 	readonly #failed = new Set<string>();
 	#check: Promise<boolean> | undefined;
+	/** Requests that ran on the server when it last ended. */
+	#suspects: ReadonlySet<string> = new Set();
 	#endedAtMs = Number.NEGATIVE_INFINITY;
 
 	private constructor(private readonly options: CrashDetectorOptions) {}
@@ -37,10 +43,13 @@
 	 * Checks whether the server has ended, after the request with this digest has failed without an answer. Requests that
 	 * fail at the same time share one check.
 	 */
-	async check(digest: string): Promise<boolean> {
+	async check(digest: string): Promise<ServerEnd> {
 		this.#failed.add(digest);
 		this.#check ??= this.#run();
-		return this.#check;
+		const hasEnded = await this.#check;
+		return hasEnded
+			? judgeServerEnd(this.#suspects.size, this.options.countEnds(digest))
+			: serverEnds.none;
 	}
 
 	async #run(): Promise<boolean> {
@@ -54,7 +63,10 @@
 		}
 
 		if (nowMs - this.#endedAtMs > sameEndMs) {
+			this.#suspects = suspects;
 			this.options.handleCrash(suspects);
+		} else {
+			this.#suspects = new Set([...this.#suspects, ...suspects]);
 		}
 
 		this.#endedAtMs = nowMs;
--- a/src/sidecar/quarantine/quarantine.ts
+++ b/src/sidecar/quarantine/quarantine.ts
@@ -63,6 +63,11 @@
 		clearInterval(this.#sweepTimer);
 	}
 
+	/** Counts the ends of servers that such a request was at, as far as nothing has cleared it. */
+	countEnds(digest: string): number {
+		return this.#records.listCrashes(digest, performance.now()).length;
+	}
+
 	/** Whether requests with this digest are not to be sent to any server. */
 	has(digest: string): boolean {
 		return this.#records.isQuarantined(digest, performance.now());
