Show that the link between sidecars sends one reply for each request

Requests that are refused, cancelled, answered and failed at once or twice get one reply each. The test holds on the code as it was.

--- a/src/sidecar/link/link-server.test.ts
+++ b/src/sidecar/link/link-server.test.ts
@@ -3,9 +3,13 @@
  * metadata of its answer must still be those of its own route and caller.
  */
 import {Buffer} from 'node:buffer';
+import net from 'node:net';
+import {setTimeout as wait} from 'node:timers/promises';
 import test from 'ava';
 import {createTestGuard, createTestHead, testAnswer, testIncarnation} from '../guard/fixtures.ts';
+import {encodeCall} from './codec.ts';
 import {createTestListener, findFreePorts, immediateQueue, testMetadata} from './fixtures.ts';
+import {encodeFrame, type Frame, FrameReader, frameTypes} from './frames.ts';
 import {LinkPool} from './link-pool.ts';
 import {LinkServer} from './link-server.ts';
 
@@ -55,3 +59,78 @@
 	await answerReceived;
 	t.deepEqual(new Set(metadataRequests), new Set(['r-orders of shop']));
 });
+
+// REFUSED: replies bear no id; a second reply to one request would be taken for the reply to the next on the link.
+test('each request gets one reply, whatever it is cancelled and refused by', async t => {
+	const {guard, runs} = createTestGuard(1);
+	const server = LinkServer.create({
+		guard,
+		incarnation: testIncarnation,
+		createMetadata: () => testMetadata,
+		answerSync: () => '',
+		runQueue: immediateQueue,
+		handleUnread() {
+			// Counted by its reply.
+		},
+		handleInvalidFrame: reason => t.fail(reason),
+	});
+	const [port] = await findFreePorts(1);
+	await server.listen({host: '127.0.0.1', port: port!});
+	const socket = net.connect(port!, '127.0.0.1');
+	t.teardown(() => {
+		socket.destroy();
+		server.close();
+	});
+	const replies: Frame[] = [];
+	const reader = FrameReader.create();
+	socket.on('data', chunk => {
+		reader.read(chunk, frame => {
+			replies.push(frame);
+		});
+	});
+	const encodeOpen = (id: string, more = {}) =>
+		encodeFrame(frameTypes.open, encodeCall(createTestHead(id, more)));
+	const cancel = encodeFrame(frameTypes.cancel, '');
+	const steps: Array<{readonly write: Uint8Array; readonly act?: () => void}> = [
+		{write: Buffer.concat([encodeOpen('unread'), cancel, cancel])},
+		{
+			write: encodeOpen('wrong', {serverId: 'another'}),
+			act() {
+				socket.write(cancel);
+			},
+		},
+		{
+			write: encodeOpen('running'),
+			act() {
+				socket.write(Buffer.concat([cancel, cancel]));
+			},
+		},
+		{
+			write: encodeOpen('answered'),
+			act() {
+				const {listener} = runs.at(-1)!;
+				listener.handleHead(testAnswer);
+				listener.handleEnd();
+				listener.handleFailure('closed', true);
+				socket.write(cancel);
+			},
+		},
+		{
+			write: encodeOpen('failed'),
+			act() {
+				const {listener} = runs.at(-1)!;
+				listener.handleFailure('closed', true);
+				listener.handleFailure('closed', true);
+				guard.endCalls();
+			},
+		},
+	];
+	for (const [index, {write, act}] of steps.entries()) {
+		socket.write(write);
+		await wait(50);
+		act?.();
+		await wait(50);
+		// The first frame is the hello.
+		t.is(replies.length, index + 2, `after step ${index}`);
+	}
+});
