Let servers beside stopping sidecars run what can be finished

Change: the announcement says that only the instance stops. Its guard accepts what it can finish by the plan of the stop, and refuses the rest at once; entries choose such an instance when the others are busier by half of their slots, for requests whose deadline or time-out lies before its end. A waiting request that can't be finished is refused at the signal.

--- a/src/sidecar/discovery/directory.ts
+++ b/src/sidecar/discovery/directory.ts
@@ -72,7 +72,7 @@
 				known.resetFailures();
 			}
 
-			known.member = member;
+			known.update(member);
 			return true;
 		}
 
--- a/src/sidecar/discovery/member-codec.ts
+++ b/src/sidecar/discovery/member-codec.ts
@@ -43,6 +43,7 @@
 		typeof member.epoch === 'number' &&
 		(member.serverStartMs === undefined || typeof member.serverStartMs === 'number') &&
 		(member.leftStartMs === undefined || typeof member.leftStartMs === 'number') &&
+		(member.isDraining === undefined || typeof member.isDraining === 'boolean') &&
 		states.has(member.state as MemberState)
 	);
 }
--- a/src/sidecar/discovery/member-view-factory.ts
+++ b/src/sidecar/discovery/member-view-factory.ts
@@ -1,6 +1,7 @@
 /** Creates the views of members, with their distance and the connections to them. */
 import {type Logger} from '../../reporting/logger.ts';
 import {type GuardLoad} from '../link/messages.ts';
+import {DrainPlan} from '../drain-plan.ts';
 import {LinkPool} from '../link/link-pool.ts';
 import {type Member, type SidecarSettings} from '../types.ts';
 import {type Distance, distances, MemberView} from './member-view.ts';
@@ -22,23 +23,28 @@
 
 	/** Members at the same address share their connections. */
 	readonly #pools = new Map<string, LinkPool>();
+	readonly #drainPlan: DrainPlan;
 
 	private constructor(
 		private readonly settings: SidecarSettings,
 		private readonly logger: Logger,
 		private readonly readOwnLoad: () => GuardLoad,
-	) {}
+	) {
+		this.#drainPlan = DrainPlan.create(settings.graceMs);
+	}
 
 	createView(member: Member): MemberView {
 		const {settings, readOwnLoad: readLoad} = this;
 		if (member.instance === settings.instance) {
-			return MemberView.create(member, {kind: 'local', readLoad}, distances.dataCentre);
+			const transport = {kind: 'local', readLoad} as const;
+			return MemberView.create(member, transport, distances.dataCentre, this.#drainPlan);
 		}
 
 		const key = `${member.link.host}:${member.link.port}`;
 		const pool = this.#pools.get(key) ?? this.#createPool(member);
 		this.#pools.set(key, pool);
-		return MemberView.create(member, {kind: 'link', pool}, computeDistance(member, settings));
+		const distance = computeDistance(member, settings);
+		return MemberView.create(member, {kind: 'link', pool}, distance, this.#drainPlan);
 	}
 
 	/** Closes all connections. */
--- a/src/sidecar/discovery/member-view.test.ts
+++ b/src/sidecar/discovery/member-view.test.ts
@@ -1,5 +1,6 @@
 /** DRAIN: a server that left unheard got requests for as long as its reports said that it was ready. */
 import test from 'ava';
+import {DrainPlan} from '../drain-plan.ts';
 import {testMember} from '../guard/fixtures.ts';
 import {distances, MemberView} from './member-view.ts';
 
@@ -15,9 +16,9 @@
 	const view = MemberView.create(member, transport, distances.region);
 	t.true(view.isAvailable(0));
 	view.recordServerLeaving(0);
-	view.member = {...member, epoch: 2};
+	view.update({...member, epoch: 2});
 	t.false(view.isAvailable(100_000));
-	view.member = {...member, epoch: 3, serverStartMs: 2000};
+	view.update({...member, epoch: 3, serverStartMs: 2000});
 	t.true(view.isAvailable(100_000));
 	view.recordServerLeaving(100_000);
 	t.false(view.isAvailable(200_000));
@@ -29,3 +30,17 @@
 	t.false(view.isAvailable(29_000));
 	t.true(view.isAvailable(31_000));
 });
+
+test('an instance that stops gets requests only while it can finish them', t => {
+	const plan = DrainPlan.create(6000);
+	const view = MemberView.create(testMember, transport, distances.region, plan);
+	const nowMs = performance.now();
+	view.update({...testMember, state: 'leaving', isDraining: true});
+	t.true(view.isAvailable(nowMs, 700));
+	t.true(view.isAvailable(nowMs + 3500, 700));
+	t.false(view.isAvailable(nowMs + 3500, 3000));
+	t.false(view.isAvailable(nowMs + 4500, 10));
+	t.false(view.isAvailable(nowMs));
+	view.update({...testMember, state: 'leaving', leftStartMs: 1});
+	t.false(view.isAvailable(nowMs, 10));
+});
--- a/src/sidecar/discovery/member-view.ts
+++ b/src/sidecar/discovery/member-view.ts
@@ -1,5 +1,6 @@
 /** One backend server as seen by this entry: its announcement, its load and the results of requests. */
 import {computeBurst} from '../guard/request-pacer.ts';
+import {type DrainPlan} from '../drain-plan.ts';
 import {type GuardLoad, type GuardPace} from '../link/messages.ts';
 import {type LinkPool} from '../link/link-pool.ts';
 import {type KnownLimit, type Member} from '../types.ts';
@@ -31,11 +32,17 @@
 
 export class MemberView {
 	/**
+	 * @param drainPlan - how instances stop; without it, one that stops gets no requests
 	 * @example
 	 * const view = MemberView.create(member, transport, distances.region);
 	 */
-	static create(member: Member, transport: MemberTransport, distance: Distance): MemberView {
-		return new MemberView(member, transport, distance);
+	static create(
+		member: Member,
+		transport: MemberTransport,
+		distance: Distance,
+		drainPlan?: DrainPlan,
+	): MemberView {
+		return new MemberView(member, transport, distance, drainPlan);
 	}
 
 	/** Requests of this entry that are in progress. */
@@ -57,17 +64,53 @@
 	#failureCount = 0;
 	#backoffUntilMs = 0;
 
+	#member: Member;
+	#updatedAtMs = performance.now();
+
 	private constructor(
-		public member: Member,
+		member: Member,
 		readonly transport: MemberTransport,
 		readonly distance: Distance,
-	) {}
+		private readonly drainPlan: DrainPlan | undefined,
+	) {
+		this.#member = member;
+	}
 
-	/** Whether requests may be sent to the member now. */
-	isAvailable(nowMs: number): boolean {
-		return (
-			this.member.state === 'ready' && nowMs >= this.#backoffUntilMs && !this.#hasServerLeft(nowMs)
-		);
+	get member(): Member {
+		return this.#member;
+	}
+
+	/** Applies a newer announcement of the same server. */
+	update(member: Member): void {
+		this.#member = member;
+		this.#updatedAtMs = performance.now();
+	}
+
+	/**
+	 * Whether requests may be sent to the member now.
+	 *
+	 * @param boundMs - time within which the request is answered in any case
+	 */
+	isAvailable(nowMs: number, boundMs = Number.POSITIVE_INFINITY): boolean {
+		if (nowMs < this.#backoffUntilMs || this.#hasServerLeft(nowMs)) {
+			return false;
+		}
+
+		switch (this.member.state) {
+			case 'ready': {
+				return true;
+			}
+
+			case 'leaving': {
+				const {isDraining = false} = this.member;
+				const elapsedMs = nowMs - this.#updatedAtMs;
+				return isDraining && this.drainPlan?.canFinish(elapsedMs, boundMs) === true;
+			}
+
+			case 'down': {
+				return false;
+			}
+		}
 	}
 
 	/** Estimates the utilization of the member's slots with one more request; above 1, requests wait. */
--- a/src/sidecar/drain-plan.ts
+++ b/src/sidecar/drain-plan.ts
@@ -64,10 +64,20 @@
 	}
 
 	/**
-	 * Whether a request that arrives now is to be accepted.
+	 * Whether a request is sure to be answered before requests are withdrawn.
 	 *
 	 * @param boundMs - time within which it is answered in any case: its deadline or its route's time-out
 	 */
+	canFinish(elapsedMs: number, boundMs: number): boolean {
+		const isOpen = elapsedMs < this.graceMs * closeShare;
+		return isOpen && elapsedMs + boundMs + marginMs <= this.withdrawAtMs;
+	}
+
+	/**
+	 * Whether a request that arrives now is to be accepted.
+	 *
+	 * @param boundMs - as for `canFinish`
+	 */
 	canAccept(elapsedMs: number, boundMs: number): boolean {
 		switch (this.decidePhase(elapsedMs)) {
 			case 'open': {
@@ -75,7 +85,7 @@
 			}
 
 			case 'bounded': {
-				return elapsedMs + boundMs + marginMs <= this.withdrawAtMs;
+				return this.canFinish(elapsedMs, boundMs);
 			}
 
 			case 'closed':
--- a/src/sidecar/entry/attempt-history.ts
+++ b/src/sidecar/entry/attempt-history.ts
@@ -3,7 +3,12 @@
 import {type CallTreePosition} from '../overload/retry-budget.ts';
 import {type FailureHead, type RefusalReason} from '../link/messages.ts';
 import {canSendOn, serverEnds} from '../quarantine/server-end.ts';
-import {groupByDistance, type MembersByDistance, pickMember} from '../routing/picker.ts';
+import {
+	groupByDistance,
+	type MembersByDistance,
+	pickMember,
+	type PickInput,
+} from '../routing/picker.ts';
 import {type Route} from '../types.ts';
 import {type EntryContext} from './entry-context.ts';
 
@@ -59,12 +64,14 @@
 	 * Picks a member that was not tried yet. When servers with a limit have refused the request and no other can accept
 	 * it, one of them is picked to let it wait.
 	 *
+	 * @param boundMs - time within which the request is answered in any case
 	 * @returns undefined when no member can accept the request
 	 */
-	pickNext(nowMs: number): MemberView | undefined {
+	pickNext(nowMs: number, boundMs = Number.POSITIVE_INFINITY): MemberView | undefined {
 		const members = this.ctx.directory.listService(this.service);
+		const {random} = this.ctx;
 		if (!this.isPatient) {
-			const view = this.#pickUntried(members, nowMs);
+			const view = this.#pickUntried(members, {nowMs, boundMs, random});
 			if (view !== undefined || this.#limitedInstances.size === 0) {
 				return view;
 			}
@@ -79,7 +86,7 @@
 			}
 		}
 
-		return pickMember(members, refused, nowMs, this.ctx.random);
+		return pickMember(members, {tried: refused, nowMs, boundMs, random});
 	}
 
 	/** Whether servers have ended under such requests, so that none gets a further one. */
@@ -95,7 +102,13 @@
 	/** Picks among the members whose servers received the request, all of which refused it. */
 	pickReached(nowMs: number): MemberView | undefined {
 		const reached = groupByDistance(this.reachedMembers);
-		return pickMember(reached, new Set(), nowMs, this.ctx.random);
+		const {random} = this.ctx;
+		return pickMember(reached, {
+			tried: new Set(),
+			nowMs,
+			boundMs: Number.POSITIVE_INFINITY,
+			random,
+		});
 	}
 
 	recordAttempt(view: MemberView): void {
@@ -166,10 +179,13 @@
 	}
 
 	/** Picks an untried member; once a server with a limit has refused the request, servers without one come first. */
-	#pickUntried(members: MembersByDistance, nowMs: number): MemberView | undefined {
-		const {random} = this.ctx;
+	#pickUntried(
+		members: MembersByDistance,
+		input: Omit<PickInput, 'tried'>,
+	): MemberView | undefined {
+		const tried = this.triedInstances;
 		if (this.#limitedInstances.size === 0) {
-			return pickMember(members, this.triedInstances, nowMs, random);
+			return pickMember(members, {...input, tried});
 		}
 
 		const skipped = new Set(this.triedInstances);
@@ -179,9 +195,9 @@
 			}
 		}
 
-		const unlimited = pickMember(members, skipped, nowMs, random);
+		const unlimited = pickMember(members, {...input, tried: skipped});
 		return unlimited === undefined && this.#limitedInstances.size < maxLimitedRefusals
-			? pickMember(members, this.triedInstances, nowMs, random)
+			? pickMember(members, {...input, tried})
 			: unlimited;
 	}
 
--- a/src/sidecar/entry/entry-call.ts
+++ b/src/sidecar/entry/entry-call.ts
@@ -130,7 +130,7 @@
 		}
 
 		const nowMs = performance.now();
-		const view = this.#history!.pickNext(nowMs);
+		const view = this.#history!.pickNext(nowMs, this.#deadlineAtMs - nowMs);
 		if (view === undefined || this.#deadlineAtMs - nowMs < minRemainingMs) {
 			this.#fail(view === undefined ? 'no server has room' : 'no time is left');
 			return;
--- a/src/sidecar/guard/guard.ts
+++ b/src/sidecar/guard/guard.ts
@@ -106,6 +106,19 @@
 		this.#recovery.handleLinkLost(nonce, listener);
 	}
 
+	/** Whether a request that is answered within a time can be answered before this process ends. */
+	canFinish: (boundMs: number) => boolean = () => true;
+
+	/** Refuses from now on what can't be answered in time, also of what waits. */
+	setDraining(canFinish: (boundMs: number) => boolean): void {
+		this.canFinish = canFinish;
+		const nowMs = performance.now();
+		const isLate = (call: GuardedCall) => !canFinish(call.computeRemainingMs(nowMs));
+		for (const call of this.#queue.removeWhere(call => isLate(call))) {
+			call.refuse('late');
+		}
+	}
+
 	/** Refuses all requests from now on, and those that wait. */
 	setStopping(): void {
 		this.isStopping = true;
@@ -132,8 +145,12 @@
 			return 'forgotten';
 		}
 
+		if (this.isStopping || !this.canFinish(head.remainingMs)) {
+			return this.isStopping ? 'stopping' : 'late';
+		}
+
 		const nowMs = performance.now();
-		const reason = this.isStopping ? 'stopping' : this.options.server.findRefusal(head, nowMs);
+		const reason = this.options.server.findRefusal(head, nowMs);
 		if (reason === undefined && head.serverLimitPerSecond > 0) {
 			this.options.server.pacer.recordHint(head.serverLimitPerSecond, nowMs);
 		}
--- /dev/null
+++ b/src/sidecar/local-member.ts
@@ -0,0 +1,32 @@
+/** What this instance announces of its server. */
+import {type LocalServerState} from './guard/local-server.ts';
+import {type Member, type MemberState, type SidecarSettings} from './types.ts';
+
+/**
+ * Creates the announcement of the local server, without its epoch.
+ *
+ * @param isStopping - whether this process stops
+ * @example
+ * const member = createLocalMember(settings, server.state, {serverState: 'ready', isStopping: false});
+ */
+export function createLocalMember(
+	settings: SidecarSettings,
+	server: LocalServerState,
+	{serverState, isStopping}: {readonly serverState: MemberState; readonly isStopping: boolean},
+): Omit<Member, 'epoch'> {
+	const {instance, linkAddress: link, dataCentre, region} = settings;
+	const {id: serverId, service, slots, startedAtMs, leavingSinceMs} = server;
+	return {
+		instance,
+		link,
+		dataCentre,
+		region,
+		service,
+		serverId,
+		slots,
+		state: isStopping ? 'leaving' : serverState,
+		...(startedAtMs !== 0 && {serverStartMs: startedAtMs}),
+		...(leavingSinceMs !== undefined && {leftStartMs: startedAtMs}),
+		...(isStopping && serverState === 'ready' && {isDraining: true}),
+	};
+}
--- a/src/sidecar/local-server-manager.ts
+++ b/src/sidecar/local-server-manager.ts
@@ -17,11 +17,11 @@
 import {type RequestLog} from './reporting/request-log.ts';
 import {type RunQueue} from './scheduling/run-queue.ts';
 import {decodeMember} from './discovery/member-codec.ts';
+import {createLocalMember} from './local-member.ts';
 import {readSuspendedMs} from './suspension-clock.ts';
 import {
 	type HeadCodec,
 	type Member,
-	type MemberState,
 	type MeshConfig,
 	type ServerMessage,
 	type SidecarSettings,
@@ -255,17 +255,14 @@
 			return;
 		}
 
-		const current = `${state.id} ${state.service} ${state.slots} ${this.#computeMemberState()}`;
+		const serverState = this.#server.readState(performance.now());
+		const current = [state.id, state.service, state.slots, serverState, this.#isStopping].join(' ');
 		if (current !== this.#announcedKey) {
 			this.#announcedKey = current;
 			this.#announce();
 		}
 	}
 
-	#computeMemberState(): MemberState {
-		return this.#isStopping ? 'leaving' : this.#server.readState(performance.now());
-	}
-
 	#announce(): void {
 		const {state} = this.#server;
 		if (state === undefined) {
@@ -278,23 +275,14 @@
 			this.guard.refuseWaiting('wrongServer');
 		}
 
-		const {instance, linkAddress: link, dataCentre, region} = this.options.settings;
-		const {id: serverId, service, slots} = state;
-		const member = this.#announcer.announce({
-			instance,
-			link,
-			dataCentre,
-			region,
-			service,
-			serverId,
-			slots,
-			state: this.#computeMemberState(),
-			...(state.startedAtMs !== 0 && {serverStartMs: state.startedAtMs}),
-			...(state.leavingSinceMs !== undefined && {leftStartMs: state.startedAtMs}),
-		});
+		const serverState = this.#server.readState(performance.now());
+		const member = this.#announcer.announce(
+			createLocalMember(this.options.settings, state, {serverState, isStopping: this.#isStopping}),
+		);
 		this.options.directory.apply(member);
 		this.options.handleAnnounced();
-		const fields = {service, serverId, state: member.state, slots, epoch: member.epoch};
+		const {service, serverId, slots, epoch} = member;
+		const fields = {service, serverId, state: member.state, slots, epoch};
 		this.options.logger.info(fields, 'announced the local server');
 	}
 }
--- a/src/sidecar/routing/picker.test.ts
+++ b/src/sidecar/routing/picker.test.ts
@@ -37,7 +37,8 @@
 }
 
 function pick(views: MemberView[], tried: string[] = []): string | undefined {
-	return pickMember(groupByDistance(views), new Set(tried), nowMs, () => 0)?.member.instance;
+	const input = {tried: new Set(tried), nowMs, boundMs: 1000, random: () => 0};
+	return pickMember(groupByDistance(views), input)?.member.instance;
 }
 
 test('a near server with free slots is preferred to an idle one elsewhere', t => {
@@ -90,7 +91,7 @@
 
 		const requests = members[distances.dataCentre].length * 100;
 		for (let index = 0; index < requests; index++) {
-			const view = pickMember(members, new Set(), nowMs, random)!;
+			const view = pickMember(members, {tried: new Set(), nowMs, boundMs: 1000, random})!;
 			t.is(view.distance, distances.dataCentre);
 			counts.set(view.member.instance, (counts.get(view.member.instance) ?? 0) + 1);
 		}
@@ -105,7 +106,12 @@
 	const other = createView('other', distances.dataCentre, 6);
 	const laterMs = nowMs + 3000;
 	const pickAt = (timeMs: number) =>
-		pickMember(groupByDistance([busy, other]), new Set(), timeMs, () => 0)?.member.instance;
+		pickMember(groupByDistance([busy, other]), {
+			tried: new Set(),
+			nowMs: timeMs,
+			boundMs: 1000,
+			random: () => 0,
+		})?.member.instance;
 	other.recordLoad({running: 3, waiting: 0, limit: 20, pace: unlimitedPace}, laterMs);
 	t.is(pickAt(laterMs), 'other');
 	other.recordLoad({running: 3, waiting: 0, limit: 20, pace: unlimitedPace}, nowMs + 20_000);
--- a/src/sidecar/routing/picker.ts
+++ b/src/sidecar/routing/picker.ts
@@ -23,6 +23,8 @@
 const nearestFirst = [distances.dataCentre, distances.region, distances.far] as const;
 /** Available members compared at each distance, starting from a random one. */
 const maxCompared = 6;
+/** Cost of an instance that stops, in units of utilization: it gets what the others have no room for. */
+const drainingCost = 0.5;
 /** Random addition to the cost. Without it, all requests between two load reports go to the same server. */
 const maxJitter = 0.06;
 
@@ -33,9 +35,12 @@
 type Choice = {readonly view: MemberView; readonly cost: number};
 
 /** What a choice depends on beside the members. */
-type PickInput = {
+export type PickInput = {
+	/** Instances to skip, since the request has already been sent to them. */
 	readonly tried: ReadonlySet<string>;
 	readonly nowMs: number;
+	/** Time within which the request is answered in any case. */
+	readonly boundMs: number;
 	random(): number;
 };
 
@@ -46,17 +51,12 @@
  * number of compared members doesn't depend on the size of the service, and the own data centre is never
  * missed among many others.
  *
- * @param tried - instances to skip, since the request has already been sent to them
  * @returns undefined when no member is available
  * @example
- * const view = pickMember(directory.listService('catalogue'), new Set(), performance.now(), Math.random);
+ * const input = {tried: new Set(), nowMs: performance.now(), boundMs: 2000, random: Math.random};
+ * const view = pickMember(directory.listService('catalogue'), input);
  */
-export function pickMember(
-	members: MembersByDistance,
-	tried: ReadonlySet<string>,
-	nowMs: number,
-	random: () => number,
-): MemberView | undefined {
+export function pickMember(members: MembersByDistance, input: PickInput): MemberView | undefined {
 	let best: Choice | undefined;
 	for (const distance of nearestFirst) {
 		const {penalty, minUtilization} = distanceCosts[distance];
@@ -64,7 +64,7 @@
 			break;
 		}
 
-		const choice = pickAtDistance(members[distance], {tried, nowMs, random});
+		const choice = pickAtDistance(members[distance], input);
 		if (choice !== undefined && (best === undefined || choice.cost < best.cost)) {
 			best = choice;
 		}
@@ -75,19 +75,20 @@
 
 /** Picks the best of a few members, starting from a random one. */
 function pickAtDistance(views: readonly MemberView[], input: PickInput): Choice | undefined {
-	const {tried, nowMs, random} = input;
+	const {tried, nowMs, boundMs, random} = input;
 	let best: Choice | undefined;
 	let compared = 0;
 	const start = Math.floor(random() * views.length);
 	for (let index = 0; index < views.length && compared < maxCompared; index++) {
 		const view = views[(start + index) % views.length]!;
-		if (!view.isAvailable(nowMs) || tried.has(view.member.instance)) {
+		if (!view.isAvailable(nowMs, boundMs) || tried.has(view.member.instance)) {
 			continue;
 		}
 
 		const {penalty, minUtilization} = distanceCosts[view.distance];
-		const cost =
-			Math.max(minUtilization, view.estimateUtilization(nowMs)) + penalty + random() * maxJitter;
+		const utilization = Math.max(minUtilization, view.estimateUtilization(nowMs));
+		const stateCost = view.member.state === 'ready' ? 0 : drainingCost;
+		const cost = utilization + penalty + stateCost + random() * maxJitter;
 		if (best === undefined || cost < best.cost) {
 			best = {view, cost};
 		}
--- a/src/sidecar/stop-sequence.ts
+++ b/src/sidecar/stop-sequence.ts
@@ -5,8 +5,6 @@
 import {type LocalServerManager} from './local-server-manager.ts';
 import {DrainPlan} from './drain-plan.ts';
 
-/** Gives peers time to receive the announcement of the stop before the guard refuses their requests. */
-const guardRefusalDelayMs = 700;
 /** Time without any request after which no more are expected. */
 const quietPeriodMs = 1200;
 const pollIntervalMs = 50;
@@ -65,6 +63,7 @@
 		this.#startedAtMs = performance.now();
 		logger.info({active: entry.activeRequests}, 'sidecar is stopping');
 		localServer.setStopping();
+		localServer.guard.setDraining(boundMs => this.#canFinish(boundMs));
 		await this.#drain(this.#startedAtMs);
 		const left = {active: entry.activeRequests, running: localServer.guard.countActive()};
 		entry.endRequests();
@@ -74,6 +73,11 @@
 		logger.info({...left, tookMs: performance.now() - this.#startedAtMs}, 'sidecar stopped');
 	}
 
+	/** Whether a request that is answered within a time is answered before the end of the stop. */
+	#canFinish(boundMs: number): boolean {
+		return this.#plan.canFinish(performance.now() - this.#startedAtMs!, boundMs);
+	}
+
 	/** Waits until no request is left, or the time is over. */
 	async #drain(startedAtMs: number): Promise<void> {
 		const {localServer, entry} = this.options;
@@ -86,17 +90,17 @@
 			const elapsedMs = nowMs - startedAtMs;
 			const active = entry.activeRequests + guard.countActive();
 			lastActiveAtMs = active > 0 ? nowMs : lastActiveAtMs;
-			if (elapsedMs > guardRefusalDelayMs && !guard.isStopping) {
+			const phase = this.#plan.decidePhase(elapsedMs);
+			const isClosed = phase !== 'open' && phase !== 'bounded';
+			if (isClosed && !guard.isStopping) {
 				guard.setStopping();
 			}
 
-			const phase = this.#plan.decidePhase(elapsedMs);
 			if (phase === 'withdrawing' && !isWithdrawn) {
 				isWithdrawn = true;
 				entry.withdrawRequests();
 			}
 
-			const isClosed = phase !== 'open' && phase !== 'bounded';
 			const isQuiet = isClosed || nowMs - lastActiveAtMs > quietPeriodMs;
 			if (phase === 'over' || (active === 0 && isQuiet)) {
 				return;
