Accept short requests until 0.8 of the grace time

What is accepted is bounded by the plan, so that the limit is only the end of the time in which anything is accepted.

--- a/src/sidecar/drain-plan.ts
+++ b/src/sidecar/drain-plan.ts
@@ -8,7 +8,7 @@
 /** The same as a share of a short grace period. */
 const acceptAllShare = 0.45;
 /** Share of the grace period after which every request is refused. */
-const closeShare = 0.7;
+const closeShare = 0.8;
 /** Share after which requests that are not running are withdrawn, so that their callers learn that they have not run. */
 const withdrawShare = 0.9;
 /** Share after which the requests that are left get a final answer. */
