Probe the server after a planned stop too

Its own row says that the instance leaves, so that the server wasn't probed and its next report was waited for. A probe that came before the first configuration was left out as well.

The row tells that only the instance stopped, and the server is probed as soon as a configuration is known.

--- a/src/sidecar/local-server-manager.ts
+++ b/src/sidecar/local-server-manager.ts
@@ -65,6 +65,8 @@
 	#announcedKey = '';
 	#isStopping = false;
 	#hasProbed = false;
+	/** What an earlier process of this sidecar announced last, as read from the shared table. */
+	#formerMember: Member | undefined;
 	private constructor(private readonly options: LocalServerManagerOptions) {
 		const {settings, codec, table, logger} = options;
 		this.#server = LocalServer.create(settings.drainMs);
@@ -102,6 +104,7 @@
 	start(): void {
 		this.#timer = setInterval(() => {
 			this.#reconcile();
+			void this.#probeFormer();
 		}, reconcileIntervalMs);
 		this.#timer.unref();
 	}
@@ -128,10 +131,8 @@
 	handleOwnRow(row: Row | undefined, position: StorePosition): void {
 		this.#announcer.recordRow(row, position);
 		const member = row?.value === undefined ? undefined : decodeMember(row.value);
-		if (member?.state === 'ready') {
-			void this.#probe(member);
-		}
-
+		this.#formerMember ??= member;
+		void this.#probeFormer();
 		this.#restoreLeave(member);
 	}
 
@@ -230,18 +231,24 @@
 	 * arrive before its next report. A leaving server is not healthy; after a refused probe, the next
 	 * report identifies the server.
 	 */
-	async #probe(member: Member): Promise<void> {
+	async #probeFormer(): Promise<void> {
 		const {settings, codec, logger} = this.options;
+		const member = this.#formerMember;
+		const wasInUse = member?.state === 'ready' || member?.isDraining === true;
+		if (this.#hasProbed || this.#server.state !== undefined || !wasInUse) {
+			return;
+		}
+
 		const path = this.options.readConfig()?.services.get(member.service)?.healthPath;
-		if (this.#hasProbed || this.#server.state !== undefined || path === undefined) {
+		if (path === undefined) {
 			return;
 		}
 
 		this.#hasProbed = true;
 		const result = await probeHealth(settings.serverAddress, path, codec.serverIdHeader);
-		const isSameServer = result.kind === 'healthy' && result.serverId === member.serverId;
+		const {serverId: id, service, slots} = member;
+		const isSameServer = result.kind === 'healthy' && result.serverId === id;
 		if (isSameServer && this.#server.state === undefined) {
-			const {serverId: id, service, slots} = member;
 			this.#server.restore({id, service, slots}, performance.now());
 			logger.info({serverId: id, service}, 'identified the local server by a health probe');
 			this.#reconcile();
