Tell entries of a planned stop with each refusal of the guard

An entry that hadn't heard of a stop yet went on sending requests to the guard that it can't finish, each of which cost a hop and one of three refusals. The refusals of a stopping guard carry its announcement now, as those of an outdated view do.

--- a/src/sidecar/guard/guard.test.ts
+++ b/src/sidecar/guard/guard.test.ts
@@ -3,6 +3,7 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import test from 'ava';
 import {type ExchangeListener} from '../link/exchange.ts';
+import {createTestListener} from '../link/fixtures.ts';
 import {type CallHead, type RefusalReason} from '../link/messages.ts';
 import {
 	createTestGuard,
@@ -10,6 +11,7 @@
 	createTestNonce,
 	testAnswer,
 	testIncarnation,
+	testMember,
 } from './fixtures.ts';
 
 /** A guard in front of a fake server with two slots; the test ends the runs. */
@@ -133,6 +135,27 @@
 	t.is(harness.guard.countActive(), 0);
 });
 
+test('a draining guard takes what it can finish, and its refusals carry its announcement', t => {
+	const {guard, runs} = createTestGuard(2);
+	const members: unknown[] = [];
+	const reasons: string[] = [];
+	const listener = createTestListener({
+		handleRefusal({reason, member}) {
+			reasons.push(reason);
+			members.push(member);
+		},
+	});
+	guard.setDraining(boundMs => boundMs <= 1000);
+	guard.submit(createTestHead('short', {remainingMs: 800}), Buffer.alloc(0), listener);
+	guard.submit(createTestHead('long', {remainingMs: 5000}), Buffer.alloc(0), listener);
+	t.deepEqual(
+		runs.map(each => each.requestId),
+		['short'],
+	);
+	t.deepEqual(reasons, ['late']);
+	t.deepEqual(members, [testMember]);
+});
+
 test('a request that ran is never reported as not run, even if it is resumed late', async t => {
 	const harness = new GuardHarness();
 	harness.send('ran');
--- a/src/sidecar/guard/guard.ts
+++ b/src/sidecar/guard/guard.ts
@@ -40,6 +40,8 @@
 	readonly #queue = AdmissionQueue.create<GuardedCall>();
 	readonly #recovery: LinkRecovery;
 	#running = 0;
+	/** Whether a request that is answered within a time is answered before this process ends; set once it stops. */
+	#canFinish: ((boundMs: number) => boolean) | undefined;
 	readonly #timer: NodeJS.Timeout;
 
 	private constructor(private readonly options: GuardOptions) {
@@ -71,7 +73,7 @@
 	submit(head: CallHead, body: Uint8Array, listener: ExchangeListener): Exchange {
 		const reason = this.#findRefusal(head);
 		if (reason !== undefined) {
-			const isViewOutdated = outdatedViewReasons.has(reason);
+			const isViewOutdated = this.#canFinish !== undefined || outdatedViewReasons.has(reason);
 			const member = isViewOutdated ? this.options.readMember() : undefined;
 			listener.handleRefusal({reason, member});
 			return endedExchange;
@@ -106,12 +108,9 @@
 		this.#recovery.handleLinkLost(nonce, listener);
 	}
 
-	/** Whether a request that is answered within a time can be answered before this process ends. */
-	canFinish: (boundMs: number) => boolean = () => true;
-
 	/** Refuses from now on what can't be answered in time, also of what waits. */
 	setDraining(canFinish: (boundMs: number) => boolean): void {
-		this.canFinish = canFinish;
+		this.#canFinish = canFinish;
 		const nowMs = performance.now();
 		const isLate = (call: GuardedCall) => !canFinish(call.computeRemainingMs(nowMs));
 		for (const call of this.#queue.removeWhere(call => isLate(call))) {
@@ -145,7 +144,7 @@
 			return 'forgotten';
 		}
 
-		if (this.isStopping || !this.canFinish(head.remainingMs)) {
+		if (this.isStopping || this.#canFinish?.(head.remainingMs) === false) {
 			return this.isStopping ? 'stopping' : 'late';
 		}
 
