--- a/src/daemon/guard/faulty-answers.test.ts
+++ b/src/daemon/guard/faulty-answers.test.ts
@@ -5,42 +5,9 @@
 import net, {type AddressInfo} from 'node:net';
 import test, {type ExecutionContext} from 'ava';
 import {request} from 'undici';
-import {createAdmissionController} from '../../admission/create-admission-controller.ts';
 import {encodeContext, headerNames} from '../../call/headers.ts';
-import {importance, type CallContext} from '../../call/types.ts';
-import {builtInVersion} from '../../policy/built-in.ts';
-import {Logger} from '../../reporting/logger.ts';
-import {Metrics} from '../../reporting/metrics.ts';
-import {readMonotonicMs} from '../clock.ts';
-import {GuardTask} from './guard-task.ts';
-
-const peerKey = 'test-peer-key-0123456789';
-const identity = {
-	server: 'catalogue-1',
-	service: 'catalogue',
-	dataCentre: 'est-a',
-	region: 'qc-est',
-	address: '127.0.0.1',
-	instanceId: 'i-1',
-	startedAtMs: 0,
-};
-
-function createContext(attemptId: string): CallContext {
-	return {
-		requestId: 'r-1',
-		attemptId,
-		service: 'catalogue',
-		callName: '*',
-		caller: 'anonymous',
-		importance: importance.normal,
-		deadlineMs: 20_000,
-		depth: 1,
-		retryAllowance: 0,
-		sizeClass: 'short',
-		idempotent: true,
-		policyVersion: 1,
-	};
-}
+import {createTestContext, startTestGuard, testPeerKey} from './fixtures.ts';
+import {type GuardTask} from './guard-task.ts';
 
 /** Handles the n-th request on a connection, from 0; `token` is the context that the request carried. */
 type Respond = (socket: net.Socket, index: number, token: string) => void;
@@ -59,28 +26,7 @@
 	await new Promise<void>(resolve => {
 		backend.listen(0, '127.0.0.1', resolve);
 	});
-	const guard = GuardTask.create(
-		{
-			identity,
-			backendPort: (backend.address() as AddressInfo).port,
-			peerKey,
-			logger: Logger.create('test', 'error'),
-			metrics: Metrics.create({}),
-			createAdmissionController: policy =>
-				createAdmissionController(policy, {readNowMs: readMonotonicMs}),
-		},
-		builtInVersion.document,
-	);
-	await guard.open({
-		listenerName: 'peer',
-		address: '127.0.0.1',
-		port: 0,
-		headerTimeoutMs: 5000,
-		requestTimeoutMs: 5000,
-		maxHeaderBytes: 16_384,
-		maxConnections: 100,
-		keepAliveMs: 1000,
-	});
+	const guard = await startTestGuard((backend.address() as AddressInfo).port);
 	t.teardown(async () => {
 		await guard.close();
 		backend.close();
@@ -91,10 +37,10 @@
 let attemptCount = 0;
 
 async function sendCall(guard: GuardTask): Promise<{status: number; outcome: unknown}> {
-	const context = createContext(`a-${attemptCount++}`);
+	const context = createTestContext(`a-${attemptCount++}`);
 	const headers = {
 		...(encodeContext(context) as Record<string, string>),
-		[headerNames.peerKey]: peerKey,
+		[headerNames.peerKey]: testPeerKey,
 	};
 	const answer = await request(`http://127.0.0.1:${guard.port}/`, {headers});
 	await answer.body.dump();
--- a/src/sidecar/discovery/fixtures.ts
+++ b/src/sidecar/discovery/fixtures.ts
@@ -1,5 +1,6 @@
 /** Test fixtures: a store in memory, and the store syncs of one data centre. */
 import {setTimeout as wait} from 'node:timers/promises';
+import {type ExecutionContext} from 'ava';
 import {err, ok, type Result} from 'neverthrow';
 import {Logger} from '../../reporting/logger.ts';
 import {testMember} from '../guard/fixtures.ts';
@@ -262,3 +263,26 @@
 
 	return performance.now() - startMs;
 }
+
+/** Time in which a fleet takes a change in calm. */
+const settleLimitMs = 4000;
+
+/** Starts a fleet and changes the configuration once, so that all calls that wait for changes begin together. */
+export async function startSettledFleet(
+	t: ExecutionContext,
+	size: number,
+): Promise<{store: MemoryStore; fleet: TestSidecar[]}> {
+	const store = MemoryStore.create();
+	store.write('operator', 'config', 'v1');
+	const fleet = startFleet(store, size);
+	t.teardown(() => {
+		for (const {sync} of fleet) {
+			sync.stop();
+		}
+	});
+	await measureSpread(fleet, 'v1', settleLimitMs);
+	await wait(2500);
+	store.write('operator', 'config', 'v2');
+	await measureSpread(fleet, 'v2', settleLimitMs);
+	return {store, fleet};
+}
--- a/src/sidecar/discovery/store-restore.test.ts
+++ b/src/sidecar/discovery/store-restore.test.ts
@@ -1,31 +1,12 @@
 /** Guards against sidecars that go on from what the store lost when it returned from an older copy (CONFIG). */
 import {setTimeout as wait} from 'node:timers/promises';
-import test, {type ExecutionContext} from 'ava';
+import test from 'ava';
 import {testMember} from '../guard/fixtures.ts';
-import {measureSpread, MemoryStore, startFleet, type TestSidecar} from './fixtures.ts';
+import {measureSpread, type MemoryStore, startSettledFleet} from './fixtures.ts';
 import {encodeMember} from './member-codec.ts';
 
 const boundMs = 4000;
 
-async function startSettledFleet(
-	t: ExecutionContext,
-	size: number,
-): Promise<{store: MemoryStore; fleet: TestSidecar[]}> {
-	const store = MemoryStore.create();
-	store.write('operator', 'config', 'v1');
-	const fleet = startFleet(store, size);
-	t.teardown(() => {
-		for (const {sync} of fleet) {
-			sync.stop();
-		}
-	});
-	await measureSpread(fleet, 'v1', boundMs);
-	await wait(2500);
-	store.write('operator', 'config', 'v2');
-	await measureSpread(fleet, 'v2', boundMs);
-	return {store, fleet};
-}
-
 function writeFiller(store: MemoryStore, count: number): void {
 	for (let index = 0; index < count; index++) {
 		store.write('other', `key-${index}`, 'text');
--- a/src/sidecar/discovery/view-staleness.test.ts
+++ b/src/sidecar/discovery/view-staleness.test.ts
@@ -1,29 +1,15 @@
 /** Guards against sidecars that go on with an outdated configuration while nobody hears from the store (CONFIG). */
 import {setTimeout as wait} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
-import {measureSpread, MemoryStore, startFleet, type TestSidecar} from './fixtures.ts';
+import {measureSpread, startSettledFleet} from './fixtures.ts';
 
 /** Time within which a change has to be in force on the standard sites, from the users' pages. */
 const configBoundMs = 2500;
 const settleLimitMs = 8000;
 
-async function startSettledFleet(
-	t: ExecutionContext,
-	size: number,
-): Promise<{store: MemoryStore; fleet: TestSidecar[]; watchers: TestSidecar[]}> {
-	const store = MemoryStore.create();
-	store.write('operator', 'config', 'v1');
-	const fleet = startFleet(store, size);
-	t.teardown(() => {
-		for (const {sync} of fleet) {
-			sync.stop();
-		}
-	});
-	await measureSpread(fleet, 'v1', settleLimitMs);
-	await wait(2500);
-	// Wakes all calls that wait for a change, so that they begin to wait at the same time.
-	store.write('operator', 'config', 'v2');
-	await measureSpread(fleet, 'v2', settleLimitMs);
+/** Starts a fleet whose calls have just begun to wait for changes, and tells which sidecars watch the store. */
+async function startWaitingFleet(t: ExecutionContext, size: number) {
+	const {store, fleet} = await startSettledFleet(t, size);
 	await wait(100);
 	return {store, fleet, watchers: fleet.filter(each => each.sync.isWatcher)};
 }
@@ -31,7 +17,7 @@
 for (const size of [5, 24, 175]) {
 	// CONFIG: followers were told that nothing had changed by watchers whose calls the store never answered.
 	test(`a change reaches ${size} sidecars in time while the calls of both watchers hang`, async t => {
-		const {store, fleet, watchers} = await startSettledFleet(t, size);
+		const {store, fleet, watchers} = await startWaitingFleet(t, size);
 		t.is(watchers.length, 2);
 		for (const watcher of watchers) {
 			watcher.isSilent = true;
@@ -45,7 +31,7 @@
 
 	// CONFIG: followers waited longer than the bound for watchers that had ended.
 	test(`a change reaches ${size} sidecars in time when both watchers have just ended`, async t => {
-		const {store, fleet, watchers} = await startSettledFleet(t, size);
+		const {store, fleet, watchers} = await startWaitingFleet(t, size);
 		for (const watcher of watchers) {
 			watcher.isStopped = true;
 			watcher.sync.stop();
