--- a/review/5/case.ts
+++ b/review/5/case.ts
@@ -1,29 +1,18 @@
-/** A server reads long uploads slowly, and the sidecar beside it holds them until it is killed for its memory. */
-import {readFileSync} from 'node:fs';
-import http from 'node:http';
+/** A machine is stopped, and clients use connections that they opened before once its sidecar has decided to end. */
+import net from 'node:net';
 import {setTimeout as wait} from 'node:timers/promises';
-import {createBody, sendRequest} from '../support/client.ts';
+import {once} from 'node:events';
 import {Deployment, type Machine, routeHost} from '../support/deployment.ts';
 import {type Case, type CaseRecord, runCase} from '../support/record.ts';
 
-/** `memory_mb` of the settings: a process that exceeds it is killed. */
-const memoryMb = 350;
-const memoryCheckMs = 50;
-const uploadBytes = 16 * 1024 * 1024;
-const pieceBytes = 256 * 1024;
-const pieceGapMs = 12;
-const slowBytesPerSecond = 1024 * 1024;
-const uploadersPerMachine = 2;
-const readers = 8;
-const lengthMs = 20_000;
-/** More requests than this may not be lost. */
-const maxLost = 3;
+const rounds = 6;
+/** When the clients send, after the signal. */
+const sendAtMs = [1280, 1320, 1360, 1400];
+const graceMs = 6000;
 
-type Progress = {isOver: boolean; mostMb: number; wasKilled: boolean};
-
-class MemoryCase implements Case {
-	static create(): MemoryCase {
-		return new MemoryCase();
+class StopCase implements Case {
+	static create(): StopCase {
+		return new StopCase();
 	}
 
 	#deployment: Deployment | undefined;
@@ -38,44 +27,42 @@
 			{service: 'atelier', type: 'non_idempotent'},
 		]);
 		this.#deployment = deployment;
-		const common = {slots: 112, workMs: 300, zone: 'est-a', region: 'qc-est'};
+		const common = {slots: 20, workMs: 400, zone: 'est-a', region: 'qc-est'};
 		const machines = await deployment.startMachines([
 			{name: 'm1', id: 'i-1', service: 'catalogue', ...common},
-			{name: 'm2', id: 'i-2', service: 'catalogue', ...common},
-			{name: 'm3', id: 'i-3', service: 'atelier', ...common},
+			{name: 'm2', id: 'i-2', service: 'atelier', ...common},
 		]);
-		const loaded = machines[2]!;
-		loaded.server.hasDigests = false;
-		if (hasTrouble) {
-			loaded.server.bodyPlan = {kind: 'slow', bytesPerSecond: slowBytesPerSecond};
-		}
-
-		const progress: Progress = {isOver: false, mostMb: 0, wasKilled: false};
-		const limiter = setInterval(() => {
-			limitMemory(record, loaded, progress);
-		}, memoryCheckMs);
-		const lost: string[] = [];
-		const work: Array<Promise<void>> = [];
-		for (let index = 0; index < readers; index++) {
-			work.push(sendReads(record, {machines, progress, lost, name: `read-${index}`}));
-		}
+		const violations: string[] = [];
+		for (let round = 0; round < rounds; round++) {
+			await wait(1000);
+			const child = machines[0]!.process!;
+			const requests = sendAtMs.map(async (delayMs, index) =>
+				sendOrder(record, machines[0]!, `order-${round}-${index}`, delayMs),
+			);
+			await wait(50);
+			if (hasTrouble) {
+				record.write('platform', 'SIGTERM to the sidecar of m1');
+				child.kill('SIGTERM');
+				await Promise.race([once(child, 'exit'), wait(graceMs)]);
+				child.kill('SIGKILL');
+			}
 
-		for (const machine of machines.slice(0, 2)) {
-			for (let index = 0; index < uploadersPerMachine; index++) {
-				work.push(sendUploads(record, machine, progress, `up-${machine.plan.name}-${index}`));
+			for (const outcome of await Promise.all(requests)) {
+				const wasBegun = machines[1]!.server.runs.some(({id}) => id === outcome.id);
+				if (!outcome.hasAnswer && wasBegun) {
+					violations.push(
+						`LOST: ${outcome.id} was passed on, and its connection ended without an answer`,
+					);
+				}
 			}
-		}
 
-		const endAtMs = performance.now() + lengthMs;
-		while (performance.now() < endAtMs && !progress.wasKilled) {
-			await wait(100);
+			if (hasTrouble) {
+				await deployment.startSidecar(machines[0]!);
+				await wait(2500);
+			}
 		}
 
-		progress.isOver = true;
-		await Promise.race([Promise.all(work), wait(6000)]);
-		clearInterval(limiter);
-		record.write('platform', `m3 used ${progress.mostMb.toFixed(0)} MB at most`);
-		return lost.length > maxLost ? lost : [];
+		return violations;
 	}
 
 	async stop(): Promise<void> {
@@ -83,115 +70,48 @@
 	}
 }
 
-/** Kills the process of a machine, as the platform does, if it uses more memory than it may. */
-function limitMemory(record: CaseRecord, machine: Machine, progress: Progress): void {
-	const {process: child, plan} = machine;
-	if (child === undefined || progress.wasKilled) {
-		return;
-	}
-
-	const status = readFileSync(`/proc/${child.pid}/status`, 'utf8');
-	const usedMb = Number(/VmRSS:\s+(\d+)/v.exec(status)?.[1] ?? 0) / 1024;
-	if (usedMb > progress.mostMb + 20) {
-		record.write('platform', `${plan.name} uses ${usedMb.toFixed(0)} MB`);
-		progress.mostMb = usedMb;
-	}
-
-	if (usedMb > memoryMb) {
-		record.write('platform', `${plan.name} uses more than ${memoryMb} MB and is killed`);
-		progress.wasKilled = true;
-		child.kill('SIGKILL');
-	}
-}
-
-/** Sends uploads one after the other, each with the speed of a common connection. */
-async function sendUploads(
+/** Opens a connection, and sends an order over it some time later. */
+async function sendOrder(
 	record: CaseRecord,
 	{ports}: Machine,
-	progress: Progress,
-	name: string,
-): Promise<void> {
-	for (let index = 0; !progress.isOver; index++) {
-		const id = `${name}-${index}`;
-		record.write('client', `sends POST /atelier/order ${id}: ${uploadBytes} bytes`);
-		const outcome = await sendUpload(ports.outbound, id);
-		record.write('client', `${id}: ${outcome}`);
-	}
-}
-
-async function sendUpload(port: number, id: string): Promise<string> {
-	const request = http.request({
-		host: '127.0.0.1',
-		port,
-		path: '/atelier/order',
-		method: 'POST',
-		agent: false,
-		headers: {
-			host: routeHost,
-			'x-attempt-id': id,
-			'x-deadline-ms': 5000,
-			'content-length': uploadBytes,
-		},
+	id: string,
+	delayMs: number,
+): Promise<{readonly id: string; readonly hasAnswer: boolean}> {
+	const socket = net.connect({host: '127.0.0.1', port: ports.outbound});
+	let received = '';
+	socket.setEncoding('latin1');
+	socket.on('data', (text: string) => {
+		received += text;
 	});
-	const sending = {isOver: false};
-	const outcome = new Promise<string>(resolve => {
-		const finish = (text: string) => {
-			sending.isOver = true;
-			resolve(text);
-		};
-
-		request.on('response', response => {
-			response.resume();
-			finish(`answered ${response.statusCode}`);
-		});
-		request.on('error', error => {
-			finish(error.message);
-		});
+	socket.on('error', error => {
+		record.write('client', `${id}: ${error.message}`);
 	});
-	for (let bytes = 0; bytes < uploadBytes && !sending.isOver; bytes += pieceBytes) {
-		request.write(createBody('u', pieceBytes));
-		await wait(pieceGapMs);
-	}
-
-	request.end();
-	const text = await outcome;
-	request.destroy();
-	return text;
-}
-
-/** Sends requests over one connection that is kept, from the loaded machine to sound servers of another service. */
-async function sendReads(
-	record: CaseRecord,
-	{
-		machines,
-		progress,
-		lost,
-		name,
-	}: {
-		readonly machines: readonly Machine[];
-		readonly progress: Progress;
-		readonly lost: string[];
-		readonly name: string;
-	},
-): Promise<void> {
-	const agent = new http.Agent({keepAlive: true, maxSockets: 1});
-	for (let index = 0; !progress.isOver; index++) {
-		const id = `${name}-${index}`;
-		try {
-			const port = machines[2]!.ports.outbound;
-			await sendRequest({port, path: '/catalogue/sheet', id, agent});
-		} catch (error) {
-			record.write('client at m3', `${id}: ${(error as Error).message}`);
-			const run = machines.flatMap(({server}) => server.runs).find(each => each.id === id);
-			if (index > 0 && run !== undefined) {
-				lost.push(`LOST: ${id} on a kept connection was passed on to ${run.server}, no answer`);
-			}
-
-			break;
+	const closed = once(socket, 'close').catch(() => undefined);
+	await wait(delayMs + 50);
+	record.write('client', `sends POST /atelier/order ${id} on an open connection`);
+	socket.write(
+		`POST /atelier/order HTTP/1.1\r\nHost: ${routeHost}\r\nX-Attempt-Id: ${id}\r\nX-Deadline-Ms: 5000\r\nContent-Length: 4\r\n\r\nbody`,
+	);
+	await Promise.race([closed, wait(5500), waitForAnswer()]);
+	const hasAnswer = isWhole(received);
+	record.write(
+		'client',
+		`${id}: ${hasAnswer ? received.slice(0, 12) : 'connection closed without an answer'}`,
+	);
+	socket.destroy();
+	return {id, hasAnswer};
+
+	async function waitForAnswer(): Promise<void> {
+		while (!isWhole(received) && !socket.destroyed) {
+			await wait(20);
 		}
 	}
+}
 
-	agent.destroy();
+function isWhole(received: string): boolean {
+	const [head, body = ''] = received.split('\r\n\r\n', 2) as [string, string | undefined];
+	const length = /content-length: (\d+)/iv.exec(head)?.[1];
+	return length !== undefined && body.length >= Number(length);
 }
 
-await runCase('review/5', MemoryCase.create());
+await runCase('review/5', StopCase.create());
--- a/review/support/deployment.ts
+++ b/review/support/deployment.ts
@@ -10,6 +10,7 @@
 import {RowStoreStandIn} from '../../platform/testing/row-store-stand-in.ts';
 import {sendRequest} from './client.ts';
 import {findFreePorts} from './ports.ts';
+import {ResettingProxy} from './proxy.ts';
 import {type CaseRecord} from './record.ts';
 import {BackendServer, type ServerPlan} from './server.ts';
 
@@ -23,7 +24,12 @@
 	readonly timeoutS?: number;
 };
 
-export type MachinePlan = ServerPlan & {readonly name: string; readonly region: string};
+export type MachinePlan = ServerPlan & {
+	readonly name: string;
+	readonly region: string;
+	/** Whether a proxy stands between the sidecar and the server. */
+	readonly hasProxy?: boolean;
+};
 
 type Ports = {
 	readonly outbound: number;
@@ -32,6 +38,8 @@
 	readonly control: number;
 	readonly metrics: number;
 	readonly app: number;
+	/** Where the server listens: `app`, or behind the proxy. */
+	readonly listen: number;
 };
 
 /** One machine: a sidecar process and the server beside it. */
@@ -42,6 +50,7 @@
 
 	process: ChildProcess | undefined;
 	settingsFile = '';
+	proxy: ResettingProxy | undefined;
 
 	private constructor(
 		readonly plan: MachinePlan,
@@ -110,17 +119,16 @@
 	async startMachines(plans: readonly MachinePlan[]): Promise<Machine[]> {
 		const added: Machine[] = [];
 		for (const plan of plans) {
-			const [outbound, inbound, ready, control, metrics, app] = (await findFreePorts(6)) as [
-				number,
-				number,
-				number,
-				number,
-				number,
-				number,
-			];
-			const ports = {outbound, inbound, ready, control, metrics, app};
-			const server = BackendServer.create(plan, {app, control}, this.record);
+			const [outbound = 0, inbound = 0, ready = 0, control = 0, metrics = 0, app = 0, behind = 0] =
+				await findFreePorts(7);
+			const listen = plan.hasProxy === true ? behind : app;
+			const ports = {outbound, inbound, ready, control, metrics, app, listen};
+			const server = BackendServer.create(plan, ports, this.record);
 			const machine = Machine.create(plan, ports, server);
+			if (plan.hasProxy === true) {
+				machine.proxy = await ResettingProxy.start(app, behind);
+			}
+
 			machine.settingsFile = path.join(this.folder, `${plan.name}.yaml`);
 			await mkdir(this.folder, {recursive: true});
 			await writeFile(machine.settingsFile, this.#formatSettings(machine));
@@ -182,13 +190,14 @@
 
 	/** Ends all processes and stand-ins. */
 	async stop(): Promise<void> {
-		for (const {process: child, server} of this.machines) {
+		for (const {process: child, server, proxy} of this.machines) {
 			if (child?.exitCode === null && child.signalCode === null) {
 				child.kill('SIGKILL');
 				await once(child, 'exit');
 			}
 
 			await server.stop();
+			proxy?.stop();
 		}
 
 		await this.store.stop();
--- a/review/support/server.ts
+++ b/review/support/server.ts
@@ -15,6 +15,13 @@
 	readonly workMs: number;
 };
 
+/** Ports of a server: the one that it names, the one on which it listens, and its sidecar's for reports. */
+export type ServerPorts = {
+	readonly app: number;
+	readonly listen: number;
+	readonly control: number;
+};
+
 /** One run of a request. */
 export type Run = {
 	readonly server: string;
@@ -39,11 +46,7 @@
 	| {readonly kind: 'slow'; readonly bytesPerSecond: number};
 
 export class BackendServer {
-	static create(
-		plan: ServerPlan,
-		ports: {readonly app: number; readonly control: number},
-		record: CaseRecord,
-	): BackendServer {
+	static create(plan: ServerPlan, ports: ServerPorts, record: CaseRecord): BackendServer {
 		return new BackendServer(plan, ports, record);
 	}
 
@@ -64,7 +67,7 @@
 
 	private constructor(
 		readonly plan: ServerPlan,
-		private readonly ports: {readonly app: number; readonly control: number},
+		private readonly ports: ServerPorts,
 		private readonly record: CaseRecord,
 	) {}
 
@@ -76,7 +79,7 @@
 			void this.#handle(request, response);
 		});
 		await new Promise<void>(resolve => {
-			this.#server!.listen(this.ports.app, '127.0.0.1', resolve);
+			this.#server!.listen(this.ports.listen, '127.0.0.1', resolve);
 		});
 		this.record.write(this.plan.id, 'started');
 		this.#timer = setInterval(() => {
