--- a/review/2/case.ts
+++ b/review/2/case.ts
@@ -5,8 +5,8 @@
 import {type Case, type CaseRecord, runCase} from '../support/record.ts';
 
 const bodyBytes = 12 * 1024 * 1024;
-const rounds = 4;
-const uploadsAtATime = 2;
+const rounds = 5;
+const uploadsAtATime = 3;
 const crashMs = 3000;
 /** One server of seven crashes, which is less than 0.15 of them. */
 const farServers = [3, 4, 5, 6, 7, 8];
