--- a/review/2/case.ts
+++ b/review/2/case.ts
@@ -4,9 +4,9 @@
 import {Deployment, type Machine} from '../support/deployment.ts';
 import {type Case, type CaseRecord, runCase} from '../support/record.ts';
 
-const bodyBytes = 12 * 1024 * 1024;
+/** Sizes of the uploads that are sent at a time. */
+const bodyBytes = [6, 12, 18].map(megabytes => megabytes * 1024 * 1024);
 const rounds = 5;
-const uploadsAtATime = 3;
 const crashMs = 3000;
 /** One server of seven crashes, which is less than 0.15 of them. */
 const farServers = [3, 4, 5, 6, 7, 8];
@@ -48,9 +48,9 @@
 			}
 
 			const uploads: Array<Promise<string[]>> = [];
-			for (let upload = 0; upload < uploadsAtATime; upload++) {
+			for (const [upload, bytes] of bodyBytes.entries()) {
 				const id = `up-${round}-${upload}`;
-				const body = createBody(String.fromCodePoint(97 + upload), bodyBytes);
+				const body = createBody(String.fromCodePoint(97 + upload), bytes);
 				uploads.push(sendUpload(record, machines, {id, body}));
 			}
 
--- a/review/4/case.ts
+++ b/review/4/case.ts
@@ -8,13 +8,13 @@
 const timeoutMs = 1000;
 /** An answer is due so long after the route's time-out. */
 const slackMs = 500;
-const bystanderGapMs = 100;
+const bystanderGapMs = 50;
 const orders = 60;
 /** The server garbles one of its answers, after fifty others. */
 const garbledOrder = 50;
 const orderGapMs = 60;
 /** A line of a head, as the server repeats it until its caller closes. */
-const garbledLine = `X-Pad: a${' '.repeat(60_000)}b\r\n`;
+const garbledLine = `X-Pad: a${' '.repeat(75_000)}b\r\n`;
 
 class GarbledHeadCase implements Case {
 	static create(): GarbledHeadCase {
