Accept waiting connections before new work, and refuse work that a busy sidecar has held

Cause: the event loop accepts one connection in each turn. From 0.74 s on the accept queue of sidecar-est-a-14 never became empty: turns of 10 ms, 10 accepts in 100 ms (a trial's log). A call on a new connection waited there up to its deadline, was read, sent at once, and its close read one turn later. Callers whose calls fail open further connections.

Change: an estimate of the wait in the accept queue from turns with and without an accept (scheduling/accept-queue); while connections wait, or have waited, work goes through the run queue and starts after they are accepted, every 20 ms at the latest. That moves the wait into the process, where callers that leave are seen. What has been held for 50 ms is refused by the guard ('busy', proof that it has not run), and the entry tries another server: each request that such a sidecar passes on brings it four further calls. Logs and metrics tell the wait for accepts, the length of the run queue and the refusals.

--- a/src/sidecar/entry/entry-context.ts
+++ b/src/sidecar/entry/entry-context.ts
@@ -11,6 +11,7 @@
 import {type Logger} from '../../reporting/logger.ts';
 import {type Quarantine} from '../quarantine/quarantine.ts';
 import {type RequestLog} from '../reporting/request-log.ts';
+import {type AcceptQueue} from '../scheduling/accept-queue.ts';
 import {type RunQueue} from '../scheduling/run-queue.ts';
 import {type HeadCodec, type Member} from '../types.ts';
 
@@ -26,6 +27,8 @@
 	readonly quarantine: Pick<Quarantine, 'has'>;
 	/** Starts requests, after further input was read when the event loop lags. */
 	readonly runQueue: Pick<RunQueue, 'submit'>;
+	/** Connections of callers that wait to be accepted. */
+	readonly acceptQueue: Pick<AcceptQueue, 'recordAccept'>;
 	readonly logger: Logger;
 	/** Routes of the active configuration; undefined until one is known. */
 	readRoutes(): RouteTable | undefined;
--- a/src/sidecar/entry/entry-server.ts
+++ b/src/sidecar/entry/entry-server.ts
@@ -46,6 +46,9 @@
 				this.#handleRequest(request, response);
 			});
 		});
+		this.#server.on('connection', () => {
+			this.ctx.acceptQueue.recordAccept();
+		});
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
 			if (socket.writable) {
 				const status = parserStatuses[error.code ?? ''] ?? '400 Bad Request';
--- a/src/sidecar/guard/guard.ts
+++ b/src/sidecar/guard/guard.ts
@@ -16,6 +16,8 @@
 const serviceTimeWeight = 0.03;
 const initialServiceMs = 50;
 const sweepIntervalMs = 100;
+/** A request that this process has held for longer is refused: another server can start it sooner. */
+const maxHeldMs = 50;
 /** Refusals of requests whose entry does not know the current announcement. */
 const outdatedViewReasons = new Set<RefusalReason>(['wrongServer', 'leaving', 'unreachable']);
 /** A request that is cancelled after this long without an answer suggests a dead connection. */
@@ -69,8 +71,12 @@
 		return this.#running + this.#queue.length;
 	}
 
-	/** Starts a request, queues it, or refuses it at once. */
-	submit(head: CallHead, body: Uint8Array, listener: ExchangeListener): Exchange {
+	/**
+	 * Starts a request, queues it, or refuses it at once.
+	 *
+	 * @param heldMs - time since the request was read, for which this process was busy with other work
+	 */
+	submit(head: CallHead, body: Uint8Array, listener: ExchangeListener, heldMs = 0): Exchange {
 		const reason = this.#findRefusal(head);
 		if (reason !== undefined) {
 			const isViewOutdated = this.#canFinish !== undefined || outdatedViewReasons.has(reason);
@@ -86,7 +92,9 @@
 		const nowMs = performance.now();
 		const isPaced = server.pacer.computeDelayMs(nowMs) > 0;
 		const ahead = this.#queue.countAhead(call);
-		if (this.#running < server.limit && this.#queue.length === 0 && !isPaced) {
+		if (heldMs > maxHeldMs) {
+			call.refuse('busy');
+		} else if (this.#running < server.limit && this.#queue.length === 0 && !isPaced) {
 			this.#start(call);
 		} else if (isPaced && !head.isPatient) {
 			call.refuse('limited');
--- a/src/sidecar/link/link-server.test.ts
+++ b/src/sidecar/link/link-server.test.ts
@@ -6,6 +6,7 @@
 import net from 'node:net';
 import {setTimeout as wait} from 'node:timers/promises';
 import test from 'ava';
+import {AcceptQueue} from '../scheduling/accept-queue.ts';
 import {createTestGuard, createTestHead, testAnswer, testIncarnation} from '../guard/fixtures.ts';
 import {encodeCall} from './codec.ts';
 import {createTestListener, findFreePorts, immediateQueue, testMetadata} from './fixtures.ts';
@@ -24,6 +25,7 @@
 			return testMetadata;
 		},
 		answerSync: () => '',
+		acceptQueue: AcceptQueue.create(),
 		runQueue: immediateQueue,
 		handleUnread: () => t.fail('the request was cancelled'),
 		handleInvalidFrame: reason => t.fail(reason),
@@ -68,6 +70,7 @@
 		incarnation: testIncarnation,
 		createMetadata: () => testMetadata,
 		answerSync: () => '',
+		acceptQueue: AcceptQueue.create(),
 		runQueue: immediateQueue,
 		handleUnread() {
 			// Counted by its reply.
--- a/src/sidecar/link/link-server.ts
+++ b/src/sidecar/link/link-server.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import net from 'node:net';
 import {type Guard} from '../guard/guard.ts';
+import {type AcceptQueue} from '../scheduling/accept-queue.ts';
 import {type RunQueue} from '../scheduling/run-queue.ts';
 import {type SocketAddress} from '../types.ts';
 import {type Exchange, type ExchangeListener} from './exchange.ts';
@@ -25,6 +26,8 @@
 	readonly incarnation: string;
 	/** Starts requests, after further input was read when the event loop lags. */
 	readonly runQueue: Pick<RunQueue, 'submit'>;
+	/** Connections of peers that wait to be accepted. */
+	readonly acceptQueue: Pick<AcceptQueue, 'recordAccept'>;
 	/** Creates the metadata of a reply to a request on a route from an instance of a service. */
 	createMetadata(route: string, callerService: string): ReplyMetadata;
 	/** Answers a peer's request for newer configuration and members. */
@@ -50,6 +53,7 @@
 
 	private constructor(options: LinkServerOptions) {
 		this.#server = net.createServer(socket => {
+			options.acceptQueue.recordAccept();
 			GuardLink.create(socket, options);
 			this.#sockets.add(socket);
 			socket.on('close', () => {
@@ -148,11 +152,15 @@
 	/** Passes a request to the guard, unless it was cancelled or the connection was lost meanwhile. */
 	#submitLater(head: CallHead, body: Uint8Array): void {
 		this.#unreadHead = head;
+		const readAtMs = performance.now();
 		const submit = () => {
-			if (this.#unreadHead === head) {
-				this.#unreadHead = undefined;
-				this.#exchange = this.options.guard.submit(head, body, this);
+			if (this.#unreadHead !== head) {
+				return;
 			}
+
+			this.#unreadHead = undefined;
+			const heldMs = performance.now() - readAtMs;
+			this.#exchange = this.options.guard.submit(head, body, this, heldMs);
 		};
 
 		// After the frames that were read together with this one.
--- a/src/sidecar/link/messages.ts
+++ b/src/sidecar/link/messages.ts
@@ -60,6 +60,8 @@
 	| 'unreachable'
 	| 'forgotten'
 	| 'stopping'
+	/** The sidecar is short of processor time and held the request for too long. */
+	| 'busy'
 	/** Servers have ended under such requests. */
 	| 'quarantined';
 
--- a/src/sidecar/link/unread-request.test.ts
+++ b/src/sidecar/link/unread-request.test.ts
@@ -3,6 +3,7 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import test, {type ExecutionContext} from 'ava';
 import {createTestGuard, createTestHead, testIncarnation} from '../guard/fixtures.ts';
+import {AcceptQueue} from '../scheduling/accept-queue.ts';
 import {createTestListener, findFreePorts, testMetadata} from './fixtures.ts';
 import {LinkPool} from './link-pool.ts';
 import {LinkServer} from './link-server.ts';
@@ -15,6 +16,7 @@
 	const server = LinkServer.create({
 		guard,
 		incarnation: testIncarnation,
+		acceptQueue: AcceptQueue.create(),
 		runQueue: {
 			submit(run) {
 				tasks.push(run);
@@ -77,3 +79,21 @@
 	tasks[0]!();
 	t.is(runs.length, 0);
 });
+
+// GONE: a sidecar that was short of processor time held requests until their callers had left.
+test('a request that was held for too long is refused, so that its entry can try another server', async t => {
+	const {pool, runs, tasks, waitForTask} = await startBusyGuard(t);
+	const refused = new Promise<string>(resolve => {
+		const listener = createTestListener({
+			handleRefusal({reason}) {
+				resolve(reason);
+			},
+		});
+		pool.open(createTestHead('one'), Buffer.alloc(0), listener);
+	});
+	await waitForTask();
+	await wait(70);
+	tasks[0]!();
+	t.is(await refused, 'busy');
+	t.is(runs.length, 0);
+});
--- a/src/sidecar/reporting/metrics-page.ts
+++ b/src/sidecar/reporting/metrics-page.ts
@@ -2,13 +2,13 @@
 import type http from 'node:http';
 import {type Logger} from '../../reporting/logger.ts';
 import {type GuardLoad} from '../link/messages.ts';
-import {type LoopLag} from '../scheduling/loop-lag.ts';
+import {type Scheduler} from '../scheduling/scheduler.ts';
 import {latencyBucketsMs, type RequestLog} from './request-log.ts';
 
 export type MetricsSource = {
 	readonly log: RequestLog;
 	readonly logger: Logger;
-	readonly lag: LoopLag;
+	readonly scheduler: Scheduler;
 	readLoad(): GuardLoad;
 	readConfigVersion(): number;
 	/** Era of the store, as it last answered. */
@@ -100,7 +100,27 @@
 		[
 			'primrosevalve_event_loop_lag_max_milliseconds',
 			'Longest delay of the event loop since the last page',
-			() => source.lag.collectMaxLagMs(performance.now()),
+			() => source.scheduler.lag.collectMaxLagMs(performance.now()),
+		],
+		[
+			'primrosevalve_accept_wait_max_milliseconds',
+			'Longest time that a caller may have waited for its connection to be accepted, since the last page',
+			() => source.scheduler.callerAcceptQueue.collectMaxWaitMs(),
+		],
+		[
+			'primrosevalve_link_accept_wait_max_milliseconds',
+			'Longest time that a peer may have waited for its connection to be accepted, since the last page',
+			() => source.scheduler.linkAcceptQueue.collectMaxWaitMs(),
+		],
+		[
+			'primrosevalve_guard_busy_total',
+			'Requests that were refused since the sidecar was too busy to start them in time',
+			() => source.log.busyCount,
+		],
+		[
+			'primrosevalve_run_queue_length',
+			'Requests that were read and have not been started, since input is read late',
+			() => source.scheduler.runQueue.length,
 		],
 		[
 			'primrosevalve_log_lines_dropped_total',
--- a/src/sidecar/reporting/request-log.test.ts
+++ b/src/sidecar/reporting/request-log.test.ts
@@ -1,7 +1,7 @@
 /** Guards against unbounded metric series: callers may request any number of paths without a route. */
 import test from 'ava';
 import {Logger} from '../../reporting/logger.ts';
-import {LoopLag} from '../scheduling/loop-lag.ts';
+import {Scheduler} from '../scheduling/scheduler.ts';
 import {RequestLog, type RequestRecord} from './request-log.ts';
 
 const record: RequestRecord = {
@@ -24,7 +24,7 @@
 };
 
 test('requests without a route share one counter', t => {
-	const log = RequestLog.create(Logger.create('test', 'error'), LoopLag.create());
+	const log = RequestLog.create(Logger.create('test', 'error'), Scheduler.create());
 	for (let index = 0; index < 1000; index++) {
 		log.recordRequest({...record, route: '', path: `/none/${index}`, status: 404});
 	}
--- a/src/sidecar/reporting/request-log.ts
+++ b/src/sidecar/reporting/request-log.ts
@@ -3,7 +3,7 @@
  * so that served requests don't displace the lines about failures.
  */
 import {type Logger} from '../../reporting/logger.ts';
-import {type LoopLag} from '../scheduling/loop-lag.ts';
+import {type Scheduler} from '../scheduling/scheduler.ts';
 
 /** Result of one request at the entry. */
 export type RequestRecord = {
@@ -80,10 +80,13 @@
 export class RequestLog {
 	/**
 	 * @example
-	 * const log = RequestLog.create(logger, lag);
+	 * const log = RequestLog.create(logger, scheduler);
 	 */
-	static create(logger: Logger, lag: Pick<LoopLag, 'readLagMs'>): RequestLog {
-		return new RequestLog(logger, lag);
+	static create(
+		logger: Logger,
+		scheduler: Pick<Scheduler, 'lag' | 'callerAcceptQueue'>,
+	): RequestLog {
+		return new RequestLog(logger, scheduler);
 	}
 
 	readonly counts = new Map<string, RequestCount>();
@@ -91,6 +94,8 @@
 	readonly cancelledCounts: Record<CancelledPhase, number> = {unread: 0, waiting: 0, running: 0};
 	/** Requests that the guard passed over to other servers, since its own names a limit. */
 	limitedCount = 0;
+	/** Requests that the guard refused since this process was too busy to start them in time. */
+	busyCount = 0;
 	/** Ends of the local server while it ran requests. */
 	crashCount = 0;
 	/** Lines dropped by the limits since the start. */
@@ -103,7 +108,7 @@
 
 	private constructor(
 		private readonly logger: Logger,
-		private readonly lag: Pick<LoopLag, 'readLagMs'>,
+		private readonly scheduler: Pick<Scheduler, 'lag' | 'callerAcceptQueue'>,
 	) {}
 
 	/** Counts and logs an end of the local server; each of the requests that ran may have caused it. */
@@ -127,7 +132,7 @@
 		const fields = {
 			...record,
 			tookMs: Math.round(record.tookMs),
-			loopLagMs: this.#readLoopLagMs(),
+			...this.#readInputDelays(),
 		};
 		if (isServed) {
 			this.logger.info(fields, 'request served');
@@ -144,9 +149,13 @@
 			return;
 		}
 
+		if (record.reason === 'busy') {
+			this.busyCount++;
+		}
+
 		if (this.#consumeGuardLine()) {
 			this.logger.warn(
-				{...record, loopLagMs: this.#readLoopLagMs()},
+				{...record, ...this.#readInputDelays()},
 				record.mayHaveRun
 					? 'request failed at the server and may have run'
 					: 'request refused by the guard',
@@ -159,16 +168,17 @@
 		const {requestId, route, callerService, afterMs, phase} = record;
 		this.cancelledCounts[phase]++;
 		if (this.#consumeGuardLine()) {
-			const loopLagMs = this.#readLoopLagMs();
-			this.logger.info(
-				{requestId, route, callerService, afterMs, phase, loopLagMs},
-				'request cancelled',
-			);
+			const fields = {requestId, route, callerService, afterMs, phase, ...this.#readInputDelays()};
+			this.logger.info(fields, 'request cancelled');
 		}
 	}
 
-	#readLoopLagMs(): number {
-		return Math.round(this.lag.readLagMs(performance.now()));
+	#readInputDelays(): {loopLagMs: number; acceptWaitMs: number} {
+		const {lag, callerAcceptQueue} = this.scheduler;
+		return {
+			loopLagMs: Math.round(lag.readLagMs(performance.now())),
+			acceptWaitMs: Math.round(callerAcceptQueue.readWaitMs()),
+		};
 	}
 
 	/** Counts a line of the guard against its limit and returns whether it may be logged. */
--- a/src/sidecar/scheduling/run-queue.test.ts
+++ b/src/sidecar/scheduling/run-queue.test.ts
@@ -5,10 +5,12 @@
 /** A run queue on a simulated event loop: `finishTurn` is what comes after the poll for input. */
 class LoopFixture {
 	isLagging = true;
+	readonly acceptQueue = {isPending: false, isLate: () => this.acceptQueue.isPending};
 	nowMs = 0;
 	readonly started: string[] = [];
 	readonly queue = RunQueue.create({
 		lag: {isLagging: () => this.isLagging},
+		acceptQueues: [this.acceptQueue],
 		schedule: run => {
 			this.#scheduled.push(run);
 		},
@@ -83,3 +85,38 @@
 	loop.finishTurn();
 	t.deepEqual(loop.started, ['two']);
 });
+
+// GONE: work started in the same turn as a connection was accepted, so that the others waited for half a second.
+test('connections are accepted before work starts', t => {
+	const loop = new LoopFixture();
+	loop.isLagging = false;
+	loop.acceptQueue.isPending = true;
+	loop.submit('one');
+	loop.finishTurn();
+	loop.nowMs += 5;
+	loop.finishTurn();
+	t.deepEqual(loop.started, []);
+	loop.acceptQueue.isPending = false;
+	loop.finishTurn();
+	t.deepEqual(loop.started, ['one']);
+});
+
+test('work starts every 20 ms while connections keep waiting', t => {
+	const loop = new LoopFixture();
+	loop.isLagging = false;
+	loop.acceptQueue.isPending = true;
+	for (const name of ['one', 'two', 'three']) {
+		loop.submit(name, 12);
+	}
+
+	loop.finishTurn();
+	loop.nowMs += 20;
+	loop.finishTurn();
+	t.deepEqual(loop.started, ['one', 'two']);
+	loop.nowMs += 19;
+	loop.finishTurn();
+	t.is(loop.started.length, 2);
+	loop.nowMs += 1;
+	loop.finishTurn();
+	t.is(loop.started.length, 3);
+});
--- a/src/sidecar/scheduling/run-queue.ts
+++ b/src/sidecar/scheduling/run-queue.ts
@@ -1,17 +1,24 @@
 /**
- * Run queue with time slices (cooperative scheduling): while the event loop lags, new work starts only after a
+ * Run queue with time slices (cooperative scheduling): while input is read late, new work starts only after a
  * further poll for input, and for a short time in each turn. What revokes the work, such as a closed connection or a
  * cancel frame, may lie behind it in the same socket or in another one, and is then read first.
+ *
+ * Connections that wait to be accepted go before new work, since the event loop accepts one in each turn.
  */
 
+import {type AcceptQueue} from './accept-queue.ts';
 import {type LoopLag} from './loop-lag.ts';
 
 /** Time for new work in each turn; between turns input is read, of which most ends work or revokes it. */
 const sliceMs = 20;
+/** Longest time between slices in which only connections are accepted. */
+const maxHoldMs = 20;
 
 export type RunQueueOptions = {
 	/** Tells whether input that is read now may have waited for long. */
 	readonly lag: Pick<LoopLag, 'isLagging'>;
+	/** Connections that wait at the listeners of this process. */
+	readonly acceptQueues?: ReadonlyArray<Pick<AcceptQueue, 'isLate' | 'isPending'>>;
 	/** Schedules a function after the poll for input of the current turn. */
 	readonly schedule?: (run: () => void) => void;
 	readonly readNowMs?: () => number;
@@ -27,15 +34,17 @@
 	 */
 	static create({
 		lag,
+		acceptQueues = [],
 		schedule = setImmediate,
 		readNowMs = () => performance.now(),
 	}: RunQueueOptions): RunQueue {
-		return new RunQueue({lag, schedule, readNowMs});
+		return new RunQueue({lag, acceptQueues, schedule, readNowMs});
 	}
 
 	readonly #tasks: QueuedTask[] = [];
 	#turn = 0;
 	#isScheduled = false;
+	#heldSinceMs = 0;
 
 	private constructor(private readonly options: Required<RunQueueOptions>) {}
 
@@ -44,17 +53,27 @@
 		return this.#tasks.length;
 	}
 
-	/** Runs a task at once, or after a further poll for input while the event loop lags. */
+	/** Runs a task at once, or after a further poll for input while input is read late. */
 	submit(run: () => void): void {
-		if (this.#tasks.length === 0 && !this.options.lag.isLagging(this.options.readNowMs())) {
-			run();
-			return;
+		if (this.#tasks.length === 0) {
+			const nowMs = this.options.readNowMs();
+			if (!this.#isInputLate(nowMs)) {
+				run();
+				return;
+			}
+
+			this.#heldSinceMs = nowMs;
 		}
 
 		this.#tasks.push({run, turn: this.#turn});
 		this.#scheduleSlice();
 	}
 
+	#isInputLate(nowMs: number): boolean {
+		const {lag, acceptQueues} = this.options;
+		return lag.isLagging(nowMs) || acceptQueues.some(queue => queue.isLate());
+	}
+
 	#scheduleSlice(): void {
 		if (!this.#isScheduled) {
 			this.#isScheduled = true;
@@ -68,7 +87,14 @@
 	#runSlice(): void {
 		// Tasks of the turn that ends here have not seen a further poll yet.
 		const endingTurn = this.#turn++;
-		const endsAtMs = this.options.readNowMs() + sliceMs;
+		const nowMs = this.options.readNowMs();
+		const hasWaitingConnections = this.options.acceptQueues.some(queue => queue.isPending);
+		if (hasWaitingConnections && nowMs - this.#heldSinceMs < maxHoldMs) {
+			this.#scheduleSlice();
+			return;
+		}
+
+		const endsAtMs = nowMs + sliceMs;
 		try {
 			while (this.#tasks.length > 0 && this.options.readNowMs() < endsAtMs) {
 				if (this.#tasks[0]!.turn === endingTurn) {
@@ -78,6 +104,7 @@
 				this.#tasks.shift()!.run();
 			}
 		} finally {
+			this.#heldSinceMs = this.options.readNowMs();
 			if (this.#tasks.length > 0) {
 				this.#scheduleSlice();
 			}
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -22,8 +22,7 @@
 import {type SidecarPlatform} from './sidecar-platform.ts';
 import {Quarantine} from './quarantine/quarantine.ts';
 import {RequestLog} from './reporting/request-log.ts';
-import {LoopLag} from './scheduling/loop-lag.ts';
-import {RunQueue} from './scheduling/run-queue.ts';
+import {Scheduler} from './scheduling/scheduler.ts';
 import {LocalServerManager} from './local-server-manager.ts';
 import {StopSequence} from './stop-sequence.ts';
 import {type Member, type SidecarSettings} from './types.ts';
@@ -54,15 +53,14 @@
 	readonly #stopSequence: StopSequence;
 	readonly #handleMember: (member: Member) => void;
 	readonly #views: ViewFactory;
-	readonly #lag = LoopLag.create();
-	readonly #runQueue = RunQueue.create({lag: this.#lag});
+	readonly #scheduler = Scheduler.create();
 	readonly #endpoints: Endpoints;
 	private constructor(
 		private settings: SidecarSettings,
 		private readonly platform: SidecarPlatform,
 		private readonly logger: Logger,
 	) {
-		this.#requestLog = RequestLog.create(logger, this.#lag);
+		this.#requestLog = RequestLog.create(logger, this.#scheduler);
 		this.#views = ViewFactory.create(settings, logger, () => this.#localServer.guard.readLoad());
 		this.#directory = Directory.create(member => this.#views.createView(member));
 		this.#quarantine = Quarantine.create(this.#directory, logger);
@@ -101,7 +99,7 @@
 	/** Starts all listeners and watches the store; callers are served once a configuration is known. */
 	async start(): Promise<void> {
 		const {instance, callerAddress, linkAddress} = this.settings;
-		this.#lag.start();
+		this.#scheduler.start();
 		this.#storeSync.start();
 		await Promise.all([this.#linkServer.listen(linkAddress), this.#entry.listen(callerAddress)]);
 		await this.#endpoints.start();
@@ -132,7 +130,7 @@
 		this.#localServer.close();
 		this.#views.close();
 		this.#endpoints.close();
-		this.#lag.stop();
+		this.#scheduler.stop();
 	}
 
 	#createActiveConfig(): ActiveConfig {
@@ -155,7 +153,7 @@
 			directory: this.#directory,
 			requestLog: this.#requestLog,
 			quarantine: this.#quarantine,
-			runQueue: this.#runQueue,
+			runQueue: this.#scheduler.runQueue,
 			readMetadataExchange: () => this.#metadata,
 			readConfig: () => this.#activeConfig.routes?.config,
 			handleAnnounced: () => {
@@ -233,7 +231,8 @@
 			costs,
 			log: this.#requestLog,
 			quarantine: this.#quarantine,
-			runQueue: this.#runQueue,
+			runQueue: this.#scheduler.runQueue,
+			acceptQueue: this.#scheduler.callerAcceptQueue,
 			logger: this.logger,
 			readRoutes: () => this.#activeConfig.routes,
 			readCallerService: () => this.#localServer.service ?? this.settings.service,
@@ -256,7 +255,8 @@
 			incarnation: this.#incarnation,
 			createMetadata: (route, callerService) => this.#metadata.createMetadata(route, callerService),
 			answerSync: createSyncHandler(this.#quarantine, this.#storeSync, this.#peerSync),
-			runQueue: this.#runQueue,
+			runQueue: this.#scheduler.runQueue,
+			acceptQueue: this.#scheduler.linkAcceptQueue,
 			handleUnread: head => {
 				this.#requestLog.recordCancellation({...head, afterMs: 0, phase: 'unread'});
 			},
@@ -286,7 +286,7 @@
 			metrics: {
 				log: this.#requestLog,
 				logger,
-				lag: this.#lag,
+				scheduler: this.#scheduler,
 				readLoad: () => this.#localServer.guard.readLoad(),
 				readConfigVersion: () => this.#activeConfig.version,
 				readStoreEra: () => this.#table.era,
