Leave out odd entries among seeds and gossip records in the daemon

A seed row that was no JSON threw from the query's callback and ended the start; a member record was checked for two texts only, so that a port out of range was used and an incarnation that is no safe integer could never be refuted. One decoder for gossip requests, responses and seed rows (membership/decode-messages) checks types and ranges; an odd record is left out, the others hold, and an odd seed row is logged.

--- a/src/daemon/control/control-client.ts
+++ b/src/daemon/control/control-client.ts
@@ -5,6 +5,7 @@
 import {httpLink} from '@trpc/client/links/httpLink';
 import {ResultAsync} from 'neverthrow';
 import {headerNames} from '../../call/headers.ts';
+import {decodeGossipResponse} from '../../membership/decode-messages.ts';
 import {type Endpoint, type GossipRequest, type GossipResponse} from '../../membership/messages.ts';
 import {createAgent} from '../../http/pool.ts';
 import {ControlError} from '../errors.ts';
@@ -51,7 +52,9 @@
 		timeoutMs: number,
 	): ResultAsync<GossipResponse, ControlError> {
 		const signal = AbortSignal.timeout(timeoutMs);
-		const response = this.#getClient(to).exchange.mutate(gossipRequest, {signal});
+		const response = this.#getClient(to)
+			.exchange.mutate(gossipRequest, {signal})
+			.then(value => decodeResponse(value));
 		return ResultAsync.fromPromise(response, error => convertError('exchange', error));
 	}
 
@@ -107,3 +110,13 @@
 function convertError(procedure: string, error: unknown): ControlError {
 	return ControlError.create(procedure, (error as Error).message);
 }
+
+/** @throws {Error} when the response is malformed; the exchange has then failed */
+function decodeResponse(value: unknown): GossipResponse {
+	const response = decodeGossipResponse(value);
+	if (response === undefined) {
+		throw new Error('gossip response is malformed');
+	}
+
+	return response;
+}
--- a/src/daemon/control/control-router.ts
+++ b/src/daemon/control/control-router.ts
@@ -2,6 +2,7 @@
  * Control procedures that daemons call on each other through trpc.
  */
 import {initTRPC} from '@trpc/server';
+import {decodeGossipRequest} from '../../membership/decode-messages.ts';
 import {type GossipRequest, type GossipResponse} from '../../membership/messages.ts';
 import {type PackedPolicy} from './packed-policy.ts';
 
@@ -13,8 +14,6 @@
 	readonly readPolicy: () => PackedPolicy;
 };
 
-const requestKinds: ReadonlySet<unknown> = new Set(['ping', 'probe', 'push', 'sync']);
-
 /** Path prefix of the procedures on the peer port. */
 export const controlPath = '/primrosevalve/control/';
 
@@ -36,21 +35,12 @@
 
 export type ControlRouter = ReturnType<typeof createControlRouter>;
 
-/**
- * Checks the common fields of a gossip request. The rest isn't validated: peers have proven that they
- * know the peer key, and run the same code.
- */
+/** @throws {Error} when the request is malformed, which trpc answers with status 400 */
 function parseGossipRequest(value: unknown): GossipRequest {
-	const request = value as Partial<GossipRequest> | undefined;
-	const isValid =
-		requestKinds.has(request?.kind) &&
-		typeof request?.from?.server === 'string' &&
-		typeof request.from.instanceId === 'string' &&
-		typeof request.policy?.version === 'number' &&
-		Array.isArray(request.deltas);
-	if (!isValid) {
+	const request = decodeGossipRequest(value);
+	if (request === undefined) {
 		throw new Error('gossip request is malformed');
 	}
 
-	return request as GossipRequest;
+	return request;
 }
--- a/src/daemon/control/control-task.ts
+++ b/src/daemon/control/control-task.ts
@@ -68,7 +68,13 @@
 	private constructor(private readonly options: ControlOptions) {
 		const {identity, peerPort, table, logger} = options;
 		this.#client = ControlClient.create(options.peerKey);
-		this.#seeds = SeedRows.create(table, () => Date.now());
+		this.#seeds = SeedRows.create(
+			table,
+			() => Date.now(),
+			sort => {
+				logger.warn({row: sort}, 'seed row holds no endpoint; left out');
+			},
+		);
 		this.#policySync = PolicySyncTask.create({
 			table,
 			logger,
--- a/src/daemon/control/seed-rows.ts
+++ b/src/daemon/control/seed-rows.ts
@@ -2,6 +2,7 @@
  * Seed rows of the platform's table: the endpoints through which a starting daemon finds its first peers.
  */
 import {type ResultAsync} from 'neverthrow';
+import {decodeEndpoint} from '../../membership/decode-messages.ts';
 import {type Endpoint} from '../../membership/messages.ts';
 import {type Member} from '../../membership/types.ts';
 import {type PlatformError} from '../../store/errors.ts';
@@ -13,16 +14,22 @@
 /** Reads and writes the seed rows. Only a few daemons of each data centre write one. */
 export class SeedRows {
 	/**
+	 * @param handleOddRow - called with the sort key of a row that holds no endpoint; the row is left out
 	 * @example
-	 * const seeds = SeedRows.create(table, () => Date.now());
+	 * const seeds = SeedRows.create(table, () => Date.now(), logOddRow);
 	 */
-	static create(table: Table, readTimeMs: () => number): SeedRows {
-		return new SeedRows(table, readTimeMs);
+	static create(
+		table: Table,
+		readTimeMs: () => number,
+		handleOddRow: (sort: string) => void,
+	): SeedRows {
+		return new SeedRows(table, readTimeMs, handleOddRow);
 	}
 
 	private constructor(
 		private readonly table: Table,
 		private readonly readTimeMs: () => number,
+		private readonly handleOddRow: (sort: string) => void,
 	) {}
 
 	/** Writes the seed row of a daemon; it expires after `seedTtlSeconds`. */
@@ -55,7 +62,12 @@
 		const endpoints: Endpoint[] = [];
 		for (const row of rows) {
 			if ((row.expiresAtSeconds ?? Number.POSITIVE_INFINITY) > nowSeconds) {
-				endpoints.push(JSON.parse(row.body) as Endpoint);
+				const endpoint = decodeEndpoint(row.body);
+				if (endpoint === undefined) {
+					this.handleOddRow(row.sort);
+				} else {
+					endpoints.push(endpoint);
+				}
 			}
 		}
 
