Use only entries in range: members, peer states, relays, summaries and frames

Cause and class: text from outside was checked for its type and not for its range, and decoded values were kept with all their fields, so that a deeply nested one overflowed the stack when it was sent on.

Change: one module of checks (sidecar/value-checks); members and peer states are read field by field, with ports, IP numbers, epochs, slots and lengths in range; relays, overload summaries, the heads of frames and the metadata of replies likewise.

--- a/src/sidecar/discovery/member-codec.ts
+++ b/src/sidecar/discovery/member-codec.ts
@@ -1,7 +1,15 @@
 /** Encodes and decodes announcements for the shared table and for peers. */
 import {type Member, type MemberState} from '../types.ts';
+import {
+	isName,
+	isRecord,
+	isSlotCount,
+	isSocketAddress,
+	isTimeMs,
+	type UnknownFields,
+} from '../value-checks.ts';
 
-const states = new Set<MemberState>(['ready', 'leaving', 'down']);
+const states = new Set<unknown>(['ready', 'leaving', 'down'] satisfies MemberState[]);
 
 export function encodeMember(member: Member): string {
 	return JSON.stringify(member);
@@ -11,6 +19,8 @@
  * Decodes an announcement.
  *
  * @returns undefined when the text is not an announcement, for example a row left by another writer
+ * @example
+ * const member = decodeMember(row.value);
  */
 export function decodeMember(text: string): Member | undefined {
 	let value: unknown;
@@ -20,30 +30,51 @@
 		return undefined;
 	}
 
-	return isMember(value) ? value : undefined;
+	return readMember(value);
 }
 
-/** Checks whether a decoded value is an announcement. */
-export function isMember(value: unknown): value is Member {
-	if (typeof value !== 'object' || value === null) {
-		return false;
+/**
+ * Reads an announcement from a decoded value, with its known fields only.
+ *
+ * @returns undefined when a field has the wrong type or is out of range
+ */
+export function readMember(value: unknown): Member | undefined {
+	if (!isRecord(value)) {
+		return undefined;
+	}
+
+	const {instance, link, dataCentre, region, service, serverId, slots, state, epoch} =
+		value as UnknownFields<Member>;
+	const {serverStartMs, leftStartMs, isDraining} = value as UnknownFields<Member>;
+	if (
+		!isName(instance) ||
+		!isSocketAddress(link) ||
+		!isName(dataCentre) ||
+		!isName(region) ||
+		!isName(service) ||
+		!isName(serverId) ||
+		!isSlotCount(slots) ||
+		!states.has(state) ||
+		!isTimeMs(epoch) ||
+		!(serverStartMs === undefined || isTimeMs(serverStartMs)) ||
+		!(leftStartMs === undefined || isTimeMs(leftStartMs)) ||
+		!(isDraining === undefined || typeof isDraining === 'boolean')
+	) {
+		return undefined;
 	}
 
-	const member = value as Partial<Record<keyof Member, unknown>>;
-	const link = member.link as Partial<Member['link']> | undefined;
-	return (
-		typeof member.instance === 'string' &&
-		typeof link?.host === 'string' &&
-		typeof link.port === 'number' &&
-		typeof member.dataCentre === 'string' &&
-		typeof member.region === 'string' &&
-		typeof member.service === 'string' &&
-		typeof member.serverId === 'string' &&
-		typeof member.slots === 'number' &&
-		typeof member.epoch === 'number' &&
-		(member.serverStartMs === undefined || typeof member.serverStartMs === 'number') &&
-		(member.leftStartMs === undefined || typeof member.leftStartMs === 'number') &&
-		(member.isDraining === undefined || typeof member.isDraining === 'boolean') &&
-		states.has(member.state as MemberState)
-	);
+	return {
+		instance,
+		link: {host: link.host, port: link.port},
+		dataCentre,
+		region,
+		service,
+		serverId,
+		slots,
+		state: state as MemberState,
+		epoch,
+		...(serverStartMs !== undefined && {serverStartMs}),
+		...(leftStartMs !== undefined && {leftStartMs}),
+		...(isDraining !== undefined && {isDraining}),
+	};
 }
--- a/src/sidecar/discovery/peer-state.ts
+++ b/src/sidecar/discovery/peer-state.ts
@@ -1,6 +1,7 @@
 /** Messages in which sidecars synchronize configuration and members, as JSON. */
 import {type Member} from '../types.ts';
-import {isMember} from './member-codec.ts';
+import {isConfigVersion, isName, isRecord, type UnknownFields} from '../value-checks.ts';
+import {readMember} from './member-codec.ts';
 
 export type PeerState = {
 	/** Version of the sender's configuration. */
@@ -28,8 +29,7 @@
  * @returns undefined when the text is not a valid response; it must then change nothing
  */
 export function decodePeerState(text: string): PeerState | undefined {
-	const value = parseJson(text);
-	return isPeerState(value) ? value : undefined;
+	return readPeerState(parseJson(text));
 }
 
 /**
@@ -38,12 +38,16 @@
  * @returns undefined when the text is not a valid request; it must then change nothing
  */
 export function decodeSyncRequest(text: string): SyncRequest | undefined {
-	const value = parseJson(text) as Partial<SyncRequest> | undefined;
-	const isRequest =
-		typeof value?.wantsMembers === 'boolean' &&
-		typeof value.from === 'string' &&
-		isPeerState(value.state);
-	return isRequest ? (value as SyncRequest) : undefined;
+	const value = parseJson(text);
+	if (!isRecord(value)) {
+		return undefined;
+	}
+
+	const {wantsMembers, from} = value as UnknownFields<SyncRequest>;
+	const state = readPeerState(value.state);
+	return typeof wantsMembers === 'boolean' && isName(from) && state !== undefined
+		? {wantsMembers, from, state}
+		: undefined;
 }
 
 function parseJson(text: string): unknown {
@@ -54,17 +58,51 @@
 	}
 }
 
-function isPeerState(value: unknown): value is PeerState {
-	if (typeof value !== 'object' || value === null) {
-		return false;
+function readPeerState(value: unknown): PeerState | undefined {
+	if (!isRecord(value)) {
+		return undefined;
 	}
 
-	const {version, config, own, known, members} = value as Partial<Record<keyof PeerState, unknown>>;
-	return (
-		typeof version === 'number' &&
+	const {version, config, own, known, members} = value as UnknownFields<PeerState>;
+	const isValid =
+		isConfigVersion(version) &&
 		(config === undefined || typeof config === 'string') &&
-		(own === undefined || isMember(own)) &&
-		(known === undefined || isMember(known)) &&
-		(members === undefined || (Array.isArray(members) && members.every(each => isMember(each))))
-	);
+		(members === undefined || Array.isArray(members));
+	if (!isValid) {
+		return undefined;
+	}
+
+	const ownMember = own === undefined ? undefined : readMember(own);
+	const knownMember = known === undefined ? undefined : readMember(known);
+	const listed = members === undefined ? undefined : readMembers(members);
+	if (
+		(own !== undefined && ownMember === undefined) ||
+		(known !== undefined && knownMember === undefined) ||
+		(members !== undefined && listed === undefined)
+	) {
+		return undefined;
+	}
+
+	return {
+		version,
+		...(config !== undefined && {config}),
+		...(ownMember !== undefined && {own: ownMember}),
+		...(knownMember !== undefined && {known: knownMember}),
+		...(listed !== undefined && {members: listed}),
+	};
+}
+
+/** Reads a list of members; undefined if one of them is invalid. */
+function readMembers(values: readonly unknown[]): Member[] | undefined {
+	const members: Member[] = [];
+	for (const value of values) {
+		const member = readMember(value);
+		if (member === undefined) {
+			return undefined;
+		}
+
+		members.push(member);
+	}
+
+	return members;
 }
--- a/src/sidecar/discovery/relay-message.ts
+++ b/src/sidecar/discovery/relay-message.ts
@@ -1,4 +1,5 @@
 /** Messages in which a watcher passes on what it read from the store and collects overload summaries, as JSON. */
+import {isCount, isDurationMs} from '../value-checks.ts';
 import {isOverloadSummary, type OverloadSummary} from '../overload/overload-summary.ts';
 import {type Row, type StorePosition, type TableName} from '../shared-table.ts';
 import {type PositionRange} from './table-position.ts';
@@ -98,11 +99,7 @@
 }
 
 function isAge(value: unknown): boolean {
-	return value === undefined || (typeof value === 'number' && value >= 0);
-}
-
-function isCount(value: unknown): boolean {
-	return Number.isSafeInteger(value) && (value as number) >= 0;
+	return value === undefined || isDurationMs(value);
 }
 
 function isRow(value: unknown): value is Row {
@@ -112,8 +109,6 @@
 
 	const {key, value: text, version} = value as Partial<Record<keyof Row, unknown>>;
 	return (
-		typeof key === 'string' &&
-		(text === undefined || typeof text === 'string') &&
-		typeof version === 'number'
+		typeof key === 'string' && (text === undefined || typeof text === 'string') && isCount(version)
 	);
 }
--- a/src/sidecar/entry/attempt.ts
+++ b/src/sidecar/entry/attempt.ts
@@ -6,6 +6,7 @@
  */
 import {type MemberView} from '../discovery/member-view.ts';
 import {type Guard} from '../guard/guard.ts';
+import {maxDurationMs} from '../value-checks.ts';
 import {type Exchange} from '../link/exchange.ts';
 import {type LinkExchange, type LinkListener} from '../link/link.ts';
 import {
@@ -242,7 +243,10 @@
 	/** Replaces the link when no answer has begun after an unusually long time. */
 	#startSilenceTimer(slotTimeMs: number): void {
 		const expectedLatencyMs = Math.max(slotTimeMs, this.view.latencyMs);
-		const silenceMs = Math.max(minSilenceMs, expectedLatencyMs * silenceFactor);
+		const silenceMs = Math.min(
+			maxDurationMs,
+			Math.max(minSilenceMs, expectedLatencyMs * silenceFactor),
+		);
 		clearTimeout(this.#timer);
 		this.#timer = setTimeout(() => {
 			const {transport} = this.view;
--- a/src/sidecar/link/codec.ts
+++ b/src/sidecar/link/codec.ts
@@ -2,7 +2,9 @@
  * Encodes the heads of frames as JSON arrays without field names: each request sends two heads over
  * links that are billed by volume.
  */
-import {type Member, type RawHeaders} from '../types.ts';
+import {readMember} from '../discovery/member-codec.ts';
+import {type RawHeaders} from '../types.ts';
+import {isCount, isDurationMs, isNumberUpTo, type UnknownFields} from '../value-checks.ts';
 import {type ServerEnd, serverEnds} from '../quarantine/server-end.ts';
 import {type Frame, frameTypes} from './frames.ts';
 import {decodeMetadata, type EncodedMetadata, encodeMetadata} from './metadata-codec.ts';
@@ -13,6 +15,7 @@
 	type RefusalHead,
 	type RefusalReason,
 	type ReplyMetadata,
+	type ResumeHead,
 } from './messages.ts';
 
 /** Encodes an answer's head together with the reply metadata. */
@@ -34,6 +37,10 @@
 		number,
 		EncodedMetadata,
 	];
+	if (!isNumberUpTo(status, 999) || !isTextList(headers) || !isCount(flags)) {
+		throw new TypeError('an answer with a value of the wrong type or out of range');
+	}
+
 	return {
 		head: {
 			status,
@@ -51,13 +58,9 @@
 }
 
 export function decodeRefusal(text: string): {head: RefusalHead; metadata: ReplyMetadata} {
-	const [reason, member, metadata] = JSON.parse(text) as [
-		RefusalReason,
-		Member | undefined,
-		EncodedMetadata,
-	];
+	const [reason, member, metadata] = JSON.parse(text) as [RefusalReason, unknown, EncodedMetadata];
 	return {
-		head: {reason, member: member ?? undefined},
+		head: {reason, member: readMember(member)},
 		metadata: decodeMetadata(metadata),
 	};
 }
@@ -134,6 +137,21 @@
 	}
 }
 
+/** @throws {TypeError} when the text is no valid head */
+export function decodeResume(text: string): ResumeHead {
+	const {nonce, route, callerService, incarnation} = JSON.parse(text) as UnknownFields<ResumeHead>;
+	if (
+		typeof nonce !== 'string' ||
+		typeof route !== 'string' ||
+		typeof callerService !== 'string' ||
+		typeof incarnation !== 'string'
+	) {
+		throw new TypeError('a resume with a value of the wrong type');
+	}
+
+	return {nonce, route, callerService, incarnation};
+}
+
 type EncodedCall = [
 	nonce: string,
 	requestId: string,
@@ -188,6 +206,18 @@
 		serverLimitPerSecond,
 		digest,
 	] = JSON.parse(text) as EncodedCall;
+	const texts = [nonce, requestId, method, path, service, serverId, callerService, route, digest];
+	if (
+		!isTextList(texts) ||
+		!isTextList(headers) ||
+		!isDurationMs(remainingMs) ||
+		!isCount(flags) ||
+		!isCount(priority) ||
+		!isNumberUpTo(serverLimitPerSecond, Number.MAX_SAFE_INTEGER)
+	) {
+		throw new TypeError('a request with a value of the wrong type or out of range');
+	}
+
 	return {
 		nonce,
 		requestId,
@@ -206,6 +236,10 @@
 	};
 }
 
+function isTextList(value: unknown): value is string[] {
+	return Array.isArray(value) && value.every(each => typeof each === 'string');
+}
+
 /** Flags of a call, encoded as a bit field with the first flag in the lowest bit. */
 type CallFlags = Pick<CallHead, 'isOnce' | 'isWhole' | 'isNested' | 'isPatient'>;
 
--- a/src/sidecar/link/link-server.ts
+++ b/src/sidecar/link/link-server.ts
@@ -8,14 +8,13 @@
 import {type Exchange, type ExchangeListener} from './exchange.ts';
 import {type Frame, frameTypes} from './frames.ts';
 import {FrameSocket} from './frame-socket.ts';
-import {decodeCall, encodeAnswer, encodeFailure, encodeRefusal} from './codec.ts';
+import {decodeCall, decodeResume, encodeAnswer, encodeFailure, encodeRefusal} from './codec.ts';
 import {
 	type AnswerHead,
 	type CallHead,
 	type FailureHead,
 	type RefusalHead,
 	type ReplyMetadata,
-	type ResumeHead,
 } from './messages.ts';
 
 /** Length of the accept queue; a full queue delays new connections by seconds. */
@@ -233,7 +232,7 @@
 			}
 
 			case frameTypes.resume: {
-				const head = JSON.parse(frame.head) as ResumeHead;
+				const head = decodeResume(frame.head);
 				this.#setRequest(head);
 				this.#exchange = this.options.guard.resume(head.nonce, head.incarnation, this);
 				break;
--- a/src/sidecar/link/metadata-codec.ts
+++ b/src/sidecar/link/metadata-codec.ts
@@ -1,6 +1,7 @@
 /** Encodes the metadata of replies as JSON arrays without field names. */
 import {type Cost, type CostVector} from '../overload/cost-table.ts';
 import {type KnownLimit} from '../types.ts';
+import {isConfigVersion, isCount, isDurationMs, isName, isNumberUpTo} from '../value-checks.ts';
 import {type OverloadReport, type ReplyMetadata} from './messages.ts';
 
 type EncodedOverloadReport = [
@@ -110,7 +111,18 @@
 	return Math.round(share * 1000) / 1000;
 }
 
+/** Requests a second beyond what a server can name. */
+const maxPerSecond = 1_000_000_000;
+/** More calls than one request makes. */
+const maxCalls = 1_000_000;
+
+/**
+ * Decodes the metadata of a reply.
+ *
+ * @throws {TypeError} when a value has the wrong type or is out of range; nothing of it may be used then
+ */
 export function decodeMetadata(encoded: EncodedMetadata): ReplyMetadata {
+	assertMetadata(encoded);
 	const [running, waiting, limit, configVersion, reports, costs, isNested, perSecond, fill] =
 		encoded;
 	const overloadReports: OverloadReport[] = [];
@@ -126,3 +138,47 @@
 		isNested: isNested === 2 ? undefined : isNested === 1,
 	};
 }
+
+function assertMetadata(encoded: EncodedMetadata): void {
+	const [running, waiting, limit, configVersion, reports, costs, isNested, perSecond, fill] =
+		encoded;
+	const isValid =
+		isCount(running) &&
+		isCount(waiting) &&
+		isCount(limit) &&
+		isConfigVersion(configVersion) &&
+		Array.isArray(reports) &&
+		reports.every(report => isReport(report)) &&
+		(costs === 0 || (Array.isArray(costs) && costs.every(cost => isCost(cost)))) &&
+		isNumberUpTo(isNested, 2) &&
+		(perSecond === -1 || isNumberUpTo(perSecond, maxPerSecond)) &&
+		isNumberUpTo(fill, Number.MAX_SAFE_INTEGER);
+	if (!isValid) {
+		throw new TypeError('metadata with a value of the wrong type or out of range');
+	}
+}
+
+function isReport(report: unknown): report is EncodedOverloadReport {
+	if (!Array.isArray(report)) {
+		return false;
+	}
+
+	const [instance, service, region, openShare, repeatableShare, ageMs] = report as unknown[];
+	return (
+		isName(instance) &&
+		isName(service) &&
+		isName(region) &&
+		isNumberUpTo(openShare, 1) &&
+		isNumberUpTo(repeatableShare, 1) &&
+		isDurationMs(ageMs)
+	);
+}
+
+function isCost(cost: unknown): cost is EncodedCosts[number] {
+	if (!Array.isArray(cost)) {
+		return false;
+	}
+
+	const [service, slotMs, calls] = cost as unknown[];
+	return isName(service) && isDurationMs(slotMs) && isNumberUpTo(calls, maxCalls);
+}
--- a/src/sidecar/overload/cost-table.ts
+++ b/src/sidecar/overload/cost-table.ts
@@ -23,6 +23,9 @@
 const minCostMs = 1;
 /** Call chains are at most this deep; a vector with more services comes from a call loop. */
 const maxServices = 12;
+/** Costs beyond these come from a call loop too, in which they grow with each report. */
+const maxSlotMs = 600_000;
+const maxCalls = 10_000;
 
 export class CostTable {
 	/**
@@ -98,7 +101,8 @@
 				const known = costs.get(callService);
 				const slotMs = (known?.slotMs ?? 0) + ratio * cost.slotMs;
 				const calls = (known?.calls ?? 0) + ratio * cost.calls;
-				if (slotMs >= minCostMs && (known !== undefined || costs.size < maxServices)) {
+				const isBounded = slotMs <= maxSlotMs && calls <= maxCalls;
+				if (isBounded && slotMs >= minCostMs && (known !== undefined || costs.size < maxServices)) {
 					costs.set(callService, {slotMs, calls});
 				}
 			}
--- a/src/sidecar/overload/overload-summary.ts
+++ b/src/sidecar/overload/overload-summary.ts
@@ -6,6 +6,7 @@
  * are nested calls, or what they cost an overloaded service. All sidecars of a data centre together see enough.
  */
 import {type OverloadReport} from '../link/messages.ts';
+import {isCount, isDurationMs, isName, isNumberUpTo, isRecord} from '../value-checks.ts';
 import {type Cost, type CostVector} from './cost-table.ts';
 
 /** Requests of callers on one route that the entries receive. */
@@ -115,42 +116,40 @@
 
 	const {demands, costs, origins, reports} = value as Record<keyof OverloadSummary, unknown>;
 	return (
-		isListOf(demands, {
-			route: 'string',
-			service: 'string',
-			priority: 'number',
-			perSecond: 'number',
-		}) &&
-		isListOf(costs, {route: 'string', service: 'string'}) &&
+		isListOf(demands, {route: isName, service: isName, priority: isCount, perSecond: isAmount}) &&
+		isListOf(costs, {route: isName, service: isName}) &&
 		costs.every(each =>
 			isListOf((each as Partial<RouteCosts>).costs, {
-				service: 'string',
-				slotMs: 'number',
-				calls: 'number',
+				service: isName,
+				slotMs: isDurationMs,
+				calls: isAmount,
 			}),
 		) &&
-		isListOf(origins, {route: 'string', callerService: 'string', isNested: 'boolean'}) &&
+		isListOf(origins, {route: isName, callerService: isName, isNested: isFlag}) &&
 		isListOf(reports, {
-			instance: 'string',
-			service: 'string',
-			region: 'string',
-			openShare: 'number',
-			repeatableShare: 'number',
-			ageMs: 'number',
+			instance: isName,
+			service: isName,
+			region: isName,
+			openShare: isShare,
+			repeatableShare: isShare,
+			ageMs: isDurationMs,
 		})
 	);
 }
 
-function isListOf(value: unknown, fields: Readonly<Record<string, string>>): value is unknown[] {
+const isAmount = (value: unknown) => isNumberUpTo(value, Number.MAX_SAFE_INTEGER);
+const isShare = (value: unknown) => isNumberUpTo(value, 1);
+const isFlag = (value: unknown) => typeof value === 'boolean';
+
+function isListOf(
+	value: unknown,
+	fields: Readonly<Record<string, (field: unknown) => boolean>>,
+): value is unknown[] {
 	return (
 		Array.isArray(value) &&
 		value.every(
 			(each: unknown) =>
-				typeof each === 'object' &&
-				each !== null &&
-				Object.entries(fields).every(
-					([name, type]) => typeof (each as Record<string, unknown>)[name] === type,
-				),
+				isRecord(each) && Object.entries(fields).every(([name, isValid]) => isValid(each[name])),
 		)
 	);
 }
--- /dev/null
+++ b/src/sidecar/value-checks.ts
@@ -0,0 +1,70 @@
+/** Checks of decoded values: what another process wrote is used only if its type and its range are right. */
+import net from 'node:net';
+import {type SocketAddress} from './types.ts';
+
+/** Longest name in a row or message; the store's keys are shorter. */
+const maxNameLength = 400;
+/** Latest time that counts as one: the end of the year 9999, in Unix milliseconds. */
+const maxTimeMs = 253_402_300_799_999;
+const maxPort = 65_535;
+/** More slots than a server can have. */
+const maxSlots = 1_000_000;
+/** Longest duration that a timer can wait for. */
+export const maxDurationMs = 2_147_483_647;
+
+export type UnknownFields<T> = Partial<Record<keyof T, unknown>>;
+
+/**
+ * Whether a value is an object whose fields can be read.
+ *
+ * @example
+ * isRecord(JSON.parse('[1]')); // true; each field is then checked
+ */
+export function isRecord(value: unknown): value is Readonly<Record<string, unknown>> {
+	return typeof value === 'object' && value !== null;
+}
+
+/** Whether a value is a text that is short enough to be a name. */
+export function isName(value: unknown): value is string {
+	return typeof value === 'string' && value.length <= maxNameLength;
+}
+
+/** Whether a value is a whole number from 0 that is exact, such as a version. */
+export function isCount(value: unknown): value is number {
+	return Number.isSafeInteger(value) && (value as number) >= 0;
+}
+
+/** Whether a value is the version of a configuration; -1 stands for none. */
+export function isConfigVersion(value: unknown): value is number {
+	return value === -1 || isCount(value);
+}
+
+/** Whether a value is a number from 0 to a maximum. */
+export function isNumberUpTo(value: unknown, max: number): value is number {
+	return typeof value === 'number' && value >= 0 && value <= max;
+}
+
+export function isDurationMs(value: unknown): value is number {
+	return isNumberUpTo(value, maxDurationMs);
+}
+
+export function isSlotCount(value: unknown): value is number {
+	return isCount(value) && value <= maxSlots;
+}
+
+/** Whether a value is a time in Unix milliseconds, or an epoch, which follows these. */
+export function isTimeMs(value: unknown): value is number {
+	return isCount(value) && value <= maxTimeMs;
+}
+
+/** Whether a value is the address of a socket, by IP number. */
+export function isSocketAddress(value: unknown): value is SocketAddress {
+	if (!isRecord(value)) {
+		return false;
+	}
+
+	const {host, port} = value;
+	return (
+		typeof host === 'string' && net.isIP(host) !== 0 && isCount(port) && port > 0 && port <= maxPort
+	);
+}
