Use a member less for 300 ms after its sidecar was busy

The member now counts as fully used on top of its use for 300 ms, so that the other region's servers get what these have no processor time for.

--- a/src/sidecar/discovery/member-view.test.ts
+++ b/src/sidecar/discovery/member-view.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import {DrainPlan} from '../drain-plan.ts';
 import {testMember} from '../guard/fixtures.ts';
+import {type LinkPool} from '../link/link-pool.ts';
 import {distances, MemberView} from './member-view.ts';
 
 const transport = {
@@ -44,3 +45,19 @@
 	view.update({...testMember, state: 'leaving', leftStartMs: 1});
 	t.false(view.isAvailable(nowMs, 10));
 });
+
+// GONE: a sidecar that was short of processor time got more requests than it could pass on in time.
+test('a member whose sidecar was busy is used less for 300 ms', t => {
+	const pool = {
+		open: () => t.fail(),
+		resume: () => t.fail(),
+		sync: async () => undefined,
+		closeIdleBefore: () => t.fail(),
+	} as unknown as LinkPool;
+	const view = MemberView.create(testMember, {kind: 'link', pool}, distances.region);
+	const usualUtilization = view.estimateUtilization(1000);
+	view.recordRefusal('busy', true, 1000);
+	t.true(view.isAvailable(1000));
+	t.is(view.estimateUtilization(1299), usualUtilization + 1);
+	t.is(view.estimateUtilization(1300), usualUtilization);
+});
--- a/src/sidecar/discovery/member-view.ts
+++ b/src/sidecar/discovery/member-view.ts
@@ -1,7 +1,7 @@
 /** One backend server as seen by this entry: its announcement, its load and the results of requests. */
 import {computeBurst} from '../guard/request-pacer.ts';
 import {type DrainPlan} from '../drain-plan.ts';
-import {type GuardLoad, type GuardPace} from '../link/messages.ts';
+import {type GuardLoad, type GuardPace, type RefusalReason} from '../link/messages.ts';
 import {type LinkPool} from '../link/link-pool.ts';
 import {type KnownLimit, type Member} from '../types.ts';
 
@@ -27,6 +27,9 @@
 /** The mean loses half of its weight in this time, so that a member that was busy is tried again. */
 const utilizationHalfLifeMs = 4000;
 const latencySmoothingFactor = 0.1;
+/** A member whose sidecar was busy counts as used more by this, so that others get what they have room for. */
+const busyUtilization = 1;
+const busyMs = 300;
 /** A server whose start isn't known has left for good, or started again, after this time. */
 const maxUnknownLeaveMs = 30_000;
 
@@ -61,6 +64,7 @@
 	#sentSinceLoad = 0;
 	/** The start of the server that is leaving by its own word. */
 	#serverLeave: {readonly startMs: number | undefined; readonly atMs: number} | undefined;
+	#busyUntilMs = 0;
 	#failureCount = 0;
 	#backoffUntilMs = 0;
 
@@ -115,24 +119,8 @@
 
 	/** Estimates the utilization of the member's slots with one more request; above 1, requests wait. */
 	estimateUtilization(nowMs: number): number {
-		if (this.transport.kind === 'local') {
-			const {running, waiting, limit, pace} = this.transport.readLoad();
-			return Math.max((running + waiting + 1) / Math.max(1, limit), pace.fill);
-		}
-
-		const load = this.#load;
-		const ageMs = nowMs - this.#loadAtMs;
-		if (load === undefined || ageMs > loadMaxAgeMs) {
-			const meanUtilization = this.#meanUtilization * 0.5 ** (ageMs / utilizationHalfLifeMs);
-			const ownUtilization = this.inFlight / Math.max(1, this.member.slots);
-			return Math.max(meanUtilization, ownUtilization) + 1 / Math.max(1, this.member.slots);
-		}
-
-		const busy = Math.max(this.inFlight, load.running + load.waiting + this.#sentSinceLoad);
-		return Math.max(
-			(busy + 1) / Math.max(1, load.limit),
-			computePacedUse(load.pace, this.#sentSinceLoad, ageMs),
-		);
+		const busyCost = nowMs < this.#busyUntilMs ? busyUtilization : 0;
+		return this.#estimateSlotUtilization(nowMs) + busyCost;
 	}
 
 	/** Whether the server names a limit, as far as known. */
@@ -186,12 +174,42 @@
 		this.#backoffUntilMs = Math.max(this.#backoffUntilMs, nowMs + backoffMs);
 	}
 
+	/** Records a guard's refusal; only some show that the member can't take other requests either. */
+	recordRefusal(reason: RefusalReason, wasReached: boolean, nowMs: number): void {
+		if (!wasReached || reason === 'stopping' || reason === 'unreachable') {
+			this.recordFailure(nowMs);
+		} else if (reason === 'busy') {
+			this.#busyUntilMs = nowMs + busyMs;
+		}
+	}
+
 	/** Ends the backoff, for example after a new announcement. */
 	resetFailures(): void {
 		this.#failureCount = 0;
 		this.#backoffUntilMs = 0;
 	}
 
+	#estimateSlotUtilization(nowMs: number): number {
+		if (this.transport.kind === 'local') {
+			const {running, waiting, limit, pace} = this.transport.readLoad();
+			return Math.max((running + waiting + 1) / Math.max(1, limit), pace.fill);
+		}
+
+		const load = this.#load;
+		const ageMs = nowMs - this.#loadAtMs;
+		if (load === undefined || ageMs > loadMaxAgeMs) {
+			const meanUtilization = this.#meanUtilization * 0.5 ** (ageMs / utilizationHalfLifeMs);
+			const ownUtilization = this.inFlight / Math.max(1, this.member.slots);
+			return Math.max(meanUtilization, ownUtilization) + 1 / Math.max(1, this.member.slots);
+		}
+
+		const busy = Math.max(this.inFlight, load.running + load.waiting + this.#sentSinceLoad);
+		return Math.max(
+			(busy + 1) / Math.max(1, load.limit),
+			computePacedUse(load.pace, this.#sentSinceLoad, ageMs),
+		);
+	}
+
 	#hasServerLeft(nowMs: number): boolean {
 		if (this.#serverLeave === undefined) {
 			return false;
