Keep the rest of a rejected upload out of other requests

Cause: an attempt that had ended by an early answer still passed the rest of its body to its link, which carried another request by then. Change: an ended attempt sends nothing; a link whose request's body isn't fully sent is closed instead of reused; a call that has ended at the guard keeps nothing of what still arrives.

--- a/src/sidecar/entry/attempt.ts
+++ b/src/sidecar/entry/attempt.ts
@@ -103,12 +103,15 @@
 		}
 	}
 
+	/** Sends a part of the body; nothing after the end, when the link may carry another request. */
 	sendBody(chunk: Uint8Array): boolean {
-		return this.#exchange?.sendBody(chunk) ?? true;
+		return this.#isEnded || (this.#exchange?.sendBody(chunk) ?? true);
 	}
 
 	endBody(): void {
-		this.#exchange?.endBody();
+		if (!this.#isEnded) {
+			this.#exchange?.endBody();
+		}
 	}
 
 	setPaused(isPaused: boolean): void {
--- a/src/sidecar/guard/guarded-call.ts
+++ b/src/sidecar/guard/guarded-call.ts
@@ -144,7 +144,10 @@
 			return this.#connection!.sendChunk(chunk);
 		}
 
-		this.body = Buffer.concat([this.body, chunk]);
+		if (this.#phase === 'waiting') {
+			this.body = Buffer.concat([this.body, chunk]);
+		}
+
 		return true;
 	}
 
--- a/src/sidecar/link/link.test.ts
+++ b/src/sidecar/link/link.test.ts
@@ -94,3 +94,19 @@
 		}
 	}
 });
+
+// UNASKED: the rest of an upload that was rejected early entered the next request on its link.
+test('a link that carries a part of a body is closed after an early reply, and not used again', async t => {
+	const {pool, countSockets, close} = await startPeer(() =>
+		encodeFrame(frameTypes.refused, refusal),
+	);
+	t.teardown(close);
+	const first = createEndListener();
+	const link = pool.open(createTestHead('one', {isWhole: false}), Buffer.from('x'), first.listener);
+	t.is(await first.ended, 'refused');
+	link.sendBody(Buffer.from('late'));
+	const second = createEndListener();
+	pool.open(createTestHead('two'), Buffer.alloc(0), second.listener);
+	t.is(await second.ended, 'refused');
+	t.is(countSockets(), 2);
+});
--- a/src/sidecar/link/link.ts
+++ b/src/sidecar/link/link.ts
@@ -61,6 +61,8 @@
 	#incarnation: string | undefined;
 	#isConnected = false;
 	#isCancelled = false;
+	/** Whether the last frame of the request's body was sent; a link with a part of it can't carry another request. */
+	#isBodySent = true;
 
 	private constructor(
 		address: SocketAddress,
@@ -96,6 +98,7 @@
 	open(head: CallHead, body: Uint8Array, listener: LinkListener): this {
 		this.#state = {kind: 'exchange', listener};
 		this.#isCancelled = false;
+		this.#isBodySent = head.isWhole;
 		this.#frames.send(frameTypes.open, encodeCall(head), body);
 		return this;
 	}
@@ -135,6 +138,7 @@
 	}
 
 	endBody(): void {
+		this.#isBodySent = true;
 		this.#frames.send(frameTypes.end, '');
 	}
 
@@ -236,7 +240,11 @@
 
 	#release(): void {
 		this.#state = {kind: 'idle'};
-		this.owner.handleIdle(this);
+		if (this.#isBodySent) {
+			this.owner.handleIdle(this);
+		} else {
+			this.close();
+		}
 	}
 
 	#handleClosed(): void {
