Send a streamed body to another server only whole

Cause: a refused request was sent again with the beginning of its body that is kept, and what the first attempt had passed on in between was lost; the first attempt's handlers stayed attached. Change: one object passes the body to one attempt at a time (entry/body-stream) and knows whether more than the kept beginning was passed on; such a request is refused with the proof that it has not run. After the end of a request its rest is read and dropped.

--- a/src/sidecar/entry/entry-call.ts
+++ b/src/sidecar/entry/entry-call.ts
@@ -7,7 +7,8 @@
 import {type EntryContext} from './entry-context.ts';
 import {type CallAdmission, decideCallAdmission} from './call-admission.ts';
 import {computeCallerDigest, createCallHead} from './call-head.ts';
-import {type CallerRequest, hasCallerLeft, streamBody} from './caller-request.ts';
+import {BodyStream} from './body-stream.ts';
+import {type CallerRequest, hasCallerLeft} from './caller-request.ts';
 import {createStreamListener} from './stream-listener.ts';
 import {checkRequest, computeTimeoutMs} from './request-checks.ts';
 import {createRequestRecord} from './request-record.ts';
@@ -32,8 +33,10 @@
 	#attempt: Attempt | undefined;
 	#history: AttemptHistory | undefined;
 	#admission: CallAdmission | undefined;
+	/** The rest of a body that is too long to be buffered. */
+	#stream: BodyStream | undefined;
 	readonly #reply: CallerReply;
-	/** Whether the request is not to be sent to another server any more. */
+	/** Whether the request is not sent to another server any more. */
 	#isWithdrawn = false;
 
 	private constructor(
@@ -99,10 +102,6 @@
 		this.caller.response.on('close', () => {
 			this.#handleCallerClosed();
 		});
-		this.#admit(route);
-	}
-
-	#admit(route: Route): void {
 		const admission = decideCallAdmission(this.ctx, route, this.#service, performance.now());
 		this.#admission = admission;
 		if (admission.kind === 'admitted') {
@@ -133,15 +132,13 @@
 		const view = this.#history!.pickNext(nowMs, this.#deadlineAtMs - nowMs);
 		if (view === undefined || this.#deadlineAtMs - nowMs < minRemainingMs) {
 			this.#fail(view === undefined ? 'no server has room' : 'no time is left');
-			return;
+		} else {
+			this.#sendTo(view);
 		}
-
-		this.#sendTo(view);
 	}
 
 	#sendTo(view: MemberView): void {
 		const history = this.#history!;
-		const {body, isWhole} = this.caller;
 		const callHead = createCallHead(this.ctx, this.caller, {
 			route: this.#route!,
 			service: this.#service,
@@ -152,13 +149,20 @@
 			digest: history.digest,
 		});
 		history.recordAttempt(view);
-		this.#attempt = Attempt.create(view, callHead, this.#createListener(view));
-		this.#attempt.start(this.ctx.guard, body, history.readSlotTimeMs());
-		if (!isWhole && !this.#reply.isDone) {
-			streamBody(this.caller, this.#attempt, this.ctx.readRoutes()!.config.limits, reason => {
-				this.#attempt?.cancel();
-				this.#reply.answer(localStatuses.bodyTooLong, reason);
-			});
+		const attempt = Attempt.create(view, callHead, this.#createListener(view));
+		this.#attempt = attempt;
+		attempt.start(this.ctx.guard, this.caller.body, history.readSlotTimeMs());
+		// The own guard may have refused the request by now, and another attempt have taken over.
+		if (!this.caller.isWhole && !this.#reply.isDone && this.#attempt === attempt) {
+			this.#stream ??= BodyStream.create(
+				this.caller,
+				this.ctx.readRoutes()!.config.limits,
+				reason => {
+					this.#attempt?.cancel();
+					this.#reply.answer(localStatuses.bodyTooLong, reason);
+				},
+			);
+			this.#stream.attach(attempt);
 		}
 	}
 
@@ -213,11 +217,9 @@
 			this.ctx.handleMember(head.member);
 		}
 
-		if (!wasReached || head.reason === 'stopping' || head.reason === 'unreachable') {
-			view.recordFailure(performance.now());
-		}
+		view.recordRefusal(head.reason, wasReached, performance.now());
 
-		if (canTryAnother) {
+		if (canTryAnother && this.#stream?.hasPassedOn !== true) {
 			this.#sendToNext();
 		} else {
 			this.#fail(head.reason);
@@ -280,6 +282,7 @@
 
 	#finish(status: number, outcome: string): void {
 		clearTimeout(this.#timer);
+		this.#stream?.end();
 		this.ctx.log.recordRequest(
 			createRequestRecord({
 				caller: this.caller,
--- a/src/sidecar/entry/request-checks.test.ts
+++ b/src/sidecar/entry/request-checks.test.ts
@@ -5,7 +5,8 @@
 import test from 'ava';
 import {RouteTable} from '../discovery/route-table.ts';
 import {type MeshConfig} from '../types.ts';
-import {type CallerRequest, streamBody} from './caller-request.ts';
+import {BodyStream} from './body-stream.ts';
+import {type CallerRequest} from './caller-request.ts';
 import {checkRequest} from './request-checks.ts';
 
 const config: MeshConfig = {
@@ -83,9 +84,10 @@
 			sent.push('end');
 		},
 	};
-	streamBody(caller, attempt, config.limits, reason => {
+	const stream = BodyStream.create(caller, config.limits, reason => {
 		rejections.push(reason);
 	});
+	stream.attach(attempt);
 	for (const chunk of ['89', 'x', 'y']) {
 		caller.request.emit('data', Buffer.from(chunk));
 	}
