Refuse what is read in the last moment of a planned stop

Cause: when the stop had found nothing in progress, it still accepted requests until the end and didn't look again. Change: from that decision on entry and guard refuse with the proof that the request has not run. A second signal waits for the stop like the first one instead of ending the process.

--- a/src/sidecar/stop-sequence.ts
+++ b/src/sidecar/stop-sequence.ts
@@ -31,6 +31,9 @@
 	}
 
 	#startedAtMs: number | undefined;
+	#stopped: Promise<void> | undefined;
+	/** Whether the process is about to end: what is still read is refused. */
+	#isClosing = false;
 	readonly #plan: DrainPlan;
 
 	private constructor(private readonly options: StopOptions) {
@@ -47,28 +50,33 @@
 	 * @param boundMs - time within which it is answered in any case
 	 */
 	canAccept(boundMs: number): boolean {
-		return (
-			this.#startedAtMs === undefined ||
-			this.#plan.canAccept(performance.now() - this.#startedAtMs, boundMs)
-		);
+		if (this.#startedAtMs === undefined) {
+			return true;
+		}
+
+		return !this.#isClosing && this.#plan.canAccept(performance.now() - this.#startedAtMs, boundMs);
 	}
 
 	/** Resolves when all requests are answered and no more arrive, or the grace period is nearly over. */
 	async run(): Promise<void> {
-		if (this.#startedAtMs !== undefined) {
-			return;
-		}
+		this.#stopped ??= this.#stop();
+		return this.#stopped;
+	}
 
+	async #stop(): Promise<void> {
 		const {graceMs, logger, localServer, entry} = this.options;
 		this.#startedAtMs = performance.now();
 		logger.info({active: entry.activeRequests}, 'sidecar is stopping');
 		localServer.setStopping();
 		localServer.guard.setDraining(boundMs => this.#canFinish(boundMs));
 		await this.#drain(this.#startedAtMs);
+		this.#isClosing = true;
+		localServer.guard.setStopping();
 		const left = {active: entry.activeRequests, running: localServer.guard.countActive()};
 		entry.endRequests();
 		localServer.guard.endCalls();
 		await entry.stopListening();
+		// Connections that have carried no request stay open; their requests are refused until the process ends.
 		await wait(Math.min(settleMs, graceMs * settleShare));
 		logger.info({...left, tookMs: performance.now() - this.#startedAtMs}, 'sidecar stopped');
 	}
