--- a/src/sidecar/quarantine/request-digest.ts
+++ b/src/sidecar/quarantine/request-digest.ts
@@ -1,5 +1,6 @@
 /** Identifies requests that come again, by what is the same in each of them (content fingerprint). */
-import {createHash} from 'node:crypto';
+import {Buffer} from 'node:buffer';
+import {hash} from 'node:crypto';
 
 /** Bytes of the body that count; the rest counts by its length only. */
 const maxDigestedBodyBytes = 64 * 1024;
@@ -29,11 +30,11 @@
 	const {method, host, path, callerService, body, isWhole} = request;
 	const bodyLength = isWhole ? body.length : -1;
 	const head = JSON.stringify([method, host.toLowerCase(), path, callerService, bodyLength]);
-	return createHash('sha256')
-		.update(head)
-		.update(body.subarray(0, maxDigestedBodyBytes))
-		.digest('hex')
-		.slice(0, digestLength);
+	const content =
+		body.length === 0
+			? head
+			: Buffer.concat([Buffer.from(head), body.subarray(0, maxDigestedBodyBytes)]);
+	return hash('sha256', content, 'hex').slice(0, digestLength);
 }
 
 /** Whether a value is a digest. */
