Share the checks of values between sidecar and daemon; leave odd members out of a peer's list

Reading the diff: the daemon's decoder had its own copies of the checks, and kept fields that nobody knows; one odd member made the whole state of a peer invalid, although the others hold.

--- a/src/sidecar/value-checks.ts
+++ b/src/decoding/value-checks.ts
@@ -1,6 +1,5 @@
 /** Checks of decoded values: what another process wrote is used only if its type and its range are right. */
 import net from 'node:net';
-import {type SocketAddress} from './types.ts';
 
 /** Longest name in a row or message; the store's keys are shorter. */
 const maxNameLength = 400;
@@ -58,13 +57,17 @@
 }
 
 /** Whether a value is the address of a socket, by IP number. */
-export function isSocketAddress(value: unknown): value is SocketAddress {
+export function isSocketAddress(
+	value: unknown,
+): value is {readonly host: string; readonly port: number} {
 	if (!isRecord(value)) {
 		return false;
 	}
 
 	const {host, port} = value;
-	return (
-		typeof host === 'string' && net.isIP(host) !== 0 && isCount(port) && port > 0 && port <= maxPort
-	);
+	return typeof host === 'string' && net.isIP(host) !== 0 && isPort(port);
+}
+
+export function isPort(value: unknown): value is number {
+	return isCount(value) && value > 0 && value <= maxPort;
 }
--- a/src/membership/decode-messages.test.ts
+++ b/src/membership/decode-messages.test.ts
@@ -31,6 +31,12 @@
 	const deltas: unknown[] = oddFields.map(fields => ({...member, ...fields}));
 	const request = decodeGossipRequest({...envelope, kind: 'ping', deltas: [...deltas, member]});
 	t.deepEqual(request?.deltas, [member]);
+	const withMore = decodeGossipRequest({
+		...envelope,
+		kind: 'ping',
+		deltas: [{...member, more: 1}],
+	});
+	t.deepEqual(withMore?.deltas, [member]);
 	const response = {...envelope, kind: 'members', buckets: [1], members: [...deltas, member]};
 	const decoded = decodeGossipResponse(response);
 	t.deepEqual(decoded?.kind === 'members' && decoded.members, [member]);
--- a/src/membership/decode-messages.ts
+++ b/src/membership/decode-messages.ts
@@ -1,11 +1,8 @@
 /** Decodes gossip messages: a member record that can't be used is left out, and the others hold. */
+import {isCount, isName, isPort, isRecord, isTimeMs} from '../decoding/value-checks.ts';
 import {type Endpoint, type GossipRequest, type GossipResponse} from './messages.ts';
 import {type Member, memberStates} from './types.ts';
 
-const maxNameLength = 400;
-const maxPort = 65_535;
-/** Latest time that counts as one: the end of the year 9999, in Unix milliseconds. */
-const maxTimeMs = 253_402_300_799_999;
 const requestKinds: ReadonlySet<unknown> = new Set(['ping', 'probe', 'push', 'sync']);
 const responseKinds: ReadonlySet<unknown> = new Set(['ack', 'probed', 'members']);
 const states: ReadonlySet<unknown> = new Set(Object.values(memberStates));
@@ -86,8 +83,23 @@
 	);
 }
 
+/** Lists the valid records, with their known fields only. */
 function listMembers(values: readonly unknown[]): Member[] {
-	return values.filter((value): value is Member => isMember(value));
+	const members: Member[] = [];
+	for (const value of values) {
+		if (isMember(value)) {
+			members.push(createCopy(value));
+		}
+	}
+
+	return members;
+}
+
+function createCopy(member: Member): Member {
+	const {server, service, dataCentre, region, address, peerPort} = member;
+	const {instanceId, startedAtMs, incarnation, state, policyVersion} = member;
+	const place = {server, service, dataCentre, region, address, peerPort};
+	return {...place, instanceId, startedAtMs, incarnation, state, policyVersion};
 }
 
 function isMember(value: unknown): value is Member {
@@ -100,30 +112,13 @@
 		isName(value.address) &&
 		isPort(value.peerPort) &&
 		isName(value.instanceId) &&
-		isCount(value.startedAtMs) &&
-		value.startedAtMs <= maxTimeMs &&
+		isTimeMs(value.startedAtMs) &&
 		isCount(value.incarnation) &&
 		states.has(value.state) &&
 		isCount(value.policyVersion)
 	);
 }
 
-function isRecord(value: unknown): value is Fields {
-	return typeof value === 'object' && value !== null;
-}
-
-function isName(value: unknown): value is string {
-	return typeof value === 'string' && value.length <= maxNameLength;
-}
-
-function isCount(value: unknown): value is number {
-	return Number.isSafeInteger(value) && (value as number) >= 0;
-}
-
-function isPort(value: unknown): value is number {
-	return isCount(value) && value > 0 && value <= maxPort;
-}
-
 function isListOf(value: unknown, isValid: (each: unknown) => boolean): boolean {
 	return Array.isArray(value) && value.every(each => isValid(each));
 }
--- a/src/sidecar/discovery/member-codec.ts
+++ b/src/sidecar/discovery/member-codec.ts
@@ -7,7 +7,7 @@
 	isSocketAddress,
 	isTimeMs,
 	type UnknownFields,
-} from '../value-checks.ts';
+} from '../../decoding/value-checks.ts';
 
 const states = new Set<unknown>(['ready', 'leaving', 'down'] satisfies MemberState[]);
 
--- a/src/sidecar/discovery/peer-state.ts
+++ b/src/sidecar/discovery/peer-state.ts
@@ -1,6 +1,11 @@
 /** Messages in which sidecars synchronize configuration and members, as JSON. */
 import {type Member} from '../types.ts';
-import {isConfigVersion, isName, isRecord, type UnknownFields} from '../value-checks.ts';
+import {
+	isConfigVersion,
+	isName,
+	isRecord,
+	type UnknownFields,
+} from '../../decoding/value-checks.ts';
 import {readMember} from './member-codec.ts';
 
 export type PeerState = {
@@ -74,11 +79,9 @@
 
 	const ownMember = own === undefined ? undefined : readMember(own);
 	const knownMember = known === undefined ? undefined : readMember(known);
-	const listed = members === undefined ? undefined : readMembers(members);
 	if (
 		(own !== undefined && ownMember === undefined) ||
-		(known !== undefined && knownMember === undefined) ||
-		(members !== undefined && listed === undefined)
+		(known !== undefined && knownMember === undefined)
 	) {
 		return undefined;
 	}
@@ -88,20 +91,18 @@
 		...(config !== undefined && {config}),
 		...(ownMember !== undefined && {own: ownMember}),
 		...(knownMember !== undefined && {known: knownMember}),
-		...(listed !== undefined && {members: listed}),
+		...(members !== undefined && {members: readMembers(members)}),
 	};
 }
 
-/** Reads a list of members; undefined if one of them is invalid. */
-function readMembers(values: readonly unknown[]): Member[] | undefined {
+/** Reads a list of members; those that can't be used are left out. */
+function readMembers(values: readonly unknown[]): Member[] {
 	const members: Member[] = [];
 	for (const value of values) {
 		const member = readMember(value);
-		if (member === undefined) {
-			return undefined;
+		if (member !== undefined) {
+			members.push(member);
 		}
-
-		members.push(member);
 	}
 
 	return members;
--- a/src/sidecar/discovery/relay-message.ts
+++ b/src/sidecar/discovery/relay-message.ts
@@ -1,5 +1,5 @@
 /** Messages in which a watcher passes on what it read from the store and collects overload summaries, as JSON. */
-import {isCount, isDurationMs} from '../value-checks.ts';
+import {isCount, isDurationMs} from '../../decoding/value-checks.ts';
 import {isOverloadSummary, type OverloadSummary} from '../overload/overload-summary.ts';
 import {type Row, type StorePosition, type TableName} from '../shared-table.ts';
 import {type PositionRange} from './table-position.ts';
--- a/src/sidecar/entry/attempt.ts
+++ b/src/sidecar/entry/attempt.ts
@@ -6,7 +6,7 @@
  */
 import {type MemberView} from '../discovery/member-view.ts';
 import {type Guard} from '../guard/guard.ts';
-import {maxDurationMs} from '../value-checks.ts';
+import {maxDurationMs} from '../../decoding/value-checks.ts';
 import {type Exchange} from '../link/exchange.ts';
 import {type LinkExchange, type LinkListener} from '../link/link.ts';
 import {
--- a/src/sidecar/guard/answer-parser.ts
+++ b/src/sidecar/guard/answer-parser.ts
@@ -87,7 +87,7 @@
 		throw new Error(`invalid header line ${formatLine(line)}`);
 	}
 
-	const value = trimBlanks(line.slice(colon + 1));
+	const value = removeBlanks(line.slice(colon + 1));
 
 	const lowerName = name.toLowerCase();
 	const isInvalid =
@@ -102,7 +102,7 @@
 }
 
 /** Removes spaces and tabs at both ends. A pattern for these would take time that grows with the square of their number. */
-function trimBlanks(text: string): string {
+function removeBlanks(text: string): string {
 	let start = 0;
 	let end = text.length;
 	while (start < end && isBlank(text[start]!)) {
--- a/src/sidecar/link/codec.ts
+++ b/src/sidecar/link/codec.ts
@@ -4,7 +4,12 @@
  */
 import {readMember} from '../discovery/member-codec.ts';
 import {type RawHeaders} from '../types.ts';
-import {isCount, isDurationMs, isNumberUpTo, type UnknownFields} from '../value-checks.ts';
+import {
+	isCount,
+	isDurationMs,
+	isNumberUpTo,
+	type UnknownFields,
+} from '../../decoding/value-checks.ts';
 import {type ServerEnd, serverEnds} from '../quarantine/server-end.ts';
 import {type Frame, frameTypes} from './frames.ts';
 import {decodeMetadata, type EncodedMetadata, encodeMetadata} from './metadata-codec.ts';
--- a/src/sidecar/link/metadata-codec.ts
+++ b/src/sidecar/link/metadata-codec.ts
@@ -1,7 +1,13 @@
 /** Encodes the metadata of replies as JSON arrays without field names. */
 import {type Cost, type CostVector} from '../overload/cost-table.ts';
 import {type KnownLimit} from '../types.ts';
-import {isConfigVersion, isCount, isDurationMs, isName, isNumberUpTo} from '../value-checks.ts';
+import {
+	isConfigVersion,
+	isCount,
+	isDurationMs,
+	isName,
+	isNumberUpTo,
+} from '../../decoding/value-checks.ts';
 import {type OverloadReport, type ReplyMetadata} from './messages.ts';
 
 type EncodedOverloadReport = [
--- a/src/sidecar/overload/overload-summary.ts
+++ b/src/sidecar/overload/overload-summary.ts
@@ -6,7 +6,13 @@
  * are nested calls, or what they cost an overloaded service. All sidecars of a data centre together see enough.
  */
 import {type OverloadReport} from '../link/messages.ts';
-import {isCount, isDurationMs, isName, isNumberUpTo, isRecord} from '../value-checks.ts';
+import {
+	isCount,
+	isDurationMs,
+	isName,
+	isNumberUpTo,
+	isRecord,
+} from '../../decoding/value-checks.ts';
 import {type Cost, type CostVector} from './cost-table.ts';
 
 /** Requests of callers on one route that the entries receive. */
