Accept each priority and time-out that a configuration may hold

Reading the diff: the check of a request's head took whole numbers only for its priority, while the configuration allows any number that isn't negative; all requests of such a route would have failed. A time-out or deadline above what a timer can wait for (24.8 days) ended requests after 1 ms; it is bounded now. Both have a test; the second failed before.

--- a/src/sidecar/entry/request-checks.test.ts
+++ b/src/sidecar/entry/request-checks.test.ts
@@ -7,7 +7,7 @@
 import {type MeshConfig} from '../types.ts';
 import {BodyStream} from './body-stream.ts';
 import {type CallerRequest} from './caller-request.ts';
-import {checkRequest} from './request-checks.ts';
+import {checkRequest, computeTimeoutMs} from './request-checks.ts';
 
 const config: MeshConfig = {
 	version: 7,
@@ -96,3 +96,11 @@
 	t.deepEqual(sent, ['89']);
 	t.is(rejections.length, 1);
 });
+
+// Odd entries: a time-out longer than a timer can wait for ended each request after a millisecond.
+test('a request waits no longer than a timer can', t => {
+	const route = {...config.routes[0]!, timeoutMs: 1e13};
+	const {head} = createCaller('/orders/1', []);
+	t.is(computeTimeoutMs({...head, deadlineMs: 1e12}, route), 2_147_483_647);
+	t.is(computeTimeoutMs({...head, deadlineMs: 700}, route), 700);
+});
--- a/src/sidecar/entry/request-checks.ts
+++ b/src/sidecar/entry/request-checks.ts
@@ -1,5 +1,6 @@
 /** Checks a request against limits and routes before any work is done for it. */
 import {type IncomingHttpHeaders} from 'node:http';
+import {maxDurationMs} from '../../decoding/value-checks.ts';
 import {type RequestHead, type Route} from '../types.ts';
 import {type LocalStatus, localStatuses} from './caller-answer.ts';
 import {type CallerRequest, formatBodyTooLong} from './caller-request.ts';
@@ -64,7 +65,7 @@
 
 /** Computes the time within which a request is answered in any case, in milliseconds. */
 export function computeTimeoutMs({deadlineMs}: RequestHead, route: Route): number {
-	return Math.min(deadlineMs ?? defaultDeadlineMs, route.timeoutMs);
+	return Math.min(deadlineMs ?? defaultDeadlineMs, route.timeoutMs, maxDurationMs);
 }
 
 /** Whether a body exceeds the limit of the active configuration; without one, any length is allowed. */
--- a/src/sidecar/link/codec.test.ts
+++ b/src/sidecar/link/codec.test.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import test from 'ava';
 import fc from 'fast-check';
+import {createTestHead} from '../guard/fixtures.ts';
 import {
 	decodeAnswer,
 	decodeCall,
@@ -116,3 +117,29 @@
 	t.false(isValid);
 	t.deepEqual(frames, []);
 });
+
+test('a priority may be any number that the configuration allows', t => {
+	const head = createTestHead('one', {priority: 0.5});
+	t.is(decodeCall(encodeCall(head)).priority, 0.5);
+});
+
+// Odd entries: a head with a value of another type failed later, where nothing caught it.
+test('a head with a value of the wrong type or out of range is rejected', t => {
+	const encoded = JSON.parse(encodeCall(createTestHead('one'))) as unknown[];
+	for (const [index, value] of [
+		[0, 7],
+		[4, undefined],
+		[4, ['Host', 1]],
+		[5, 1e300],
+		[5, -1],
+		[10, 'x'],
+		[12, undefined],
+	] as const) {
+		const odd = encoded.with(index, value);
+		t.throws(() => decodeCall(JSON.stringify(odd)), {instanceOf: TypeError});
+	}
+
+	const oddMetadata = [1, 0, 24, 7, [['one', 'shop', 'east', 2, 1, 40]], 0, 2, 0, 0];
+	const answer = JSON.stringify([200, [], 1, 0, oddMetadata]);
+	t.throws(() => decodeAnswer(answer), {instanceOf: TypeError});
+});
--- a/src/sidecar/link/codec.ts
+++ b/src/sidecar/link/codec.ts
@@ -217,7 +217,7 @@
 		!isTextList(headers) ||
 		!isDurationMs(remainingMs) ||
 		!isCount(flags) ||
-		!isCount(priority) ||
+		!isNumberUpTo(priority, Number.MAX_VALUE) ||
 		!isNumberUpTo(serverLimitPerSecond, Number.MAX_SAFE_INTEGER)
 	) {
 		throw new TypeError('a request with a value of the wrong type or out of range');
--- a/src/sidecar/overload/overload-summary.ts
+++ b/src/sidecar/overload/overload-summary.ts
@@ -6,13 +6,7 @@
  * are nested calls, or what they cost an overloaded service. All sidecars of a data centre together see enough.
  */
 import {type OverloadReport} from '../link/messages.ts';
-import {
-	isCount,
-	isDurationMs,
-	isName,
-	isNumberUpTo,
-	isRecord,
-} from '../../decoding/value-checks.ts';
+import {isDurationMs, isName, isNumberUpTo, isRecord} from '../../decoding/value-checks.ts';
 import {type Cost, type CostVector} from './cost-table.ts';
 
 /** Requests of callers on one route that the entries receive. */
@@ -122,7 +116,7 @@
 
 	const {demands, costs, origins, reports} = value as Record<keyof OverloadSummary, unknown>;
 	return (
-		isListOf(demands, {route: isName, service: isName, priority: isCount, perSecond: isAmount}) &&
+		isListOf(demands, {route: isName, service: isName, priority: isAmount, perSecond: isAmount}) &&
 		isListOf(costs, {route: isName, service: isName}) &&
 		costs.every(each =>
 			isListOf((each as Partial<RouteCosts>).costs, {
@@ -143,7 +137,7 @@
 	);
 }
 
-const isAmount = (value: unknown) => isNumberUpTo(value, Number.MAX_SAFE_INTEGER);
+const isAmount = (value: unknown) => isNumberUpTo(value, Number.MAX_VALUE);
 const isShare = (value: unknown) => isNumberUpTo(value, 1);
 const isFlag = (value: unknown) => typeof value === 'boolean';
 
