Ask for the rest of an upload as its server takes it

Cause: back-pressure was the return value of one socket's write. The entry paused its caller when the server's socket was full, and only links had a drain event; a guard ignored the value and kept what came. The rest of a body was passed on before the server had begun the request, so that a refusal could no longer be sent on. Change: the guard reports how much of a body the server's connection has taken (Exchange.handleTaken, over a link the frame taken), and the entry keeps at most 256 KiB on its way (entry/send-window). The first part counts, so nothing more is passed on before the request runs, and a refusal costs that part only. guard/request-body rejects a sender that is 1 MiB ahead. A guard of an earlier release says nothing of taken in its hello frame, and gets bodies as before. A caller pays one round trip more for an upload over 256 KiB, and its leaving is noticed only when it is asked for more.

--- a/src/sidecar/entry/attempt.test.ts
+++ b/src/sidecar/entry/attempt.test.ts
@@ -12,6 +12,8 @@
 const silentWaitMs = 1000;
 
 type TestLink = {
+	pings: number;
+	readonly sent: string[];
 	readonly listener: LinkListener;
 	isClosed: boolean;
 	readonly resumeHead?: ResumeHead;
@@ -23,7 +25,7 @@
 	answerCount = 0;
 	readonly attempt: Attempt;
 
-	constructor(slotTimeMs: number) {
+	constructor(slotTimeMs: number, isWhole = true) {
 		const pool = {
 			open: (_head: unknown, _body: unknown, listener: LinkListener) =>
 				this.#createLink({listener}),
@@ -39,7 +41,7 @@
 			// Tests check the links instead.
 		};
 
-		this.attempt = Attempt.create(view, createTestHead('one'), {
+		this.attempt = Attempt.create(view, createTestHead('one', {isWhole}), {
 			handleMetadata: ignore,
 			handleAnswer: () => {
 				this.answerCount++;
@@ -54,16 +56,22 @@
 	}
 
 	#createLink(parts: {listener: LinkListener; resumeHead?: ResumeHead}): LinkExchange {
-		const link: TestLink = {...parts, isClosed: false};
+		const link: TestLink = {...parts, isClosed: false, pings: 0, sent: []};
 		this.links.push(link);
 		return {
 			incarnation: 'g1',
+			reportsTaken: true,
+			ping() {
+				link.pings++;
+			},
 			cancel() {
 				// Not checked.
 			},
-			sendBody: () => true,
+			sendBody(chunk) {
+				link.sent.push(Buffer.from(chunk).toString());
+			},
 			endBody() {
-				// Bodies are sent whole.
+				link.sent.push('end');
 			},
 			setPaused() {
 				// Answers arrive whole.
--- a/src/sidecar/entry/attempt.ts
+++ b/src/sidecar/entry/attempt.ts
@@ -6,7 +6,6 @@
  */
 import {type MemberView} from '../discovery/member-view.ts';
 import {type Guard} from '../guard/guard.ts';
-import {maxDurationMs} from '../../decoding/value-checks.ts';
 import {type Exchange} from '../link/exchange.ts';
 import {type LinkExchange, type LinkListener} from '../link/link.ts';
 import {
@@ -16,15 +15,13 @@
 	type RefusalHead,
 	type ReplyMetadata,
 } from '../link/messages.ts';
+import {SendWindow} from './send-window.ts';
+import {SilenceTimer} from './silence-timer.ts';
 
 /** Delay before the next resume after a connection to the guard could not be established. */
 const resumeDelayMs = 150;
 /** Resumes before the attempt fails; with delays and connect timeouts about two seconds in all. */
 const maxResumes = 4;
-/** Minimum silence after which the link is replaced: the request may still be queued, or the link may be dead. */
-const minSilenceMs = 900;
-/** Silence is unusual after this multiple of the route's slot time or the member's latency. */
-const silenceFactor = 4;
 
 /** Events of an attempt. A whole answer, the end of a longer one, a refusal or a failure is the last. */
 export type AttemptListener = {
@@ -36,6 +33,7 @@
 	handleRefusal(head: RefusalHead, wasReached: boolean): void;
 	/** The request may have run. */
 	handleFailure(head: FailureHead, wasReached: boolean): void;
+	/** More of the body may be sent. */
 	handleDrain(): void;
 };
 
@@ -58,13 +56,26 @@
 	#resumeCount = 0;
 	/** Incremented when a listener is replaced; events of older listeners are ignored. */
 	#generation = 0;
-	#timer: NodeJS.Timeout | undefined;
+	readonly #window = SendWindow.create();
+	/** Whether the rest of the body may still be sent: not over a link by which the request was resumed. */
+	#isBodyOpen: boolean;
+	#resumeTimer: NodeJS.Timeout | undefined;
+	readonly #silence = SilenceTimer.create(() => {
+		this.#handleSilent();
+	});
 
 	private constructor(
 		readonly view: MemberView,
 		private readonly head: CallHead,
 		private readonly listener: AttemptListener,
-	) {}
+	) {
+		this.#isBodyOpen = !head.isWhole;
+	}
+
+	/** Whether the rest of the body may be sent now: the server has taken enough of what was sent before. */
+	get isReadyForBody(): boolean {
+		return this.#window.isOpen || this.#readLink()?.reportsTaken === false;
+	}
 
 	/**
 	 * Sends the request; the listener's last event may come before this returns.
@@ -73,6 +84,7 @@
 	 */
 	start(guard: Guard, body: Uint8Array, slotTimeMs: number): void {
 		this.view.recordSend();
+		this.#window.recordSent(body.length);
 		const {transport} = this.view;
 		switch (transport.kind) {
 			case 'local': {
@@ -83,7 +95,8 @@
 			case 'link': {
 				const listener = this.#createListener();
 				this.#addLink(transport.pool.open(this.head, body, listener), listener);
-				this.#startSilenceTimer(slotTimeMs);
+				this.#silence.startForAnswer(Math.max(slotTimeMs, this.view.latencyMs));
+
 				break;
 			}
 		}
@@ -103,13 +116,24 @@
 		}
 	}
 
-	/** Sends a part of the body; nothing after the end, when the link may carry another request. */
+	/**
+	 * Sends a part of the body; nothing after the end, when the link may carry another request.
+	 *
+	 * @returns false when the sender should pause until `handleDrain`
+	 */
 	sendBody(chunk: Uint8Array): boolean {
-		return this.#isEnded || (this.#exchange?.sendBody(chunk) ?? true);
+		if (this.#isEnded || !this.#isBodyOpen) {
+			return true;
+		}
+
+		this.#exchange?.sendBody(chunk);
+		this.#window.recordSent(chunk.length);
+		return this.isReadyForBody;
 	}
 
 	endBody(): void {
-		if (!this.#isEnded) {
+		if (!this.#isEnded && this.#isBodyOpen) {
+			this.#isBodyOpen = false;
 			this.#exchange?.endBody();
 		}
 	}
@@ -125,7 +149,8 @@
 		}
 
 		this.#isEnded = true;
-		clearTimeout(this.#timer);
+		this.#silence.stop();
+		clearTimeout(this.#resumeTimer);
 		this.view.recordEnd();
 		// A replaced link may still be open, and nothing more is expected over it.
 		for (const {link, listener} of this.#links.slice(0, -1)) {
@@ -135,6 +160,10 @@
 		return true;
 	}
 
+	#readLink(): LinkExchange | undefined {
+		return this.#links.at(-1)?.link;
+	}
+
 	#addLink(link: LinkExchange, listener: LinkListener): void {
 		this.#exchange = link;
 		this.#links.push({link, listener});
@@ -182,15 +211,17 @@
 					this.#resume();
 				}
 			},
-			handleDrain: () => {
-				this.listener.handleDrain();
+			handleTaken: totalBytes => {
+				if (isCurrent() && this.#window.recordTaken(totalBytes)) {
+					this.listener.handleDrain();
+				}
 			},
 		};
 	}
 
 	#handleAnswer(head: AnswerHead, body: Uint8Array): void {
 		this.#hasAnswerBegun = true;
-		clearTimeout(this.#timer);
+		this.#silence.stop();
 		if (head.isLeaving) {
 			this.view.recordServerLeaving(performance.now());
 		}
@@ -212,7 +243,7 @@
 			return;
 		}
 
-		this.#timer = setTimeout(() => {
+		this.#resumeTimer = setTimeout(() => {
 			this.#resume();
 		}, resumeDelayMs);
 	}
@@ -233,6 +264,7 @@
 			return;
 		}
 
+		this.#isBodyOpen = false;
 		this.#resumeCount++;
 		this.#generation++;
 		// The incarnation that received the request, which is the one at the first link.
@@ -243,20 +275,12 @@
 		this.#addLink(transport.pool.resume(head, listener), listener);
 	}
 
-	/** Replaces the link when no answer has begun after an unusually long time. */
-	#startSilenceTimer(slotTimeMs: number): void {
-		const expectedLatencyMs = Math.max(slotTimeMs, this.view.latencyMs);
-		const silenceMs = Math.min(
-			maxDurationMs,
-			Math.max(minSilenceMs, expectedLatencyMs * silenceFactor),
-		);
-		clearTimeout(this.#timer);
-		this.#timer = setTimeout(() => {
-			const {transport} = this.view;
-			if (!this.#hasAnswerBegun && transport.kind === 'link') {
-				transport.pool.closeIdleBefore(this.startedAtMs);
-				this.#resume();
-			}
-		}, silenceMs);
+	/** Replaces the link, which has been silent for an unusually long time. */
+	#handleSilent(): void {
+		const {transport} = this.view;
+		if (!this.#hasAnswerBegun && transport.kind === 'link') {
+			transport.pool.closeIdleBefore(this.startedAtMs);
+			this.#resume();
+		}
 	}
 }
--- a/src/sidecar/entry/body-stream.test.ts
+++ b/src/sidecar/entry/body-stream.test.ts
@@ -23,6 +23,7 @@
 function createTarget(acceptsMore = true) {
 	const sent: string[] = [];
 	const target = {
+		isReadyForBody: true,
 		sendBody(chunk: Uint8Array) {
 			sent.push(Buffer.from(chunk).toString());
 			return acceptsMore;
--- a/src/sidecar/entry/body-stream.ts
+++ b/src/sidecar/entry/body-stream.ts
@@ -9,7 +9,7 @@
 import {type Attempt} from './attempt.ts';
 import {type CallerRequest, formatBodyTooLong} from './caller-request.ts';
 
-type StreamTarget = Pick<Attempt, 'sendBody' | 'endBody'>;
+type StreamTarget = Pick<Attempt, 'sendBody' | 'endBody' | 'isReadyForBody'>;
 
 /** Nothing is passed on before the first attempt, and after the end of the request. */
 type StreamState =
@@ -70,7 +70,9 @@
 			});
 		}
 
-		this.caller.request.resume();
+		if (target.isReadyForBody) {
+			this.caller.request.resume();
+		}
 	}
 
 	/** Passes nothing more on. The rest is read and dropped, so that the connection can carry another request. */
--- a/src/sidecar/entry/request-checks.test.ts
+++ b/src/sidecar/entry/request-checks.test.ts
@@ -76,6 +76,7 @@
 	const sent: string[] = [];
 	const rejections: string[] = [];
 	const attempt = {
+		isReadyForBody: true,
 		sendBody(chunk: Uint8Array) {
 			sent.push(Buffer.from(chunk).toString());
 			return true;
--- a/src/sidecar/guard/answer-parser.ts
+++ b/src/sidecar/guard/answer-parser.ts
@@ -26,6 +26,8 @@
 	BODY_CHUNKHEAD(): void;
 };
 
+export type ParserChunk = Parameters<InstanceType<typeof HTTPParser>['execute']>[0];
+
 /**
  * Creates a parser of answers.
  *
--- a/src/sidecar/guard/connection-events.ts
+++ b/src/sidecar/guard/connection-events.ts
@@ -12,8 +12,20 @@
 	handleFailure(reason: string, hasSent: boolean): void;
 };
 
+/** The request that a connection carries. */
+export type PendingRequest = {readonly requestId: string; readonly listener: ConnectionListener};
+
 /** Receives the state changes of a connection; implemented by its pool. */
 export type ConnectionOwner = {
 	handleIdle(connection: ServerConnection): void;
 	handleClosed(connection: ServerConnection): void;
 };
+
+/** Creates a handler for the end of a write; a failure is reported by the events of the connection. */
+export function createWriteHandler(handleTaken: () => void): (error: unknown) => void {
+	return error => {
+		if (!(error instanceof Error)) {
+			handleTaken();
+		}
+	};
+}
--- a/src/sidecar/guard/fixtures.ts
+++ b/src/sidecar/guard/fixtures.ts
@@ -94,7 +94,7 @@
 		send(request, listener) {
 			runs.push({requestId: request.requestId, listener, isOpen: true});
 		},
-		sendChunk: () => true,
+		sendChunk: ignore,
 		sendLastChunk: ignore,
 		setPaused: ignore,
 		close: ignore,
--- a/src/sidecar/guard/guard.test.ts
+++ b/src/sidecar/guard/guard.test.ts
@@ -65,6 +65,9 @@
 			handleData() {
 				// Answers are whole here.
 			},
+			handleTaken() {
+				// Bodies are whole here.
+			},
 			handleEnd() {
 				// Answers are whole here.
 			},
--- a/src/sidecar/guard/guarded-call.ts
+++ b/src/sidecar/guard/guarded-call.ts
@@ -4,6 +4,7 @@
 import {type AnswerHead, type CallHead, type RefusalReason} from '../link/messages.ts';
 import {type ServerAnswerHead} from '../types.ts';
 import {type CallConnection, type CallOutcome, type CallOwner} from './call-owner.ts';
+import {RequestBody} from './request-body.ts';
 
 /** Answers up to this size are buffered and sent as one frame; larger ones are streamed. */
 const maxBufferedBytes = 64 * 1024;
@@ -52,19 +53,19 @@
 	#chunks: Uint8Array[] = [];
 	#bufferedBytes = 0;
 	#isStreaming = false;
-	#isBodyWhole: boolean;
+	readonly #body: RequestBody;
 	/** Delivers the outcome again to a listener that is attached after the end; not set after streaming. */
 	#replayEnd: ((listener: ExchangeListener) => void) | undefined;
 
 	private constructor(
 		readonly head: CallHead,
-		private body: Uint8Array,
+		body: Uint8Array,
 		listener: ExchangeListener,
 		private readonly owner: CallOwner,
 	) {
 		this.#listener = listener;
 		this.#suspendedBeforeMs = owner.readSuspended();
-		this.#isBodyWhole = head.isWhole;
+		this.#body = RequestBody.create(body, head.isWhole);
 		this.deadlineAtMs = this.arrivedAtMs + head.remainingMs;
 		this.maxWaitMs = head.remainingMs * (head.isNested ? maxNestedWaitShare : maxWaitShare);
 		this.priority = head.isNested ? nestedPriority : head.priority;
@@ -74,6 +75,11 @@
 		return this.#phase;
 	}
 
+	/** Whether no further part of the request's body is to come. */
+	get isBodyWhole(): boolean {
+		return this.#body.isWhole;
+	}
+
 	/** Whether part of the answer has been sent, so that no other listener can receive it whole. */
 	get isStreaming(): boolean {
 		return this.#isStreaming;
@@ -99,20 +105,19 @@
 			...head,
 			serverId,
 			remainingMs: this.computeRemainingMs(nowMs),
-			bodyBytes: this.#isBodyWhole ? this.body.length : undefined,
+			bodyBytes: this.#body.wholeBytes,
 		});
 		const {requestId, method} = head;
-		const isWhole = this.#isBodyWhole;
-		const body = isWhole ? this.body : Buffer.alloc(0);
+		const {isWhole} = this.#body;
+		const parts = this.#body.removeWaiting();
+		const body = isWhole ? parts[0]! : Buffer.alloc(0);
 		this.#connection.send(
 			{requestId, method, head: bytes, body, isWhole},
 			this.#createConnectionListener(),
 		);
-		if (!isWhole && this.body.length > 0) {
-			this.#connection.sendChunk(this.body);
+		for (const part of isWhole ? [] : parts) {
+			this.#sendPart(part);
 		}
-
-		this.body = Buffer.alloc(0);
 	}
 
 	/** Ends a call that has not been sent; the refusal proves to the listener that it has not run. */
@@ -139,24 +144,24 @@
 		});
 	}
 
-	sendBody(chunk: Uint8Array): boolean {
-		if (this.#phase === 'running') {
-			return this.#connection!.sendChunk(chunk);
+	/** @throws {RangeError} when the sender is too far ahead of the server */
+	sendBody(chunk: Uint8Array): void {
+		const isRunning = this.#phase === 'running';
+		if (this.#phase !== 'ended') {
+			this.#body.add(chunk, isRunning);
 		}
 
-		if (this.#phase === 'waiting') {
-			this.body = Buffer.concat([this.body, chunk]);
+		if (isRunning) {
+			this.#sendPart(chunk);
 		}
-
-		return true;
 	}
 
 	endBody(): void {
-		if (this.#phase === 'running' && !this.#isBodyWhole) {
+		if (this.#phase === 'running' && !this.#body.isWhole) {
 			this.#connection!.sendLastChunk();
 		}
 
-		this.#isBodyWhole = true;
+		this.#body.end();
 	}
 
 	setPaused(isPaused: boolean): void {
@@ -171,6 +176,15 @@
 		this.#replayEnd?.(listener);
 	}
 
+	#sendPart(part: Uint8Array): void {
+		this.#connection!.sendChunk(part, () => {
+			const totalBytes = this.#body.recordTaken(part.length);
+			if (this.#phase === 'running') {
+				this.#listener.handleTaken(totalBytes);
+			}
+		});
+	}
+
 	#createConnectionListener() {
 		return {
 			handleHead: (head: ServerAnswerHead) => {
--- a/src/sidecar/guard/run-proof-model.test.ts
+++ b/src/sidecar/guard/run-proof-model.test.ts
@@ -47,6 +47,9 @@
 					entryListener.handleAnswer(head, body);
 				});
 			},
+			handleTaken() {
+				// Bodies are whole here.
+			},
 			handleData() {
 				// Answers are whole here.
 			},
@@ -66,6 +69,10 @@
 		};
 	}
 
+	get reportsTaken(): boolean {
+		return true;
+	}
+
 	open(head: CallHead): this {
 		this.toGuard.push(() => {
 			this.#exchange = this.guard.submit(head, Buffer.alloc(0), this.#guardListener);
@@ -80,14 +87,18 @@
 		return this;
 	}
 
+	ping(): void {
+		// Requests are whole here.
+	}
+
 	cancel(): void {
 		this.toGuard.push(() => {
 			this.#exchange?.cancel();
 		});
 	}
 
-	sendBody(): boolean {
-		return true;
+	sendBody(): void {
+		// Requests are whole here.
 	}
 
 	endBody(): void {
--- a/src/sidecar/guard/server-connection.ts
+++ b/src/sidecar/guard/server-connection.ts
@@ -1,8 +1,8 @@
 /**
  * One HTTP/1.1 connection to the backend server, with one request at a time.
  *
- * Answers are matched by request id. An answer to another request is skipped, and the connection is
- * not reused then. It is not reused after excess bytes either, which belong to no request.
+ * Answers are matched by request id. An answer to another request is skipped, and the connection is not reused then, nor
+ * after excess bytes, which belong to no request.
  */
 import {Buffer} from 'node:buffer';
 import net from 'node:net';
@@ -10,8 +10,14 @@
 import {type HeadCodec, type SocketAddress} from '../types.ts';
 import {checkHeaders, hasLengthHeader} from './answer-headers.ts';
 import {AnswerMatcher} from './answer-match.ts';
-import {countExcessBytes, createAnswerParser} from './answer-parser.ts';
-import {type ConnectionListener, type ConnectionOwner} from './connection-events.ts';
+import {countExcessBytes, createAnswerParser, type ParserChunk} from './answer-parser.ts';
+import {
+	type ConnectionListener,
+	type ConnectionOwner,
+	createWriteHandler,
+	type PendingRequest,
+} from './connection-events.ts';
+import {encodeChunk} from './request-body.ts';
 
 /** A server on the same machine usually accepts within a millisecond. */
 const connectTimeoutMs = 500;
@@ -21,10 +27,6 @@
  */
 const maxBytesWithoutData = 256 * 1024;
 
-type ParserChunk = Parameters<InstanceType<typeof HTTPParser>['execute']>[0];
-
-type PendingRequest = {readonly requestId: string; readonly listener: ConnectionListener};
-
 /** Shared by all connections: each read is copied out of it immediately. */
 const readBuffer = Buffer.allocUnsafe(64 * 1024);
 
@@ -108,10 +110,9 @@
 		return this.#matcher.hasCarried(requestId);
 	}
 
-	/** Sends a part of a body as one chunk; returns false when the sender should pause. */
-	sendChunk(chunk: Uint8Array): boolean {
-		const size = Buffer.from(`${chunk.length.toString(16)}\r\n`, 'latin1');
-		return this.#socket.write(Buffer.concat([size, chunk, Buffer.from('\r\n', 'latin1')]));
+	/** Sends a part of a body as one chunk. */
+	sendChunk(chunk: Uint8Array, handleTaken: () => void): void {
+		this.#socket.write(encodeChunk(chunk), createWriteHandler(handleTaken));
 	}
 
 	sendLastChunk(): void {
--- a/src/sidecar/link/codec.ts
+++ b/src/sidecar/link/codec.ts
@@ -94,6 +94,7 @@
 	| {readonly kind: 'refusal'; readonly head: RefusalHead; readonly metadata: ReplyMetadata}
 	| {readonly kind: 'failure'; readonly head: FailureHead; readonly metadata: ReplyMetadata}
 	| {readonly kind: 'data'}
+	| {readonly kind: 'taken'; readonly totalBytes: number}
 	| {readonly kind: 'end'}
 	| {readonly kind: 'invalid'; readonly reason: string};
 
@@ -127,7 +128,12 @@
 				return {kind: 'end'};
 			}
 
+			case frameTypes.taken: {
+				return {kind: 'taken', totalBytes: decodeTaken(head)};
+			}
+
 			case frameTypes.open:
+			case frameTypes.ping:
 			case frameTypes.cancel:
 			case frameTypes.resume:
 			case frameTypes.sync:
@@ -142,6 +148,15 @@
 	}
 }
 
+function decodeTaken(text: string): number {
+	const totalBytes: unknown = JSON.parse(text);
+	if (!isCount(totalBytes)) {
+		throw new TypeError(`${text.slice(0, 20)} is no number of bytes`);
+	}
+
+	return totalBytes;
+}
+
 /** @throws {TypeError} when the text is no valid head */
 export function decodeResume(text: string): ResumeHead {
 	const {nonce, route, callerService, incarnation} = JSON.parse(text) as UnknownFields<ResumeHead>;
--- a/src/sidecar/link/exchange.ts
+++ b/src/sidecar/link/exchange.ts
@@ -14,18 +14,16 @@
 	handleRefusal(head: RefusalHead): void;
 	/** The request may have run. */
 	handleFailure(head: FailureHead): void;
+	/** The server's connection has taken so many bytes of a streamed body, in total. */
+	handleTaken(totalBytes: number): void;
 };
 
 /** Control of a request that was sent to a guard. */
 export type Exchange = {
 	/** Notifies the guard that the answer is no longer needed. */
 	cancel(): void;
-	/**
-	 * Sends a part of the request's body.
-	 *
-	 * @returns false when the sender should pause until the link's `handleDrain`
-	 */
-	sendBody(chunk: Uint8Array): boolean;
+	/** Sends a further part of the request's body; `handleTaken` tells when the server has taken it. */
+	sendBody(chunk: Uint8Array): void;
 	endBody(): void;
 	/** Pauses or resumes receiving the answer's body. */
 	setPaused(isPaused: boolean): void;
@@ -38,7 +36,7 @@
 /** Null object for a request that has ended. */
 export const endedExchange: Exchange = {
 	cancel: noOperation,
-	sendBody: () => true,
+	sendBody: noOperation,
 	endBody: noOperation,
 	setPaused: noOperation,
 };
--- a/src/sidecar/link/fixtures.ts
+++ b/src/sidecar/link/fixtures.ts
@@ -38,7 +38,7 @@
 		handleFailure: ignore,
 		handleUnreachable: ignore,
 		handleLost: ignore,
-		handleDrain: ignore,
+		handleTaken: ignore,
 		...handlers,
 	};
 }
--- a/src/sidecar/link/frames.ts
+++ b/src/sidecar/link/frames.ts
@@ -28,6 +28,10 @@
 	state: 10,
 	/** Guard to entry, first frame on each connection: the incarnation of the guard. */
 	hello: 11,
+	/** Entry to guard: asks for a `taken` frame, to learn whether the link still works. */
+	ping: 12,
+	/** Guard to entry: how much of a streamed body the server has taken. */
+	taken: 13,
 } as const;
 
 export type FrameType = (typeof frameTypes)[keyof typeof frameTypes];
--- a/src/sidecar/link/link-server.ts
+++ b/src/sidecar/link/link-server.ts
@@ -15,8 +15,11 @@
 	type FailureHead,
 	type RefusalHead,
 	type ReplyMetadata,
+	takenFeature,
 } from './messages.ts';
 
+/** The entry is told of each such part of a body that the server has taken. */
+const takenStepBytes = 64 * 1024;
 /** Length of the accept queue; a full queue delays new connections by seconds. */
 const backlog = 1024;
 
@@ -85,6 +88,10 @@
 
 	readonly #frames: FrameSocket;
 	#exchange: Exchange | undefined;
+	/** Whether frames with further parts of the request's body may follow. */
+	#isBodyOpen = false;
+	#takenBytes = 0;
+	#reportedBytes = 0;
 	/** A request that the guard has not received yet. */
 	#unreadHead: CallHead | undefined;
 	#nonce: string | undefined;
@@ -106,7 +113,7 @@
 				this.#handleClosed();
 			},
 		});
-		this.#frames.send(frameTypes.hello, options.incarnation);
+		this.#frames.send(frameTypes.hello, options.incarnation, Buffer.from(takenFeature));
 	}
 
 	handleAnswer(head: AnswerHead, body: Uint8Array): void {
@@ -140,6 +147,21 @@
 		this.#frames.send(frameTypes.failed, encodeFailure(head, this.#createMetadata()));
 	}
 
+	handleTaken(totalBytes: number): void {
+		this.#takenBytes = totalBytes;
+		if (totalBytes - this.#reportedBytes >= takenStepBytes) {
+			this.#reportTaken();
+		}
+	}
+
+	/** Reports on the body of the current request; after its end the link may carry another one. */
+	#reportTaken(): void {
+		if (this.#nonce !== undefined) {
+			this.#reportedBytes = this.#takenBytes;
+			this.#frames.send(frameTypes.taken, String(this.#takenBytes));
+		}
+	}
+
 	#handleClosed(): void {
 		if (this.#unreadHead !== undefined) {
 			this.#dropUnread(this.#unreadHead);
@@ -184,6 +206,9 @@
 
 	#setRequest({nonce, route, callerService}: Pick<CallHead, 'nonce' | 'route' | 'callerService'>) {
 		this.#nonce = nonce;
+		this.#isBodyOpen = false;
+		this.#takenBytes = 0;
+		this.#reportedBytes = 0;
 		this.#route = route;
 		this.#callerService = callerService;
 	}
@@ -192,6 +217,13 @@
 		return this.options.createMetadata(this.#route, this.#callerService);
 	}
 
+	/** A part of a body can't follow a whole request, or one that was resumed with a part missing. */
+	#requireOpenBody(): void {
+		if (!this.#isBodyOpen) {
+			throw new Error(`a part of a body after the end of the request ${this.#nonce ?? ''}`);
+		}
+	}
+
 	#handleFrame(frame: Frame): void {
 		try {
 			this.#dispatch(frame);
@@ -210,6 +242,7 @@
 					this.#submitLater(head, Buffer.from(frame.body));
 				} else {
 					// The frames with the rest of the body need the exchange.
+					this.#isBodyOpen = true;
 					this.#exchange = this.options.guard.submit(head, Buffer.from(frame.body), this);
 				}
 
@@ -217,15 +250,23 @@
 			}
 
 			case frameTypes.data: {
+				this.#requireOpenBody();
 				this.#exchange?.sendBody(Buffer.from(frame.body));
 				break;
 			}
 
 			case frameTypes.end: {
+				this.#requireOpenBody();
+				this.#isBodyOpen = false;
 				this.#exchange?.endBody();
 				break;
 			}
 
+			case frameTypes.ping: {
+				this.#reportTaken();
+				break;
+			}
+
 			case frameTypes.cancel: {
 				this.#cancel();
 				break;
@@ -247,6 +288,7 @@
 			case frameTypes.refused:
 			case frameTypes.failed:
 			case frameTypes.state:
+			case frameTypes.taken:
 			case frameTypes.hello: {
 				throw new Error(`unexpected frame of type ${frame.type} from an entry`);
 			}
--- a/src/sidecar/link/link.ts
+++ b/src/sidecar/link/link.ts
@@ -1,11 +1,12 @@
 /** Client side of one connection to a peer; it carries one exchange at a time. */
+import {Buffer} from 'node:buffer';
 import net from 'node:net';
 import {type SocketAddress} from '../types.ts';
 import {decodeReply, encodeCall} from './codec.ts';
 import {type Exchange, type ExchangeListener} from './exchange.ts';
 import {type Frame, frameTypes} from './frames.ts';
 import {FrameSocket} from './frame-socket.ts';
-import {type CallHead, type ReplyMetadata, type ResumeHead} from './messages.ts';
+import {type CallHead, type ReplyMetadata, type ResumeHead, takenFeature} from './messages.ts';
 
 /** Allows for the slowest round trip between regions, 60 ms, and one lost packet, about 200 ms more. */
 const connectTimeoutMs = 500;
@@ -18,14 +19,16 @@
 	handleUnreachable(reason: string): void;
 	/** The connection was lost after the request was sent. */
 	handleLost(): void;
-	/** The socket accepts more body data again. */
-	handleDrain(): void;
 };
 
 /** An exchange over a link. */
 export type LinkExchange = Exchange & {
 	/** Incarnation of the peer's guard; undefined until its hello frame has arrived. */
 	readonly incarnation: string | undefined;
+	/** Whether the peer's guard reports what it has taken of a body; undefined until its hello frame has arrived. */
+	readonly reportsTaken: boolean | undefined;
+	/** Asks the guard for such a report. */
+	ping(): void;
 	/** Closes the link without a cancel frame, if it still carries the listener's exchange. */
 	abandon(listener: LinkListener): void;
 };
@@ -59,6 +62,7 @@
 	readonly #frames: FrameSocket;
 	#state: LinkState = {kind: 'idle'};
 	#incarnation: string | undefined;
+	#reportsTaken: boolean | undefined;
 	#isConnected = false;
 	#isCancelled = false;
 	/** Whether the last frame of the request's body was sent; a link with a part of it can't carry another request. */
@@ -80,10 +84,8 @@
 			handleFrame: frame => {
 				this.#receiveFrame(frame);
 			},
-			handleDrain: () => {
-				if (this.#state.kind === 'exchange') {
-					this.#state.listener.handleDrain();
-				}
+			handleDrain() {
+				// What is sent is bounded by the sender's window.
 			},
 			handleClosed: () => {
 				this.#handleClosed();
@@ -95,6 +97,10 @@
 		return this.#incarnation;
 	}
 
+	get reportsTaken(): boolean | undefined {
+		return this.#reportsTaken;
+	}
+
 	open(head: CallHead, body: Uint8Array, listener: LinkListener): this {
 		this.#state = {kind: 'exchange', listener};
 		this.#isCancelled = false;
@@ -133,8 +139,8 @@
 		}
 	}
 
-	sendBody(chunk: Uint8Array): boolean {
-		return this.#frames.send(frameTypes.data, '', chunk);
+	sendBody(chunk: Uint8Array): void {
+		this.#frames.send(frameTypes.data, '', chunk);
 	}
 
 	endBody(): void {
@@ -142,6 +148,12 @@
 		this.#frames.send(frameTypes.end, '');
 	}
 
+	ping(): void {
+		if (this.#state.kind === 'exchange' && !this.#isCancelled) {
+			this.#frames.send(frameTypes.ping, '');
+		}
+	}
+
 	setPaused(isPaused: boolean): void {
 		this.#frames.setPaused(isPaused && !this.#isCancelled);
 	}
@@ -168,7 +180,7 @@
 
 	#handleFrame(frame: Frame): void {
 		if (frame.type === frameTypes.hello) {
-			this.#incarnation = frame.head;
+			this.#handleHello(frame);
 			return;
 		}
 
@@ -192,6 +204,14 @@
 		}
 	}
 
+	#handleHello({head, body}: Frame): void {
+		this.#incarnation = head;
+		this.#reportsTaken = Buffer.from(body).toString() === takenFeature;
+		if (!this.#reportsTaken && this.#state.kind === 'exchange') {
+			this.#state.listener.handleTaken(Number.POSITIVE_INFINITY);
+		}
+	}
+
 	#handleReply(frame: Frame, listener: LinkListener): void {
 		const reply = decodeReply(frame);
 		switch (reply.kind) {
@@ -210,6 +230,11 @@
 				break;
 			}
 
+			case 'taken': {
+				listener.handleTaken(reply.totalBytes);
+				break;
+			}
+
 			case 'end': {
 				this.#release();
 				listener.handleEnd();
--- a/src/sidecar/link/messages.ts
+++ b/src/sidecar/link/messages.ts
@@ -3,6 +3,9 @@
 import {type ServerEnd} from '../quarantine/server-end.ts';
 import {type KnownLimit, type Member, type RawHeaders} from '../types.ts';
 
+/** Body of a hello frame: the guard reports what the server has taken of a body. Earlier releases send none. */
+export const takenFeature = 'taken';
+
 /** Load of a guard, sent with each reply. */
 export type GuardLoad = {
 	/** Requests in progress at the server. */
--- a/src/sidecar/suspension-clock.test.ts
+++ b/src/sidecar/suspension-clock.test.ts
@@ -44,6 +44,9 @@
 		handleAnswer() {
 			// Not checked here.
 		},
+		handleTaken() {
+			// Bodies are whole.
+		},
 		handleData() {
 			// Answers have no body here.
 		},
