Judge the link of an upload by its guard's signs, not by the time that it takes

Cause: the silence of a link was measured from the start of the attempt, so every slow caller or server looked like a dead link, and a streamed request was failed instead of resumed, without an end at the guard. Change: a streamed request's guard is asked for its progress each 0.9 s (frames ping and taken) and lost after two pings without a sign (entry/silence-timer). Then, or when the link is lost, the entry resumes as for other requests: a guard that has the whole body goes on; one that has a part ends the call at once and reports whether it can have run.

--- a/src/sidecar/entry/attempt.test.ts
+++ b/src/sidecar/entry/attempt.test.ts
@@ -110,3 +110,36 @@
 	t.is(fixture.links.length, 1);
 	fixture.attempt.cancel();
 });
+
+// A sound upload that took longer than a second was answered 502 while its server went on.
+test('a streamed request keeps its link as long as its guard answers pings', async t => {
+	const fixture = new AttemptFixture(0, false);
+	const link = fixture.links[0]!;
+	for (let pings = 1; pings <= 4; pings++) {
+		while (link.pings < pings) {
+			await wait(20);
+		}
+
+		link.listener.handleTaken(0);
+	}
+
+	t.is(fixture.links.length, 1);
+	fixture.attempt.cancel();
+});
+
+// UNASKED: parts of a body that are sent on after a link was lost would leave a hole in it.
+test('a streamed request whose guard answers no ping is resumed, and nothing more of its body is sent', async t => {
+	const fixture = new AttemptFixture(0, false);
+	fixture.attempt.sendBody(Buffer.from('one'));
+	while (fixture.links.length === 1) {
+		await wait(20);
+	}
+
+	fixture.attempt.sendBody(Buffer.from('two'));
+	fixture.attempt.endBody();
+	t.deepEqual(
+		fixture.links.map(({sent}) => sent),
+		[['one'], []],
+	);
+	fixture.attempt.cancel();
+});
--- a/src/sidecar/entry/attempt.ts
+++ b/src/sidecar/entry/attempt.ts
@@ -95,7 +95,11 @@
 			case 'link': {
 				const listener = this.#createListener();
 				this.#addLink(transport.pool.open(this.head, body, listener), listener);
-				this.#silence.startForAnswer(Math.max(slotTimeMs, this.view.latencyMs));
+				if (this.head.isWhole) {
+					this.#silence.startForAnswer(Math.max(slotTimeMs, this.view.latencyMs));
+				} else {
+					this.#silence.startPings(() => this.#ping());
+				}
 
 				break;
 			}
@@ -212,6 +216,7 @@
 				}
 			},
 			handleTaken: totalBytes => {
+				this.#silence.recordSign();
 				if (isCurrent() && this.#window.recordTaken(totalBytes)) {
 					this.listener.handleDrain();
 				}
@@ -255,7 +260,7 @@
 			return;
 		}
 
-		const canResume = !this.#hasAnswerBegun && this.head.isWhole;
+		const canResume = !this.#hasAnswerBegun;
 		if (!canResume || this.#resumeCount >= maxResumes) {
 			if (this.#end()) {
 				this.listener.handleFailure({reason: 'the link was lost'}, !canResume);
@@ -283,4 +288,10 @@
 			this.#resume();
 		}
 	}
+
+	#ping(): boolean {
+		const link = this.#readLink();
+		link?.ping();
+		return link !== undefined && link.reportsTaken !== false;
+	}
 }
--- a/src/sidecar/guard/link-recovery.ts
+++ b/src/sidecar/guard/link-recovery.ts
@@ -47,7 +47,10 @@
 		return endedExchange;
 	}
 
-	/** Handles a lost link: cancels its waiting request; a running one may be resumed for some time. */
+	/**
+	 * Handles a lost link: cancels its request if it waits or the rest of its body can't come any more. A running one may
+	 * be resumed for some time.
+	 */
 	handleLinkLost(nonce: string, listener: ExchangeListener): void {
 		const call = this.options.calls.findCall(nonce);
 		if (call?.listener !== listener) {
@@ -62,7 +65,12 @@
 			}
 
 			case 'running': {
-				this.options.calls.addOrphan(call, performance.now());
+				if (call.isBodyWhole) {
+					this.options.calls.addOrphan(call, performance.now());
+				} else {
+					call.cancel();
+				}
+
 				break;
 			}
 
@@ -79,6 +87,11 @@
 			return endedExchange;
 		}
 
+		// The rest of the body was on the former link.
+		if (!call.isBodyWhole) {
+			call.cancel();
+		}
+
 		call.attach(listener);
 		return call;
 	}
