Keep no more of an answer in memory than its body

Cause: parts of a body are views of the read that brought them, and were kept and passed on one by one. Change: what one read brings of a body is passed on as one part, copied when the read is over twice as long; what is kept of an answer is copied into one when it has more than 16 parts.

--- a/src/sidecar/guard/connection-events.ts
+++ b/src/sidecar/guard/connection-events.ts
@@ -20,12 +20,3 @@
 	handleIdle(connection: ServerConnection): void;
 	handleClosed(connection: ServerConnection): void;
 };
-
-/** Creates a handler for the end of a write; a failure is reported by the events of the connection. */
-export function createWriteHandler(handleTaken: () => void): (error: unknown) => void {
-	return error => {
-		if (!(error instanceof Error)) {
-			handleTaken();
-		}
-	};
-}
--- a/src/sidecar/guard/guarded-call.ts
+++ b/src/sidecar/guard/guarded-call.ts
@@ -3,6 +3,7 @@
 import {type Exchange, type ExchangeListener} from '../link/exchange.ts';
 import {type AnswerHead, type CallHead, type RefusalReason} from '../link/messages.ts';
 import {type ServerAnswerHead} from '../types.ts';
+import {AnswerBuffer} from './answer-buffer.ts';
 import {type CallConnection, type CallOutcome, type CallOwner} from './call-owner.ts';
 import {RequestBody} from './request-body.ts';
 
@@ -50,8 +51,7 @@
 	#connection: CallConnection | undefined;
 	#startedAtMs = 0;
 	#answer: ServerAnswerHead | undefined;
-	#chunks: Uint8Array[] = [];
-	#bufferedBytes = 0;
+	readonly #answerBody = AnswerBuffer.create();
 	#isStreaming = false;
 	readonly #body: RequestBody;
 	/** Delivers the outcome again to a listener that is attached after the end; not set after streaming. */
@@ -212,20 +212,13 @@
 			return;
 		}
 
-		this.#chunks.push(chunk);
-		this.#bufferedBytes += chunk.length;
-		if (this.#bufferedBytes > maxBufferedBytes) {
+		this.#answerBody.add(chunk);
+		if (this.#answerBody.length > maxBufferedBytes) {
 			this.#isStreaming = true;
-			this.#listener.handleAnswer(this.#createAnswerHead(false), this.#takeBufferedBody());
+			this.#listener.handleAnswer(this.#createAnswerHead(false), this.#answerBody.removeAll());
 		}
 	}
 
-	#takeBufferedBody(): Uint8Array {
-		const chunks = this.#chunks;
-		this.#chunks = [];
-		return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-	}
-
 	#createAnswerHead(isWhole: boolean): AnswerHead {
 		const {status, headers, isNotRun, isLeaving} = this.#answer!;
 		return {status, headers, isNotRun, isLeaving, isWhole};
@@ -246,7 +239,7 @@
 		}
 
 		const head = this.#createAnswerHead(true);
-		const body = this.#takeBufferedBody();
+		const body = this.#answerBody.removeAll();
 		this.#end(outcome, listener => {
 			listener.handleAnswer(head, body);
 		});
--- a/src/sidecar/guard/server-connection.ts
+++ b/src/sidecar/guard/server-connection.ts
@@ -9,22 +9,19 @@
 import {HTTPParser} from 'http-parser-js';
 import {type HeadCodec, type SocketAddress} from '../types.ts';
 import {checkHeaders, hasLengthHeader} from './answer-headers.ts';
+import {joinParts} from './answer-buffer.ts';
 import {AnswerMatcher} from './answer-match.ts';
 import {countExcessBytes, createAnswerParser, type ParserChunk} from './answer-parser.ts';
 import {
 	type ConnectionListener,
 	type ConnectionOwner,
-	createWriteHandler,
 	type PendingRequest,
 } from './connection-events.ts';
-import {encodeChunk} from './request-body.ts';
+import {RequestWriter} from './request-writer.ts';
 
 /** A server on the same machine usually accepts within a millisecond. */
 const connectTimeoutMs = 500;
-/**
- * Bytes that a server may send without any body data of the expected answer: heads, chunk sizes, trailers,
- * interim answers and answers to other requests. The parser itself only limits the head of one answer.
- */
+/** Bytes that a server may send without body data of the answer; the parser itself only limits the head of one answer. */
 const maxBytesWithoutData = 256 * 1024;
 
 /** Shared by all connections: each read is copied out of it immediately. */
@@ -47,6 +44,7 @@
 	keepAliveMs: number | undefined;
 
 	readonly #socket: net.Socket;
+	readonly #writer: RequestWriter;
 	readonly #codec: HeadCodec;
 	readonly #owner: ConnectionOwner;
 	readonly #parser = createAnswerParser();
@@ -56,11 +54,12 @@
 	#isAnswerComplete = false;
 	#mustClose = false;
 	#isConnected = false;
-	#isRequestSent = false;
 	#isHeadRequest = false;
 	/** Whether the current answer has no length header. */
 	#lacksLengthHeader = false;
 	#isPaused = false;
+	/** Parts of the body in the current read. */
+	#bodyParts: Uint8Array[] = [];
 	/** Bytes received since the request was sent or since the last body data of its answer. */
 	#bytesWithoutData = 0;
 
@@ -75,6 +74,7 @@
 				callback: (count, bytes) => this.#handleRead(Buffer.from(bytes.subarray(0, count))),
 			},
 		});
+		this.#writer = RequestWriter.create(this.#socket);
 		this.#socket.setTimeout(connectTimeoutMs);
 		this.#listenToSocket();
 		this.#listenToParser();
@@ -92,17 +92,8 @@
 		this.#pending = {requestId: request.requestId, listener};
 		this.#matcher.begin(request.requestId);
 		this.#isHeadRequest = request.method === 'HEAD';
-		this.#isRequestSent = request.isWhole;
 		this.#bytesWithoutData = 0;
-		if (request.body.length === 0) {
-			this.#socket.write(request.head, 'latin1');
-			return;
-		}
-
-		this.#socket.cork();
-		this.#socket.write(request.head, 'latin1');
-		this.#socket.write(request.body);
-		this.#socket.uncork();
+		this.#writer.send(request);
 	}
 
 	/** Whether an answer to an earlier send of a request may still arrive here. */
@@ -110,14 +101,12 @@
 		return this.#matcher.hasCarried(requestId);
 	}
 
-	/** Sends a part of a body as one chunk. */
 	sendChunk(chunk: Uint8Array, handleTaken: () => void): void {
-		this.#socket.write(encodeChunk(chunk), createWriteHandler(handleTaken));
+		this.#writer.sendChunk(chunk, handleTaken);
 	}
 
 	sendLastChunk(): void {
-		this.#isRequestSent = true;
-		this.#socket.write('0\r\n\r\n', 'latin1');
+		this.#writer.sendLastChunk();
 	}
 
 	setPaused(isPaused: boolean): void {
@@ -168,8 +157,7 @@
 			this.#handleAnswerHead(info.statusCode, info.headers, info.shouldKeepAlive);
 		parser[HTTPParser.kOnBody] = (chunk, offset, length) => {
 			if (this.#isAnswerMatched) {
-				this.#bytesWithoutData = 0;
-				this.#pending?.listener.handleData(chunk.subarray(offset, offset + length));
+				this.#bodyParts.push(chunk.subarray(offset, offset + length));
 			}
 		};
 
@@ -205,6 +193,7 @@
 
 		this.#bytesWithoutData += chunk.length;
 		const result = this.#runParser(chunk);
+		this.#passBodyOn(chunk.length);
 		if (result instanceof Error) {
 			this.#mustClose = true;
 		}
@@ -220,6 +209,16 @@
 		}
 	}
 
+	/** Passes on what one read has brought of the body, as one part. */
+	#passBodyOn(readBytes: number): void {
+		const parts = this.#bodyParts;
+		if (parts.length > 0) {
+			this.#bodyParts = [];
+			this.#bytesWithoutData = 0;
+			this.#pending?.listener.handleData(joinParts(parts, readBytes));
+		}
+	}
+
 	/** Runs the parser; errors of its callbacks, which it throws, are returned like its own. */
 	#runParser(chunk: ParserChunk): number | Error {
 		try {
@@ -283,7 +282,7 @@
 		this.#pending = undefined;
 		this.#isAnswerComplete = false;
 		// A server that answers early may still read the rest of the request body from this connection.
-		if (this.#mustClose || !this.#isRequestSent) {
+		if (this.#mustClose || !this.#writer.isSent) {
 			this.#socket.destroy();
 		}
 
