--- a/src/sidecar/link/frames.ts
+++ b/src/sidecar/link/frames.ts
@@ -74,7 +74,11 @@
 		return new FrameReader();
 	}
 
-	#incompleteFrame: Uint8Array = noBody;
+	/** What has arrived of a frame that is not complete. */
+	#parts: Uint8Array[] = [];
+	#bytes = 0;
+	/** Bytes needed before there is anything to decode. */
+	#neededBytes = frameHeaderBytes;
 
 	private constructor() {
 		// Instances are created with `create`.
@@ -86,10 +90,17 @@
 	 * @returns false when the bytes are not valid frames; the connection must be closed then
 	 */
 	read(chunk: Uint8Array, onFrame: (frame: Frame) => void): boolean {
+		this.#parts.push(chunk);
+		this.#bytes += chunk.length;
+		if (this.#bytes < this.#neededBytes) {
+			return true;
+		}
+
 		let bytes =
-			this.#incompleteFrame.length === 0
+			this.#parts.length === 1
 				? Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length)
-				: Buffer.concat([this.#incompleteFrame, chunk]);
+				: Buffer.concat(this.#parts);
+		this.#neededBytes = frameHeaderBytes;
 		while (bytes.length >= frameHeaderBytes) {
 			const length = bytes.readUInt32BE(0);
 			const headBytes = bytes.readUInt32BE(5);
@@ -98,6 +109,7 @@
 			}
 
 			if (bytes.length < lengthFieldBytes + length) {
+				this.#neededBytes = lengthFieldBytes + length;
 				break;
 			}
 
@@ -112,7 +124,8 @@
 			bytes = bytes.subarray(frameEnd);
 		}
 
-		this.#incompleteFrame = bytes;
+		this.#parts = bytes.length === 0 ? [] : [bytes];
+		this.#bytes = bytes.length;
 		return true;
 	}
 }
