Read a server's connection again after an answer that ended while it was paused

What callers saw: after a long download, a request to the same server got no answer before its deadline (504). Cause: an answer over 64 KiB whose last read filled its receiver's socket left the connection to the server paused; the end of the answer gave it back to the pool, and the drain that followed found the call ended. Change: a connection is read again before it is idle.

--- a/src/sidecar/guard/answer-buffer.ts
+++ b/src/sidecar/guard/answer-buffer.ts
@@ -1,6 +1,8 @@
 /** The beginning of an answer's body, which is kept until the answer is whole or too long to be kept. */
 import {Buffer} from 'node:buffer';
 
+/** Shared by all connections: each read is copied out of it immediately. */
+export const readBuffer = Buffer.allocUnsafe(64 * 1024);
 /** More parts than this are copied into one: each may keep a whole read buffer in memory. */
 const maxParts = 16;
 
--- a/src/sidecar/guard/server-connection.ts
+++ b/src/sidecar/guard/server-connection.ts
@@ -9,7 +9,7 @@
 import {HTTPParser} from 'http-parser-js';
 import {type HeadCodec, type SocketAddress} from '../types.ts';
 import {checkHeaders, hasLengthHeader} from './answer-headers.ts';
-import {joinParts} from './answer-buffer.ts';
+import {joinParts, readBuffer} from './answer-buffer.ts';
 import {AnswerMatcher} from './answer-match.ts';
 import {countExcessBytes, createAnswerParser, type ParserChunk} from './answer-parser.ts';
 import {
@@ -19,14 +19,10 @@
 } from './connection-events.ts';
 import {RequestWriter} from './request-writer.ts';
 
-/** A server on the same machine usually accepts within a millisecond. */
 const connectTimeoutMs = 500;
 /** Bytes that a server may send without body data of the answer; the parser itself only limits the head of one answer. */
 const maxBytesWithoutData = 256 * 1024;
 
-/** Shared by all connections: each read is copied out of it immediately. */
-const readBuffer = Buffer.allocUnsafe(64 * 1024);
-
 export class ServerConnection {
 	/**
 	 * Opens a connection. A request may be sent at once; it is buffered until the connection is established.
@@ -288,6 +284,10 @@
 
 		pending?.listener.handleEnd();
 		if (!this.#socket.destroyed) {
+			if (this.#isPaused) {
+				this.setPaused(false);
+			}
+
 			this.#owner.handleIdle(this);
 		}
 	}
