Read a link again after an answer that ended while it was paused

An attempt that had ended could also pause or resume a link that carried another request. Change: a link is read again when its exchange is over, and an attempt that has ended controls nothing.

--- a/src/sidecar/entry/attempt.ts
+++ b/src/sidecar/entry/attempt.ts
@@ -142,8 +142,11 @@
 		}
 	}
 
+	/** Pauses or resumes receiving the answer; not after its end, when the link may carry another one. */
 	setPaused(isPaused: boolean): void {
-		this.#exchange?.setPaused(isPaused);
+		if (!this.#isEnded) {
+			this.#exchange?.setPaused(isPaused);
+		}
 	}
 
 	/** Ends the attempt; false when it had ended before. */
--- a/src/sidecar/guard/server-connection.ts
+++ b/src/sidecar/guard/server-connection.ts
@@ -20,6 +20,8 @@
 import {RequestWriter} from './request-writer.ts';
 
 const connectTimeoutMs = 500;
+/** Lower ones are interim answers. */
+const firstFinalStatus = 200;
 /** Bytes that a server may send without body data of the answer; the parser itself only limits the head of one answer. */
 const maxBytesWithoutData = 256 * 1024;
 
@@ -190,9 +192,7 @@
 		this.#bytesWithoutData += chunk.length;
 		const result = this.#runParser(chunk);
 		this.#passBodyOn(chunk.length);
-		if (result instanceof Error) {
-			this.#mustClose = true;
-		}
+		this.#mustClose ||= result instanceof Error;
 
 		if (this.#isAnswerComplete) {
 			this.#finishExchange();
@@ -235,8 +235,7 @@
 
 	/** @returns 1 to make the parser skip the body: an answer to HEAD has none */
 	#handleAnswerHead(status: number, headers: string[], shouldKeepAlive: boolean): number {
-		const isInformational = status < 200;
-		if (isInformational) {
+		if (status < firstFinalStatus) {
 			return 0;
 		}
 
--- a/src/sidecar/link/frame-socket.ts
+++ b/src/sidecar/link/frame-socket.ts
@@ -7,7 +7,8 @@
 
 export type FrameSocketListener = {
 	handleFrame(frame: Frame): void;
-	handleDrain(): void;
+	/** The socket accepts more; for senders whose frames are not bounded otherwise. */
+	handleDrain?(): void;
 	/** Called once when the connection is closed. */
 	handleClosed(): void;
 };
@@ -39,7 +40,7 @@
 			}
 		});
 		socket.on('drain', () => {
-			listener.handleDrain();
+			listener.handleDrain?.();
 		});
 		socket.on('error', () => {
 			// The close event that follows calls `handleClosed`.
--- a/src/sidecar/link/link.ts
+++ b/src/sidecar/link/link.ts
@@ -84,9 +84,6 @@
 			handleFrame: frame => {
 				this.#receiveFrame(frame);
 			},
-			handleDrain() {
-				// What is sent is bounded by the sender's window.
-			},
 			handleClosed: () => {
 				this.#handleClosed();
 			},
@@ -265,6 +262,7 @@
 
 	#release(): void {
 		this.#state = {kind: 'idle'};
+		this.#frames.setPaused(false);
 		if (this.#isBodySent) {
 			this.owner.handleIdle(this);
 		} else {
