Write no chunk without bytes

Only a peer that sends such a frame leads there; the entry sends none. Change: the encoding of a part without bytes is empty. The test failed before.

--- a/src/sidecar/guard/request-body.test.ts
+++ b/src/sidecar/guard/request-body.test.ts
@@ -1,7 +1,7 @@
 /** Parts of a body keep their order, and what is ahead of the server is bounded. */
 import {Buffer} from 'node:buffer';
 import test from 'ava';
-import {RequestBody} from './request-body.ts';
+import {encodeChunk, RequestBody} from './request-body.ts';
 
 const mebibyte = 1024 * 1024;
 
@@ -17,6 +17,12 @@
 	t.deepEqual(ended.removeWaiting().map(String), ['ab']);
 });
 
+// UNASKED: a part without bytes is encoded like the end of a body, and the server would run the request without the rest.
+test('a part without bytes is not written', t => {
+	t.is(Buffer.from(encodeChunk(Buffer.from('abc'))).toString(), '3\r\nabc\r\n');
+	t.is(encodeChunk(Buffer.alloc(0)).length, 0);
+});
+
 // A guard held uploads to a slow server without a bound.
 test('a sender that is too far ahead of the server is rejected', t => {
 	const body = RequestBody.create(Buffer.alloc(0), false);
--- a/src/sidecar/guard/request-body.ts
+++ b/src/sidecar/guard/request-body.ts
@@ -78,6 +78,11 @@
 
 /** Encodes a part of a body whose length isn't announced; see RFC 9112, section 7.1. */
 export function encodeChunk(part: Uint8Array): Uint8Array {
+	// A chunk without bytes would end the body.
+	if (part.length === 0) {
+		return part;
+	}
+
 	const size = Buffer.from(`${part.length.toString(16)}\r\n`, 'latin1');
 	return Buffer.concat([size, part, Buffer.from('\r\n', 'latin1')]);
 }
