--- a/src/sidecar/link/link.ts
+++ b/src/sidecar/link/link.ts
@@ -203,7 +203,7 @@
 
 	#handleHello({head, body}: Frame): void {
 		this.#incarnation = head;
-		this.#reportsTaken = Buffer.from(body).toString() === takenFeature;
+		this.#reportsTaken = Buffer.from(body).toString().split(' ').includes(takenFeature);
 		if (!this.#reportsTaken && this.#state.kind === 'exchange') {
 			this.#state.listener.handleTaken(Number.POSITIVE_INFINITY);
 		}
--- a/src/sidecar/link/messages.ts
+++ b/src/sidecar/link/messages.ts
@@ -3,7 +3,10 @@
 import {type ServerEnd} from '../quarantine/server-end.ts';
 import {type KnownLimit, type Member, type RawHeaders} from '../types.ts';
 
-/** Body of a hello frame: the guard reports what the server has taken of a body. Earlier releases send none. */
+/**
+ * A word in the body of a hello frame, which lists what the guard can do: it reports what the server has taken of a body.
+ * Earlier releases send no words.
+ */
 export const takenFeature = 'taken';
 
 /** Load of a guard, sent with each reply. */
