Give each test process ports that no other one takes

Cause, by reading: blocks of ports were chosen by the process id modulo 55, so that two of the test processes at a time may share one, and a port that is down for a moment is found free by the other. Change: a process holds the first port of its block, and takes the next block if that one is held. The collision itself was not reproduced.

--- a/src/sidecar/link/fixtures.ts
+++ b/src/sidecar/link/fixtures.ts
@@ -44,20 +44,22 @@
 }
 
 /**
- * Ports below those that the system hands out. Each test process has a block of its own: a port that was found
- * free would otherwise be taken by another process before the test listens on it.
+ * Ports below those that the system hands out. Each test process has a block of its own, whose first port it holds: a port
+ * that was found free, or of a server that is down for a moment, would otherwise be taken by another process.
  */
 const firstPort = 10_000;
 const portsPerProcess = 400;
 const blockCount = 55;
 let usedPorts = 0;
+let claimedBlock: Promise<number> | undefined;
 
 /** Finds unused ports on the loopback address. */
 export async function findFreePorts(count: number): Promise<number[]> {
-	const block = firstPort + (process.pid % blockCount) * portsPerProcess;
+	claimedBlock ??= claimBlock();
+	const block = await claimedBlock;
 	const ports: number[] = [];
 	for (let tries = 0; ports.length < count && tries < portsPerProcess; tries++) {
-		const port = block + (usedPorts++ % portsPerProcess);
+		const port = block + 1 + (usedPorts++ % (portsPerProcess - 1));
 		if (await isPortFree(port)) {
 			ports.push(port);
 		}
@@ -66,6 +68,28 @@
 	return ports;
 }
 
+/** Holds the first port of a block that no other process holds; returns that port. */
+async function claimBlock(): Promise<number> {
+	for (let tries = 0; tries < blockCount; tries++) {
+		const port = firstPort + ((process.pid + tries) % blockCount) * portsPerProcess;
+		const server = net.createServer();
+		const isClaimed = await new Promise<boolean>(resolve => {
+			server.once('error', () => {
+				resolve(false);
+			});
+			server.listen(port, '127.0.0.1', () => {
+				resolve(true);
+			});
+		});
+		if (isClaimed) {
+			server.unref();
+			return port;
+		}
+	}
+
+	throw new Error(`each of the ${blockCount} blocks of ports from ${firstPort} on is in use`);
+}
+
 async function isPortFree(port: number): Promise<boolean> {
 	const server = net.createServer();
 	return new Promise(resolve => {
