--- a/src/sidecar/guard/run-proof-model.test.ts
+++ b/src/sidecar/guard/run-proof-model.test.ts
@@ -9,133 +9,22 @@
 import fc from 'fast-check';
 import {Attempt} from '../entry/attempt.ts';
 import {distances, MemberView} from '../discovery/member-view.ts';
-import {type Exchange, type ExchangeListener} from '../link/exchange.ts';
-import {type LinkExchange, type LinkListener} from '../link/link.ts';
+import {type LinkListener} from '../link/link.ts';
 import {type CallHead, type ResumeHead} from '../link/messages.ts';
 import {
 	createTestGuard,
 	createTestHead,
 	type ServerRun,
 	testAnswer,
-	testIncarnation,
 	testMember,
 } from './fixtures.ts';
 import {type Guard} from './guard.ts';
 import {type ConnectionListener} from './connection-events.ts';
-
-/** A simulated link with undelivered messages in both directions. */
-class TestLink implements LinkExchange {
-	readonly incarnation = testIncarnation;
-	readonly toGuard: Array<() => void> = [];
-	readonly toEntry: Array<() => void> = [];
-	isCut = false;
-	#exchange: Exchange | undefined;
-	readonly #guardListener: ExchangeListener;
-
-	constructor(
-		private readonly guard: Guard,
-		private readonly nonce: string,
-		private readonly entryListener: LinkListener,
-	) {
-		const sendBack = (deliver: () => void) => {
-			this.toEntry.push(deliver);
-		};
-
-		this.#guardListener = {
-			handleAnswer(head, body) {
-				sendBack(() => {
-					entryListener.handleAnswer(head, body);
-				});
-			},
-			handleTaken() {
-				// Bodies are whole here.
-			},
-			handleData() {
-				// Answers are whole here.
-			},
-			handleEnd() {
-				// Answers are whole here.
-			},
-			handleRefusal(head) {
-				sendBack(() => {
-					entryListener.handleRefusal(head);
-				});
-			},
-			handleFailure(head) {
-				sendBack(() => {
-					entryListener.handleFailure(head);
-				});
-			},
-		};
-	}
-
-	get reportsTaken(): boolean {
-		return true;
-	}
-
-	open(head: CallHead): this {
-		this.toGuard.push(() => {
-			this.#exchange = this.guard.submit(head, Buffer.alloc(0), this.#guardListener);
-		});
-		return this;
-	}
-
-	resume(head: ResumeHead): this {
-		this.toGuard.push(() => {
-			this.#exchange = this.guard.resume(head.nonce, head.incarnation, this.#guardListener);
-		});
-		return this;
-	}
-
-	ping(): void {
-		// Requests are whole here.
-	}
-
-	cancel(): void {
-		this.toGuard.push(() => {
-			this.#exchange?.cancel();
-		});
-	}
-
-	sendBody(): void {
-		// Requests are whole here.
-	}
-
-	endBody(): void {
-		// Bodies are whole here.
-	}
-
-	setPaused(): void {
-		// Answers are whole here.
-	}
-
-	/** Ends a link that the entry has replaced; the guard is notified later. */
-	abandon(): void {
-		this.isCut = true;
-		this.toEntry.length = 0;
-		this.toGuard.push(() => {
-			this.guard.handleLinkLost(this.nonce, this.#guardListener);
-		});
-	}
-
-	/** Cuts the link. The entry is notified at once, the guard after the messages not lost in transit. */
-	cut(isRequestLost: boolean): void {
-		this.isCut = true;
-		this.toEntry.length = 0;
-		if (isRequestLost) {
-			this.toGuard.length = 0;
-		}
-
-		this.toGuard.push(() => {
-			this.guard.handleLinkLost(this.nonce, this.#guardListener);
-		});
-		this.entryListener.handleLost();
-	}
-}
+import {SimulatedLink} from './simulated-link.ts';
 
 /** An entry, a guard with one slot, and a fake server driven by the script. */
 class Simulation {
-	readonly links: TestLink[] = [];
+	readonly links: SimulatedLink[] = [];
 	readonly refused = new Set<string>();
 	readonly answered = new Map<string, string>();
 	readonly attempts: Attempt[] = [];
@@ -214,8 +103,8 @@
 		}
 	}
 
-	#createLink(nonce: string, listener: LinkListener): TestLink {
-		const link = new TestLink(this.guard, nonce, listener);
+	#createLink(nonce: string, listener: LinkListener): SimulatedLink {
+		const link = SimulatedLink.create(this.guard, nonce, listener);
 		this.links.push(link);
 		return link;
 	}
