--- a/src/sidecar/link/fixtures.ts
+++ b/src/sidecar/link/fixtures.ts
@@ -55,7 +55,7 @@
 
 /** Finds unused ports on the loopback address. */
 export async function findFreePorts(count: number): Promise<number[]> {
-	claimedBlock ??= claimBlock();
+	claimedBlock ??= claimBlock(process.pid);
 	const block = await claimedBlock;
 	const ports: number[] = [];
 	for (let tries = 0; ports.length < count && tries < portsPerProcess; tries++) {
@@ -69,9 +69,9 @@
 }
 
 /** Holds the first port of a block that no other process holds; returns that port. */
-async function claimBlock(): Promise<number> {
+export async function claimBlock(processId: number): Promise<number> {
 	for (let tries = 0; tries < blockCount; tries++) {
-		const port = firstPort + ((process.pid + tries) % blockCount) * portsPerProcess;
+		const port = firstPort + ((processId + tries) % blockCount) * portsPerProcess;
 		const server = net.createServer();
 		const isClaimed = await new Promise<boolean>(resolve => {
 			server.once('error', () => {
