--- a/src/sidecar/entry/body-stream.ts
+++ b/src/sidecar/entry/body-stream.ts
@@ -1,6 +1,5 @@
 /**
- * Passes a body that is too long to be buffered from the caller to the guard, with the guard's backpressure applied to
- * the caller.
+ * Passes a body that is too long to be buffered from the caller to the guard, as fast as the server takes it.
  *
  * Only the beginning of the body is kept. Once more of it was passed on, the request can't be sent to another server.
  */
