--- a/src/sidecar/entry/send-window.ts
+++ b/src/sidecar/entry/send-window.ts
@@ -4,7 +4,7 @@
  * It bounds what the sockets and the guard hold of one request, however slowly its server reads.
  */
 
-/** Enough for the round trip between regions at the speed of their link. */
+/** Bytes of one body that may be on their way. */
 export const sendWindowBytes = 256 * 1024;
 
 export class SendWindow {
