Log which message changed what is known of the server, and count the ignored ones

Now identity changes are logged with the sender, requests carry callerService, and each ignored message is counted by source and cause and logged up to five times in 10 s.

--- a/src/sidecar/control-server.ts
+++ b/src/sidecar/control-server.ts
@@ -2,13 +2,14 @@
 import http from 'node:http';
 import {text as readText} from 'node:stream/consumers';
 import {type Result} from 'neverthrow';
-import {type Logger} from '../reporting/logger.ts';
+import {type IgnoredMessage, type MessageLog} from './reporting/message-log.ts';
 import {type ServerMessage, type SocketAddress} from './types.ts';
 
 export type ControlOptions = {
-	readonly logger: Logger;
+	readonly messageLog: Pick<MessageLog, 'recordIgnored'>;
 	decodeMessage(url: string, body: string): Result<ServerMessage, Error>;
-	handleMessage(message: ServerMessage): void;
+	/** @param sender - address that the message came from */
+	handleMessage(message: ServerMessage, sender: string): void;
 };
 
 /** Starts an HTTP server; resolves when it listens. */
@@ -37,34 +38,31 @@
 	request: http.IncomingMessage,
 	response: http.ServerResponse,
 ): Promise<void> {
+	const sender = `${request.socket.remoteAddress ?? ''}:${request.socket.remotePort ?? 0}`;
+	const recordIgnored = (cause: IgnoredMessage['cause'], reason: string) => {
+		options.messageLog.recordIgnored({source: 'control', cause, reason, sender});
+	};
+
 	let body: string;
 	try {
 		body = await readText(request);
 	} catch (error) {
 		// The server aborted the request; it sends reports periodically.
-		const reason = (error as Error).message;
-		options.logger.warn({reason}, 'could not read the body of a message from the backend server');
+		recordIgnored('unread', (error as Error).message);
 		return;
 	}
 
 	const message = options.decodeMessage(request.url ?? '', body);
 	if (message.isErr()) {
-		options.logger.warn(
-			{reason: message.error.message},
-			'could not decode a message from the backend server',
-		);
+		recordIgnored('undecodable', message.error.message);
 		sendEmptyJson(response, 400);
 		return;
 	}
 
 	try {
-		options.handleMessage(message.value);
+		options.handleMessage(message.value, sender);
 	} catch (error) {
-		const reason = (error as Error).message;
-		options.logger.error(
-			{reason, kind: message.value.kind},
-			'failed to handle a message of the server',
-		);
+		recordIgnored('failed', (error as Error).message);
 		sendEmptyJson(response, 500);
 		return;
 	}
--- a/src/sidecar/discovery/active-config.test.ts
+++ b/src/sidecar/discovery/active-config.test.ts
@@ -3,6 +3,7 @@
 import {err, ok} from 'neverthrow';
 import test from 'ava';
 import {Logger} from '../../reporting/logger.ts';
+import {MessageLog} from '../reporting/message-log.ts';
 import {type MeshConfig} from '../types.ts';
 import {ActiveConfig} from './active-config.ts';
 
@@ -12,6 +13,7 @@
 function createConfig(): ActiveConfig {
 	return ActiveConfig.create({
 		logger: Logger.create('test', 'error'),
+		messageLog: MessageLog.create(Logger.create('test', 'error')),
 		decode(source) {
 			const version = Number(source.split(' ')[0]);
 			const config: MeshConfig = {version, routes: [], services: new Map(), limits, source};
--- a/src/sidecar/discovery/active-config.ts
+++ b/src/sidecar/discovery/active-config.ts
@@ -1,6 +1,7 @@
 /** Holds the newest configuration; an older or invalid one never replaces it. */
 import {type Result} from 'neverthrow';
 import {type Logger} from '../../reporting/logger.ts';
+import {type MessageLog} from '../reporting/message-log.ts';
 import {type MeshConfig} from '../types.ts';
 import {type StorePosition} from '../shared-table.ts';
 import {compareConfigs, type KnownConfig} from './config-order.ts';
@@ -12,6 +13,7 @@
 
 export type ActiveConfigOptions = {
 	readonly logger: Logger;
+	readonly messageLog: Pick<MessageLog, 'recordIgnored'>;
 	decode(source: string): Result<MeshConfig, Error>;
 	/** Called when a newer configuration has been applied. */
 	handleChange(config: MeshConfig): void;
@@ -53,7 +55,14 @@
 		const {logger} = this.options;
 		const decoded = this.options.decode(source);
 		if (decoded.isErr()) {
-			logger.warn({from, reason: decoded.error.message}, 'failed to decode the configuration');
+			const reason = decoded.error.message;
+			const message = {
+				source: 'configuration',
+				cause: 'undecodable',
+				reason,
+				sender: from,
+			} as const;
+			this.options.messageLog.recordIgnored(message);
 			return;
 		}
 
--- a/src/sidecar/discovery/fixtures.ts
+++ b/src/sidecar/discovery/fixtures.ts
@@ -3,6 +3,7 @@
 import {type ExecutionContext} from 'ava';
 import {err, ok, type Result} from 'neverthrow';
 import {Logger} from '../../reporting/logger.ts';
+import {MessageLog} from '../reporting/message-log.ts';
 import {testMember} from '../guard/fixtures.ts';
 import {type Row, type RowSet, type SharedTable, type StoreFailure} from '../shared-table.ts';
 import {type Member} from '../types.ts';
@@ -207,6 +208,7 @@
 			configMs: 2500,
 			directory,
 			logger,
+			messageLog: MessageLog.create(logger),
 			handleConfig(source) {
 				sidecar.config = source;
 			},
--- a/src/sidecar/discovery/member-view-factory.ts
+++ b/src/sidecar/discovery/member-view-factory.ts
@@ -1,5 +1,5 @@
 /** Creates the views of members, with their distance and the connections to them. */
-import {type Logger} from '../../reporting/logger.ts';
+import {type MessageLog} from '../reporting/message-log.ts';
 import {type GuardLoad} from '../link/messages.ts';
 import {DrainPlan} from '../drain-plan.ts';
 import {LinkPool} from '../link/link-pool.ts';
@@ -10,15 +10,15 @@
 	/**
 	 * @param readOwnLoad - reads the load of the local guard, which needs no load reports
 	 * @example
-	 * const factory = ViewFactory.create(settings, logger, readOwnLoad);
+	 * const factory = ViewFactory.create(settings, messageLog, readOwnLoad);
 	 * const view = factory.createView(member);
 	 */
 	static create(
 		settings: SidecarSettings,
-		logger: Logger,
+		messageLog: Pick<MessageLog, 'recordInvalidFrame'>,
 		readOwnLoad: () => GuardLoad,
 	): ViewFactory {
-		return new ViewFactory(settings, logger, readOwnLoad);
+		return new ViewFactory(settings, messageLog, readOwnLoad);
 	}
 
 	/** Members at the same address share their connections. */
@@ -27,7 +27,7 @@
 
 	private constructor(
 		private readonly settings: SidecarSettings,
-		private readonly logger: Logger,
+		private readonly messageLog: Pick<MessageLog, 'recordInvalidFrame'>,
 		private readonly readOwnLoad: () => GuardLoad,
 	) {
 		this.#drainPlan = DrainPlan.create(settings.graceMs);
@@ -56,8 +56,7 @@
 
 	#createPool(member: Member): LinkPool {
 		return LinkPool.create(member.link, reason => {
-			const {instance} = member;
-			this.logger.warn({peer: instance, reason}, 'failed to decode a frame from a peer');
+			this.messageLog.recordInvalidFrame(reason, member.instance);
 		});
 	}
 }
--- a/src/sidecar/discovery/peer-sync.test.ts
+++ b/src/sidecar/discovery/peer-sync.test.ts
@@ -5,6 +5,7 @@
 import {setTimeout as wait} from 'node:timers/promises';
 import test from 'ava';
 import {Logger} from '../../reporting/logger.ts';
+import {MessageLog} from '../reporting/message-log.ts';
 import {testMember} from '../guard/fixtures.ts';
 import {type Member} from '../types.ts';
 import {Directory} from './directory.ts';
@@ -42,6 +43,7 @@
 		instance: 'own',
 		directory,
 		logger: Logger.create('test', 'error'),
+		messageLog: MessageLog.create(Logger.create('test', 'error')),
 		readConfig: () => undefined,
 		isStoreUnavailable: () => false,
 		readOwnMember: () => undefined,
--- a/src/sidecar/discovery/peer-sync.ts
+++ b/src/sidecar/discovery/peer-sync.ts
@@ -8,6 +8,7 @@
  * unavailable, restarts without knowing any peer, and this sidecar may not have noticed the outage yet.
  */
 import {type Logger} from '../../reporting/logger.ts';
+import {type MessageLog} from '../reporting/message-log.ts';
 import {type Member, type MeshConfig} from '../types.ts';
 import {noConfigVersion} from './active-config.ts';
 import {DepartedPeers} from './departed-peers.ts';
@@ -39,6 +40,7 @@
 	readonly instance: string;
 	readonly directory: Directory;
 	readonly logger: Logger;
+	readonly messageLog: Pick<MessageLog, 'recordIgnored'>;
 	readConfig(): MeshConfig | undefined;
 	isStoreUnavailable(): boolean;
 	/** The announcement of this instance; undefined while its server is not known. */
@@ -266,10 +268,9 @@
 
 		const state = decodePeerState(text);
 		if (state === undefined) {
-			this.options.logger.warn(
-				{peer: instance, bytes: text.length},
-				'failed to decode the sync response of a peer',
-			);
+			const reason = `invalid sync response of ${text.length} characters`;
+			const message = {source: 'peer', cause: 'undecodable', reason, sender: instance} as const;
+			this.options.messageLog.recordIgnored(message);
 			return;
 		}
 
--- a/src/sidecar/discovery/store-sync.ts
+++ b/src/sidecar/discovery/store-sync.ts
@@ -1,5 +1,6 @@
 /** Keeps this sidecar up to date with the store: by its own calls while it is a watcher, else by relays. */
 import {type Logger} from '../../reporting/logger.ts';
+import {type MessageLog} from '../reporting/message-log.ts';
 import {type OverloadSummary} from '../overload/overload-summary.ts';
 import {type Row, type StorePosition} from '../shared-table.ts';
 import {type Member} from '../types.ts';
@@ -19,6 +20,7 @@
 	readonly configMs: number;
 	readonly directory: Directory;
 	readonly logger: Logger;
+	readonly messageLog: Pick<MessageLog, 'recordIgnored'>;
 	handleConfig(source: string, position: StorePosition): void;
 	/** Called with the row of this instance, undefined if there is none at the position. */
 	handleOwnRow(row: Row | undefined, position: StorePosition): void;
--- a/src/sidecar/discovery/store-watcher.ts
+++ b/src/sidecar/discovery/store-watcher.ts
@@ -1,5 +1,6 @@
 /** Watches the shared table for the configuration of operators and the announcements of sidecars. */
 import {type Logger} from '../../reporting/logger.ts';
+import {type MessageLog} from '../reporting/message-log.ts';
 import {type Row, type SharedTable, type StorePosition} from '../shared-table.ts';
 import {type Member} from '../types.ts';
 import {decodeMember} from './member-codec.ts';
@@ -28,6 +29,7 @@
 	readonly configKey: string;
 	readonly instance: string;
 	readonly logger: Logger;
+	readonly messageLog: Pick<MessageLog, 'recordIgnored'>;
 	/** Time within which an acknowledged configuration has to be in force. */
 	readonly configMs: number;
 	handleConfig(source: string, position: StorePosition): void;
@@ -205,7 +207,9 @@
 
 			const member = decodeMember(value);
 			if (member === undefined) {
-				this.options.logger.warn({key}, 'failed to decode an announcement in the members table');
+				const reason = 'the row holds no announcement';
+				const message = {source: 'members', cause: 'undecodable', reason, sender: key} as const;
+				this.options.messageLog.recordIgnored(message);
 			} else {
 				this.options.handleMember(member);
 			}
--- a/src/sidecar/entry/entry-call.ts
+++ b/src/sidecar/entry/entry-call.ts
@@ -293,7 +293,7 @@
 				outcome,
 				tookMs: performance.now() - this.#arrivedAtMs,
 				reportAgeMs: this.#admission?.kind === 'shed' ? this.#admission.reportAgeMs : -1,
-				configVersion: this.ctx.readRoutes()?.config.version,
+				ctx: this.ctx,
 			}),
 		);
 	}
--- a/src/sidecar/entry/request-record.test.ts
+++ b/src/sidecar/entry/request-record.test.ts
@@ -22,10 +22,10 @@
 		status: 404,
 		outcome: 'version 1 has no such route',
 		tookMs: 1,
-
 		reportAgeMs: -1,
-		configVersion: 1,
+		ctx: {readRoutes: () => undefined, readCallerService: () => 'shop'},
 	});
 	t.is(record.route, '');
 	t.is(record.path, '/none/1?page=6');
+	t.is(record.callerService, 'shop');
 });
--- a/src/sidecar/entry/request-record.ts
+++ b/src/sidecar/entry/request-record.ts
@@ -3,6 +3,7 @@
 import {type Route} from '../types.ts';
 import {type CallerRequest} from './caller-request.ts';
 import {type AttemptHistory} from './attempt-history.ts';
+import {type EntryContext} from './entry-context.ts';
 
 /** State of a request when it ends; stages that it did not reach are undefined. */
 export type FinishedRequest = {
@@ -14,7 +15,7 @@
 	readonly outcome: string;
 	readonly tookMs: number;
 	readonly reportAgeMs: number;
-	readonly configVersion: number | undefined;
+	readonly ctx: Pick<EntryContext, 'readRoutes' | 'readCallerService'>;
 };
 
 /**
@@ -24,17 +25,19 @@
  * log.recordRequest(createRequestRecord(finishedRequest));
  */
 export function createRequestRecord(request: FinishedRequest): RequestRecord {
-	const {caller, route, history, configVersion, service, status, outcome, tookMs} = request;
+	const {ctx, caller, route, history, service} = request;
+	const {status, outcome, tookMs} = request;
 	return {
 		requestId: caller.head.requestId,
 		route: route?.name ?? '',
 		path: route === undefined ? (caller.request.url ?? '') : '',
 		service,
+		callerService: ctx.readCallerService(),
 		status,
 		outcome,
 		tookMs,
 		...createHistoryFields(history),
-		configVersion: configVersion ?? -1,
+		configVersion: ctx.readRoutes()?.config.version ?? -1,
 		deadlineMs: caller.head.deadlineMs ?? 0,
 		reportAgeMs: request.reportAgeMs,
 	};
--- a/src/sidecar/local-server-manager.ts
+++ b/src/sidecar/local-server-manager.ts
@@ -13,7 +13,9 @@
 import {CrashDetector} from './quarantine/crash-detector.ts';
 import {probeListening} from './quarantine/listening-probe.ts';
 import {type Quarantine} from './quarantine/quarantine.ts';
+import {logIdentity} from './reporting/log-identity.ts';
 import {recordOutcome} from './reporting/outcome-log.ts';
+import {type MessageLog} from './reporting/message-log.ts';
 import {type RequestLog} from './reporting/request-log.ts';
 import {type RunQueue} from './scheduling/run-queue.ts';
 import {decodeMember} from './discovery/member-codec.ts';
@@ -38,6 +40,7 @@
 	readonly incarnation: string;
 	readonly directory: Directory;
 	readonly requestLog: RequestLog;
+	readonly messageLog: MessageLog;
 	readonly runQueue: RunQueue;
 	readonly quarantine: Quarantine;
 	readMetadataExchange(): MetadataExchange;
@@ -115,15 +118,19 @@
 		this.pool.closeIdle();
 	}
 
-	/** Handles a report or a leave message of the server; the message is acknowledged once this returns. */
-	handleMessage(message: ServerMessage): void {
+	/**
+	 * Handles a report or a leave message of the server; the message is acknowledged once this returns.
+	 *
+	 * @param sender - address that the message came from
+	 */
+	handleMessage(message: ServerMessage, sender: string): void {
+		const before = this.#server.state;
 		if (!this.#server.apply(message, performance.now())) {
-			this.options.logger.warn(
-				{kind: message.kind},
-				'ignored an outdated message of the local server',
-			);
+			const reason = `${message.kind} is older than what is known of the server`;
+			this.options.messageLog.recordIgnored({source: 'control', cause: 'outdated', reason, sender});
 		}
 
+		logIdentity(this.options.logger, {before, after: this.#server.state, sender});
 		this.#reconcile();
 	}
 
--- a/src/sidecar/reporting/metrics-page.ts
+++ b/src/sidecar/reporting/metrics-page.ts
@@ -3,10 +3,12 @@
 import {type Logger} from '../../reporting/logger.ts';
 import {type GuardLoad} from '../link/messages.ts';
 import {type Scheduler} from '../scheduling/scheduler.ts';
+import {type MessageLog} from './message-log.ts';
 import {latencyBucketsMs, type RequestLog} from './request-log.ts';
 
 export type MetricsSource = {
 	readonly log: RequestLog;
+	readonly messageLog: Pick<MessageLog, 'counts'>;
 	readonly logger: Logger;
 	readonly scheduler: Scheduler;
 	readLoad(): GuardLoad;
@@ -150,6 +152,19 @@
 			}
 		},
 	});
+	const ignored = new Gauge({
+		name: 'primrosevalve_messages_ignored_total',
+		help: 'Messages from outside that changed nothing, by where they came in and why',
+		labelNames: ['source', 'cause'],
+		registers,
+		collect() {
+			for (const [from, causes] of source.messageLog.counts) {
+				for (const [cause, count] of causes) {
+					ignored.set({source: from, cause}, count);
+				}
+			}
+		},
+	});
 	addRequestMetrics(
 		new Gauge({
 			name: 'primrosevalve_requests_total',
--- a/src/sidecar/reporting/request-log.test.ts
+++ b/src/sidecar/reporting/request-log.test.ts
@@ -9,6 +9,7 @@
 	route: 'r-orders',
 	path: '',
 	service: 'orders',
+	callerService: 'shop',
 	status: 200,
 	outcome: 'relayed',
 	tookMs: 12,
--- a/src/sidecar/reporting/request-log.ts
+++ b/src/sidecar/reporting/request-log.ts
@@ -16,6 +16,8 @@
 	 */
 	readonly path: string;
 	readonly service: string;
+	/** Service of this instance, which the backend server is told. */
+	readonly callerService: string;
 	/** 0 when the caller disconnected or the answer was truncated. */
 	readonly status: number;
 	readonly outcome: string;
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -21,7 +21,7 @@
 import {RetryBudget} from './overload/retry-budget.ts';
 import {type SidecarPlatform} from './sidecar-platform.ts';
 import {Quarantine} from './quarantine/quarantine.ts';
-import {RequestLog} from './reporting/request-log.ts';
+import {SidecarLogs} from './reporting/sidecar-logs.ts';
 import {Scheduler} from './scheduling/scheduler.ts';
 import {LocalServerManager} from './local-server-manager.ts';
 import {StopSequence} from './stop-sequence.ts';
@@ -47,7 +47,7 @@
 	readonly #peerSync: PeerSync;
 	readonly #entry: EntryServer;
 	readonly #linkServer: LinkServer;
-	readonly #requestLog: RequestLog;
+	readonly #logs: SidecarLogs;
 	readonly #quarantine: Quarantine;
 	readonly #storeSync: StoreSync;
 	readonly #stopSequence: StopSequence;
@@ -60,8 +60,10 @@
 		private readonly platform: SidecarPlatform,
 		private readonly logger: Logger,
 	) {
-		this.#requestLog = RequestLog.create(logger, this.#scheduler);
-		this.#views = ViewFactory.create(settings, logger, () => this.#localServer.guard.readLoad());
+		this.#logs = SidecarLogs.create(logger, this.#scheduler);
+		this.#views = ViewFactory.create(settings, this.#logs.messageLog, () =>
+			this.#localServer.guard.readLoad(),
+		);
 		this.#directory = Directory.create(member => this.#views.createView(member));
 		this.#quarantine = Quarantine.create(this.#directory, logger);
 		this.#table = FencedTable.create(platform.table, logger, () => {
@@ -135,7 +137,7 @@
 
 	#createActiveConfig(): ActiveConfig {
 		return ActiveConfig.create({
-			logger: this.logger,
+			...this.#logs,
 			decode: source => this.platform.decodeConfig(source),
 			handleChange: config => {
 				this.#entry.setLimits(config.limits);
@@ -148,10 +150,9 @@
 			settings: this.settings,
 			codec: this.platform.codec,
 			table: this.#table,
-			logger: this.logger,
+			...this.#logs,
 			incarnation: this.#incarnation,
 			directory: this.#directory,
-			requestLog: this.#requestLog,
 			quarantine: this.#quarantine,
 			runQueue: this.#scheduler.runQueue,
 			readMetadataExchange: () => this.#metadata,
@@ -186,7 +187,7 @@
 			table: this.#table,
 			configKey: this.platform.configKey,
 			directory: this.#directory,
-			logger: this.logger,
+			...this.#logs,
 			handleConfig: (source, position) => {
 				this.#activeConfig.apply(source, 'store', position);
 			},
@@ -206,7 +207,7 @@
 		return PeerSync.create({
 			instance: this.settings.instance,
 			directory: this.#directory,
-			logger: this.logger,
+			...this.#logs,
 			readConfig: () => this.#activeConfig.routes?.config,
 			isStoreUnavailable: () =>
 				this.#storeSync.isUnavailable || this.#localServer.isAnnouncementFailing,
@@ -229,7 +230,7 @@
 			admission: this.#admission,
 			callRatios,
 			costs,
-			log: this.#requestLog,
+			log: this.#logs.requestLog,
 			quarantine: this.#quarantine,
 			runQueue: this.#scheduler.runQueue,
 			acceptQueue: this.#scheduler.callerAcceptQueue,
@@ -258,10 +259,10 @@
 			runQueue: this.#scheduler.runQueue,
 			acceptQueue: this.#scheduler.linkAcceptQueue,
 			handleUnread: head => {
-				this.#requestLog.recordCancellation({...head, afterMs: 0, phase: 'unread'});
+				this.#logs.requestLog.recordCancellation({...head, afterMs: 0, phase: 'unread'});
 			},
 			handleInvalidFrame: reason => {
-				this.logger.warn({reason}, 'failed to decode a frame from a peer');
+				this.#logs.messageLog.recordInvalidFrame(reason);
 			},
 		});
 	}
@@ -273,19 +274,18 @@
 	}
 
 	#createEndpoints(): Endpoints {
-		const {logger} = this;
 		return Endpoints.create({
 			addresses: this.settings,
 			control: {
-				logger,
+				messageLog: this.#logs.messageLog,
 				decodeMessage: (url, body) => this.platform.decodeServerMessage(url, body),
-				handleMessage: message => {
-					this.#localServer.handleMessage(message);
+				handleMessage: (message, sender) => {
+					this.#localServer.handleMessage(message, sender);
 				},
 			},
 			metrics: {
-				log: this.#requestLog,
-				logger,
+				...this.#logs,
+				log: this.#logs.requestLog,
 				scheduler: this.#scheduler,
 				readLoad: () => this.#localServer.guard.readLoad(),
 				readConfigVersion: () => this.#activeConfig.version,
