Believe a message about the local server only if the server bears it out

Callers saw: nothing at first; backend servers ran requests whose X-Caller-Service was no service (UNASKED), the server beside a sidecar got no requests for seconds, and its leave was not heard (DRAIN).

Cause: LocalServer.apply took id, service, start, slots and order of any message that could be decoded on the control address, and kept the largest sequence and start that it had ever seen, so that one message of another writer replaced the server and made its own reports outdated ones. The class: an unauthenticated message was taken for the fact that it claims.

Change: what the settings say (service, address, data centre) is not for a message to change. A message that continues what is known of the server is believed at once (guard/message-judgement). One that changes who the server is, or that says out of order that it leaves, is believed only if the server itself confirms it: its health path, asked at its own address, names its id and whether it leaves (server-verifier, at most four times a second). Other facts of the same start need reports that go on while the known ones have ceased. Order is counted from the last report, not from the highest, so no message hides a later one. Texts that go into heads are tokens. A refused message answers 409, is counted and logged.

--- a/src/sidecar/control-server.ts
+++ b/src/sidecar/control-server.ts
@@ -8,8 +8,11 @@
 export type ControlOptions = {
 	readonly messageLog: Pick<MessageLog, 'recordIgnored'>;
 	decodeMessage(url: string, body: string): Result<ServerMessage, Error>;
-	/** @param sender - address that the message came from */
-	handleMessage(message: ServerMessage, sender: string): void;
+	/**
+	 * @param sender - address that the message came from
+	 * @returns false if the message contradicts what is known of the server
+	 */
+	handleMessage(message: ServerMessage, sender: string): boolean;
 };
 
 /** Starts an HTTP server; resolves when it listens. */
@@ -59,15 +62,16 @@
 		return;
 	}
 
+	let isAccepted: boolean;
 	try {
-		options.handleMessage(message.value, sender);
+		isAccepted = options.handleMessage(message.value, sender);
 	} catch (error) {
 		recordIgnored('failed', (error as Error).message);
 		sendEmptyJson(response, 500);
 		return;
 	}
 
-	sendEmptyJson(response, 200);
+	sendEmptyJson(response, isAccepted ? 200 : 409);
 }
 
 function sendEmptyJson(response: http.ServerResponse, status: number): void {
--- a/src/sidecar/guard/fixtures.ts
+++ b/src/sidecar/guard/fixtures.ts
@@ -3,10 +3,11 @@
 import {formatNonce} from '../../once/nonce.ts';
 import {immediateQueue} from '../link/fixtures.ts';
 import {type CallHead} from '../link/messages.ts';
-import {type HeadCodec, type Member, type ServerAnswerHead} from '../types.ts';
+import {type HeadCodec, type Member, type ServerAnswerHead, type ServerReport} from '../types.ts';
 import {Guard} from './guard.ts';
 import {type CallConnection} from './call-owner.ts';
 import {LocalServer} from './local-server.ts';
+import {type ServerExpectation} from './local-server-state.ts';
 import {type ConnectionListener} from './connection-events.ts';
 
 export const testIncarnation = 'g1';
@@ -23,6 +24,35 @@
 	epoch: 1,
 };
 
+/** What the settings of the test sidecar say of its server. */
+export const testExpectation: ServerExpectation = {
+	address: {host: '10.0.0.1', port: 2},
+	dataCentre: 'a',
+	readService: () => 'shop',
+	isConfigured: service => service === 'shop' || service === 'other',
+};
+
+/** A report of the test server, which is started at 1000. */
+export const testReport: ServerReport = {
+	id: 'i-1',
+	service: 'shop',
+	address: testExpectation.address,
+	dataCentre: 'a',
+	slots: 100,
+	isLeaving: false,
+	sequence: 5,
+	warmupMs: 0,
+	startedAtMs: 1000,
+};
+
+/** Applies a report; a server that is asked confirms the id. */
+export function applyConfirmed(server: LocalServer, report: ServerReport, nowMs: number): void {
+	const message = {kind: 'report', report} as const;
+	if (server.apply(message, nowMs).kind === 'unconfirmed') {
+		server.settle(message, {kind: 'healthy', serverId: report.id}, nowMs);
+	}
+}
+
 export const testAnswer: ServerAnswerHead = {
 	requestId: undefined,
 	status: 200,
@@ -111,8 +141,8 @@
 	runs: ServerRun[];
 } {
 	const runs: ServerRun[] = [];
-	const server = LocalServer.create(2500);
-	server.restore({id: 'i-1', service: 'shop', slots}, performance.now());
+	const server = LocalServer.create(2500, testExpectation);
+	server.restore({id: 'i-1', service: 'shop', slots, startedAtMs: 0}, performance.now());
 	const guard = Guard.create({
 		server,
 		pool: {acquire: () => createConnection(runs), closeIdleBefore: ignore},
--- a/src/sidecar/guard/local-server.ts
+++ b/src/sidecar/guard/local-server.ts
@@ -1,6 +1,15 @@
 /** State of the local backend server, as known from its messages. */
 import {readSuspendedMs} from '../suspension-clock.ts';
 import {type MemberState, type ServerAnswerHead, type ServerMessage} from '../types.ts';
+import {
+	type LocalServerState,
+	type ServerExpectation,
+	type ServerFacts,
+	type ServerStart,
+	type ServerWitness,
+} from './local-server-state.ts';
+import {type Judgement} from './message-judgement.ts';
+import {ServerTracker} from './server-tracker.ts';
 import {RequestPacer} from './request-pacer.ts';
 
 /** A server is considered down after this long without a message; heartbeats may be seconds late. */
@@ -13,148 +22,76 @@
 /** Share of the drain time in which a leaving server still gets requests; the rest covers delays. */
 const drainUsedShare = 0.5;
 
-export type LocalServerState = {
-	readonly id: string;
-	readonly service: string;
-	readonly slots: number;
-	/** Start of the server, in Unix milliseconds; 0 until the server has reported it. */
-	readonly startedAtMs: number;
-	readonly sequence: number;
-	/** When the last message arrived, on the monotonic clock. */
-	readonly lastMessageAtMs: number;
-	/** When the server's leaving was acknowledged, on the monotonic clock. */
-	readonly leavingSinceMs: number | undefined;
-	/** Time for which the process had been suspended by then. */
-	readonly suspendedBeforeMs: number;
-	readonly hasLeft: boolean;
-	readonly isUnreachable: boolean;
-};
-
-/** One start of a server. */
-export type ServerStart = {readonly id: string; readonly startedAtMs: number};
-
-/** Whether a report is of another server, or of another start of the same one; 0 is a start that isn't known. */
-function isOtherStart(known: ServerStart, report: ServerStart): boolean {
-	return (
-		known.id !== report.id || (known.startedAtMs !== 0 && known.startedAtMs !== report.startedAtMs)
-	);
-}
-
 /** Tracks the server at one address across starts, shutdowns and crashes. */
 export class LocalServer {
 	/**
 	 * @param drainMs - time for which a leaving server may get requests
+	 * @param expected - what the settings say of the server
 	 * @param readSuspended - time for which this process has been suspended, in milliseconds
 	 * @example
-	 * const server = LocalServer.create(2500);
+	 * const server = LocalServer.create(2500, expected);
 	 */
-	static create(drainMs: number, readSuspended = readSuspendedMs): LocalServer {
-		return new LocalServer(drainMs, readSuspended);
+	static create(
+		drainMs: number,
+		expected: ServerExpectation,
+		readSuspended = readSuspendedMs,
+	): LocalServer {
+		return new LocalServer(drainMs, expected, readSuspended);
 	}
 
 	/** Paces the requests while the server names a limit. */
 	readonly pacer = RequestPacer.create();
-	#state: LocalServerState | undefined;
-	/** A server that an earlier process of this sidecar knew to be leaving. */
-	#formerLeave: ServerStart | undefined;
+	readonly #tracker: ServerTracker;
 
 	private constructor(
 		private readonly drainMs: number,
+		expected: ServerExpectation,
 		private readonly readSuspended: () => number,
-	) {}
+	) {
+		this.#tracker = ServerTracker.create(drainMs, expected, readSuspended);
+	}
 
 	get state(): LocalServerState | undefined {
-		return this.#state;
+		return this.#tracker.state;
 	}
 
 	/** Maximum number of requests that run at a time. */
 	get limit(): number {
-		return Math.max(1, Math.floor((this.#state?.slots ?? 0) * usedSlotShare));
+		return Math.max(1, Math.floor((this.state?.slots ?? 0) * usedSlotShare));
 	}
 
 	/**
-	 * Applies a message of the server.
+	 * Applies a message if it is believed.
 	 *
-	 * @returns false when the message is outdated or of another server and was ignored
+	 * @returns what was decided; an unconfirmed message has changed nothing yet, see `settle`
 	 */
-	apply(message: ServerMessage, nowMs: number): boolean {
-		switch (message.kind) {
-			case 'report': {
-				const {report} = message;
-				if (this.#isOlder(report)) {
-					return false;
-				}
-
-				const known = this.#state;
-				const isSame =
-					known !== undefined &&
-					!isOtherStart(known, report) &&
-					!(known.startedAtMs === 0 && this.#hasStartedAgain(report));
-				if (!isSame) {
-					this.pacer.reset();
-				}
-
-				const leavingSinceMs = isSame ? known.leavingSinceMs : undefined;
-				const isLeaving = report.isLeaving || this.#hasLeftBefore(report);
-				this.#state = {
-					id: report.id,
-					service: report.service,
-					slots: report.slots,
-					startedAtMs: report.startedAtMs,
-					sequence: report.sequence,
-					lastMessageAtMs: nowMs,
-					leavingSinceMs: leavingSinceMs ?? (isLeaving ? nowMs : undefined),
-					suspendedBeforeMs:
-						leavingSinceMs === undefined ? this.readSuspended() : known!.suspendedBeforeMs,
-					hasLeft: isSame && known.hasLeft,
-					isUnreachable: false,
-				};
-				return true;
-			}
+	apply(message: ServerMessage, nowMs: number): Judgement {
+		return this.#resetPace(() => this.#tracker.apply(message, nowMs));
+	}
 
-			case 'leave': {
-				return this.#applyLeave(message, nowMs);
-			}
-		}
+	/** Decides on an unconfirmed message by what the server itself says, and applies it if it is believed. */
+	settle(message: ServerMessage, witness: ServerWitness, nowMs: number): Judgement {
+		return this.#resetPace(() => this.#tracker.settle(message, witness, nowMs));
 	}
 
 	/** Marks the server as down until its next report: its address does not respond, or another server does. */
 	setUnreachable(): void {
-		if (this.#state !== undefined) {
-			this.#state = {...this.#state, isUnreachable: true};
-		}
+		this.#tracker.setUnreachable();
 	}
 
-	/** Restores the state after a restart of the sidecar, unless the server has reported in the meantime. */
-	restore(known: {id: string; service: string; slots: number}, nowMs: number): void {
-		this.#state ??= {
-			...known,
-			startedAtMs: 0,
-			sequence: 0,
-			lastMessageAtMs: nowMs,
-			leavingSinceMs: undefined,
-			suspendedBeforeMs: 0,
-			hasLeft: false,
-			isUnreachable: false,
-		};
+	/** Records what an earlier process of this sidecar announced of its server. */
+	setFormer(facts: ServerFacts): void {
+		this.#tracker.setFormer(facts);
 	}
 
-	/**
-	 * Restores that a server is leaving, as an earlier process of this sidecar acknowledged: a late report of the
-	 * same start must not bring it back into use.
-	 */
-	restoreLeave(start: ServerStart, nowMs: number): void {
-		this.#formerLeave = start;
-		const state = this.#state;
-		if (state === undefined || state.leavingSinceMs !== undefined) {
-			return;
-		}
+	/** Restores what is known after a restart of the sidecar, unless the server has reported in the meantime. */
+	restore(facts: ServerFacts, nowMs: number): void {
+		this.#tracker.restore(facts, nowMs);
+	}
 
-		// The start of a server that was identified by a probe is not known before its first report.
-		const mayBeStart = state.startedAtMs === 0 && state.id === start.id;
-		if (mayBeStart || this.#hasLeftBefore(state)) {
-			this.#setLeaving(nowMs);
-		}
+	/** Restores that a server is leaving, as an earlier process of this sidecar acknowledged. */
+	restoreLeave(start: ServerStart, nowMs: number): void {
+		this.#tracker.restoreLeave(start, nowMs);
 	}
 
 	/** Computes the use of the slots, or of the server's own limit by waiting requests; above 1, requests wait. */
@@ -182,7 +119,7 @@
 		{serverId, sentAtMs}: {readonly serverId: string; readonly sentAtMs: number},
 		nowMs: number,
 	): void {
-		if (head.isMisdirected || serverId !== this.#state?.id) {
+		if (head.isMisdirected || serverId !== this.state?.id) {
 			return;
 		}
 
@@ -193,19 +130,17 @@
 		}
 
 		if (head.isLeaving) {
-			this.#setLeaving(nowMs);
+			this.#tracker.recordLeaveAnswer(nowMs);
 		}
 	}
 
-	/** Records an answer of the server: one whose reports are late or lost is not down while it answers. */
-	recordAnswer(nowMs: number): void {
-		if (this.#state !== undefined) {
-			this.#state = {...this.#state, lastMessageAtMs: nowMs};
-		}
+	/** Records an answer of a server: one whose reports are late or lost is not down while it answers. */
+	recordAnswer(serverId: string, nowMs: number): void {
+		this.#tracker.recordAnswer(serverId, nowMs);
 	}
 
 	readState(nowMs: number): MemberState {
-		const state = this.#state;
+		const {state} = this;
 		if (
 			state === undefined ||
 			state.isUnreachable ||
@@ -219,7 +154,7 @@
 
 	/** Whether requests may be sent to the server now. */
 	canAcceptRequests(nowMs: number): boolean {
-		const {leavingSinceMs = 0, suspendedBeforeMs = 0} = this.#state ?? {};
+		const {leavingSinceMs = 0, suspendedBeforeMs = 0} = this.state ?? {};
 		switch (this.readState(nowMs)) {
 			case 'ready': {
 				return true;
@@ -241,7 +176,7 @@
 		target: {readonly service: string; readonly serverId: string},
 		nowMs: number,
 	): 'wrongServer' | 'leaving' | 'unreachable' | undefined {
-		const state = this.#state;
+		const {state} = this;
 		if (state?.id !== target.serverId || state.service !== target.service) {
 			return 'wrongServer';
 		}
@@ -253,47 +188,18 @@
 		return this.readState(nowMs) === 'leaving' ? 'leaving' : 'unreachable';
 	}
 
-	#setLeaving(nowMs: number): void {
-		if (this.#state !== undefined && this.#state.leavingSinceMs === undefined) {
-			const suspendedBeforeMs = this.readSuspended();
-			this.#state = {...this.#state, leavingSinceMs: nowMs, suspendedBeforeMs};
-		}
-	}
-
-	#applyLeave(message: ServerMessage & {kind: 'leave'}, nowMs: number): boolean {
-		const state = this.#state;
-		if (
-			state?.id !== message.id ||
-			(message.startedAtMs !== undefined && message.startedAtMs < state.startedAtMs)
-		) {
-			return false;
-		}
-
-		this.#setLeaving(nowMs);
-		this.#state = {...this.#state!, hasLeft: true, lastMessageAtMs: nowMs};
-		return true;
-	}
-
-	#hasLeftBefore({id, startedAtMs}: ServerStart): boolean {
-		return this.#formerLeave?.id === id && this.#formerLeave.startedAtMs === startedAtMs;
-	}
-
-	/** Whether a report is from a later start than the one that has left. */
-	#hasStartedAgain({id, startedAtMs}: ServerStart): boolean {
-		return this.#formerLeave?.id === id && this.#formerLeave.startedAtMs < startedAtMs;
-	}
-
-	/** Whether a report is from an earlier start of the server or precedes the latest report of this one. */
-	#isOlder(report: {id: string; startedAtMs: number; sequence: number}): boolean {
-		const state = this.#state;
-		if (state === undefined || state.startedAtMs === 0) {
-			return false;
-		}
-
-		if (report.startedAtMs !== state.startedAtMs) {
-			return report.startedAtMs < state.startedAtMs;
+	/** Resets the pace if a change begins another start of the server: its limit is not known yet. */
+	#resetPace(change: () => Judgement): Judgement {
+		const before = this.state;
+		const judgement = change();
+		const {state} = this;
+		const isSameStart =
+			before?.id === state?.id &&
+			(!before?.startedAtMs || before.startedAtMs === state?.startedAtMs);
+		if (!isSameStart) {
+			this.pacer.reset();
 		}
 
-		return report.id === state.id && report.sequence < state.sequence;
+		return judgement;
 	}
 }
--- a/src/sidecar/guard/server-limit.test.ts
+++ b/src/sidecar/guard/server-limit.test.ts
@@ -5,7 +5,13 @@
 import {createTestListener} from '../link/fixtures.ts';
 import {type CallHead} from '../link/messages.ts';
 import {type ServerLimit} from '../types.ts';
-import {createTestGuard, createTestHead, testAnswer} from './fixtures.ts';
+import {
+	applyConfirmed,
+	createTestGuard,
+	createTestHead,
+	testAnswer,
+	testReport,
+} from './fixtures.ts';
 
 /** A guard in front of a fake server with many slots. */
 class LimitedGuardFixture {
@@ -77,8 +83,7 @@
 	const named = {...testAnswer, limit: {kind: 'named', perSecond: 10}} as const;
 	server.recordAnswerHead(named, {serverId: 'i-1', sentAtMs: 0}, 0);
 	t.is(server.pacer.limit.kind, 'paced');
-	const report = {service: 'shop', address: '', dataCentre: 'a', slots: 200, sequence: 1};
-	const start = {id: 'i-2', startedAtMs: 1, isLeaving: false, warmupMs: 0};
-	server.apply({kind: 'report', report: {...report, ...start}}, performance.now());
+	const report = {...testReport, id: 'i-2', slots: 200, sequence: 1};
+	applyConfirmed(server, report, performance.now());
 	t.is(server.pacer.limit.kind, 'unknown');
 });
--- a/src/sidecar/local-member.ts
+++ b/src/sidecar/local-member.ts
@@ -1,5 +1,5 @@
 /** What this instance announces of its server. */
-import {type LocalServerState} from './guard/local-server.ts';
+import {type LocalServerState} from './guard/local-server-state.ts';
 import {type Member, type MemberState, type SidecarSettings} from './types.ts';
 
 /**
--- a/src/sidecar/local-server-manager.ts
+++ b/src/sidecar/local-server-manager.ts
@@ -2,7 +2,6 @@
 import {type Logger} from '../reporting/logger.ts';
 import {Guard} from './guard/guard.ts';
 import {type CallOutcome} from './guard/call-owner.ts';
-import {probeHealth} from './guard/health-probe.ts';
 import {LocalServer} from './guard/local-server.ts';
 import {ServerPool} from './guard/server-pool.ts';
 import {Announcer} from './discovery/announcer.ts';
@@ -13,13 +12,13 @@
 import {CrashDetector} from './quarantine/crash-detector.ts';
 import {probeListening} from './quarantine/listening-probe.ts';
 import {type Quarantine} from './quarantine/quarantine.ts';
-import {logIdentity} from './reporting/log-identity.ts';
 import {recordOutcome} from './reporting/outcome-log.ts';
 import {type MessageLog} from './reporting/message-log.ts';
 import {type RequestLog} from './reporting/request-log.ts';
 import {type RunQueue} from './scheduling/run-queue.ts';
 import {decodeMember} from './discovery/member-codec.ts';
 import {createLocalMember} from './local-member.ts';
+import {ServerMessageHandler} from './server-message-handler.ts';
 import {readSuspendedMs} from './suspension-clock.ts';
 import {
 	type HeadCodec,
@@ -43,6 +42,8 @@
 	readonly messageLog: MessageLog;
 	readonly runQueue: RunQueue;
 	readonly quarantine: Quarantine;
+	/** Service of the server by the settings in force. */
+	readService(): string;
 	readMetadataExchange(): MetadataExchange;
 	readConfig(): MeshConfig | undefined;
 	/** Called when the announcement of this instance has changed or can't be written to the table. */
@@ -64,15 +65,26 @@
 	readonly #server: LocalServer;
 	readonly #announcer: Announcer;
 	readonly #crashDetector: CrashDetector;
+	readonly #messages: ServerMessageHandler;
 	#timer: NodeJS.Timeout | undefined;
 	#announcedKey = '';
 	#isStopping = false;
-	#hasProbed = false;
-	/** What an earlier process of this sidecar announced last, as read from the shared table. */
-	#formerMember: Member | undefined;
 	private constructor(private readonly options: LocalServerManagerOptions) {
 		const {settings, codec, table, logger} = options;
-		this.#server = LocalServer.create(settings.drainMs);
+		this.#server = LocalServer.create(settings.drainMs, {
+			address: settings.serverAddress,
+			dataCentre: settings.dataCentre,
+			readService: () => options.readService(),
+			isConfigured: service => this.#findHealthPath(service) !== undefined,
+		});
+		this.#messages = ServerMessageHandler.create({
+			...options,
+			server: this.#server,
+			findHealthPath: service => this.#findHealthPath(service),
+			handleChanged: () => {
+				this.#reconcile();
+			},
+		});
 		this.pool = ServerPool.create(settings.serverAddress, codec);
 		this.#announcer = Announcer.create(settings.instance, table, logger, () => {
 			options.handleAnnounced();
@@ -107,13 +119,14 @@
 	start(): void {
 		this.#timer = setInterval(() => {
 			this.#reconcile();
-			void this.#probeFormer();
+			this.#messages.identifyFormer();
 		}, reconcileIntervalMs);
 		this.#timer.unref();
 	}
 
 	close(): void {
 		clearInterval(this.#timer);
+		this.#messages.close();
 		this.#announcer.close();
 		this.pool.closeIdle();
 	}
@@ -122,24 +135,17 @@
 	 * Handles a report or a leave message of the server; the message is acknowledged once this returns.
 	 *
 	 * @param sender - address that the message came from
+	 * @returns false if the message contradicts what is known of the server
 	 */
-	handleMessage(message: ServerMessage, sender: string): void {
-		const before = this.#server.state;
-		if (!this.#server.apply(message, performance.now())) {
-			const reason = `${message.kind} is older than what is known of the server`;
-			this.options.messageLog.recordIgnored({source: 'control', cause: 'outdated', reason, sender});
-		}
-
-		logIdentity(this.options.logger, {before, after: this.#server.state, sender});
-		this.#reconcile();
+	handleMessage(message: ServerMessage, sender: string): boolean {
+		return this.#messages.handle(message, sender);
 	}
 
 	/** Handles the row of this instance as read from the shared table; undefined when there is none. */
 	handleOwnRow(row: Row | undefined, position: StorePosition): void {
 		this.#announcer.recordRow(row, position);
 		const member = row?.value === undefined ? undefined : decodeMember(row.value);
-		this.#formerMember ??= member;
-		void this.#probeFormer();
+		this.#messages.setFormer(member);
 		this.#restoreLeave(member);
 	}
 
@@ -212,54 +218,29 @@
 		});
 	}
 
-	#handleOutcome({route, digest}: CallHead, outcome: CallOutcome): void {
+	#handleOutcome({route, digest, serverId}: CallHead, outcome: CallOutcome): void {
 		if (outcome.kind !== 'answered') {
 			return;
 		}
 
 		const {head, ranMs} = outcome;
 		if (!head.isMisdirected) {
-			this.#server.recordAnswer(performance.now());
+			this.#server.recordAnswer(serverId, performance.now());
 			if (!head.isNotRun) {
 				this.options.quarantine.recordCompletion(digest);
 			}
 		}
 
 		this.options.readMetadataExchange().recordAnswer(route, head.isNotRun, ranMs);
-		if (head.isMisdirected) {
+		if (head.isMisdirected && serverId === this.#server.state?.id) {
 			// Another server now uses the address; its next report identifies it.
 			this.#server.setUnreachable();
 			this.#reconcile();
 		}
 	}
 
-	/**
-	 * Identifies the server with a health probe after a restart of the sidecar alone, so that requests can
-	 * arrive before its next report. A leaving server is not healthy; after a refused probe, the next
-	 * report identifies the server.
-	 */
-	async #probeFormer(): Promise<void> {
-		const {settings, codec, logger} = this.options;
-		const member = this.#formerMember;
-		const wasInUse = member?.state === 'ready' || member?.isDraining === true;
-		if (this.#hasProbed || this.#server.state !== undefined || !wasInUse) {
-			return;
-		}
-
-		const path = this.options.readConfig()?.services.get(member.service)?.healthPath;
-		if (path === undefined) {
-			return;
-		}
-
-		this.#hasProbed = true;
-		const result = await probeHealth(settings.serverAddress, path, codec.serverIdHeader);
-		const {serverId: id, service, slots} = member;
-		const isSameServer = result.kind === 'healthy' && result.serverId === id;
-		if (isSameServer && this.#server.state === undefined) {
-			this.#server.restore({id, service, slots}, performance.now());
-			logger.info({serverId: id, service}, 'identified the local server by a health probe');
-			this.#reconcile();
-		}
+	#findHealthPath(service: string): string | undefined {
+		return this.options.readConfig()?.services.get(service)?.healthPath;
 	}
 
 	/** Announces the server when its state differs from the announced one. */
--- a/src/sidecar/reporting/log-identity.ts
+++ b/src/sidecar/reporting/log-identity.ts
@@ -1,8 +1,6 @@
 /** Logs which message changed what a sidecar knows of its server. */
 import {type Logger} from '../../reporting/logger.ts';
-import {type LocalServerState} from '../guard/local-server.ts';
-
-type Identity = Pick<LocalServerState, 'id' | 'service' | 'startedAtMs' | 'slots'>;
+import {type ServerFacts} from '../guard/local-server-state.ts';
 
 /**
  * Writes a line if the identity of the local server has changed.
@@ -14,8 +12,8 @@
 export function logIdentity(
 	logger: Logger,
 	change: {
-		readonly before: Identity | undefined;
-		readonly after: Identity | undefined;
+		readonly before: ServerFacts | undefined;
+		readonly after: ServerFacts | undefined;
 		readonly sender: string;
 	},
 ): void {
@@ -27,7 +25,7 @@
 	}
 }
 
-function formatIdentity(identity: Identity | undefined): string {
+function formatIdentity(identity: ServerFacts | undefined): string {
 	if (identity === undefined) {
 		return '';
 	}
--- a/src/sidecar/sidecar.ts
+++ b/src/sidecar/sidecar.ts
@@ -155,6 +155,7 @@
 			directory: this.#directory,
 			quarantine: this.#quarantine,
 			runQueue: this.#scheduler.runQueue,
+			readService: () => this.settings.service,
 			readMetadataExchange: () => this.#metadata,
 			readConfig: () => this.#activeConfig.routes?.config,
 			handleAnnounced: () => {
@@ -279,9 +280,7 @@
 			control: {
 				messageLog: this.#logs.messageLog,
 				decodeMessage: (url, body) => this.platform.decodeServerMessage(url, body),
-				handleMessage: (message, sender) => {
-					this.#localServer.handleMessage(message, sender);
-				},
+				handleMessage: (message, sender) => this.#localServer.handleMessage(message, sender),
 			},
 			metrics: {
 				...this.#logs,
--- a/src/sidecar/suspension-clock.test.ts
+++ b/src/sidecar/suspension-clock.test.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import test from 'ava';
 import {type RefusalReason} from './link/messages.ts';
-import {createTestGuard, createTestHead, testAnswer} from './guard/fixtures.ts';
+import {createTestGuard, createTestHead, testAnswer, testExpectation} from './guard/fixtures.ts';
 import {LocalServer} from './guard/local-server.ts';
 import {SuspensionClock} from './suspension-clock.ts';
 
@@ -28,8 +28,8 @@
 
 test('a leaving server gets no request after the drain time, of which the sidecar was suspended for a part', t => {
 	let suspendedMs = 0;
-	const server = LocalServer.create(2500, () => suspendedMs);
-	server.restore({id: 'i-1', service: 'shop', slots: 1}, 0);
+	const server = LocalServer.create(2500, testExpectation, () => suspendedMs);
+	server.restore({id: 'i-1', service: 'shop', slots: 1, startedAtMs: 0}, 0);
 	server.apply({kind: 'leave', id: 'i-1', startedAtMs: undefined}, 100);
 	t.true(server.canAcceptRequests(200));
 	suspendedMs = 4000;
--- a/src/sidecar/types.ts
+++ b/src/sidecar/types.ts
@@ -62,7 +62,7 @@
 export type ServerReport = {
 	readonly id: string;
 	readonly service: string;
-	readonly address: string;
+	readonly address: SocketAddress;
 	readonly dataCentre: string;
 	readonly slots: number;
 	readonly isLeaving: boolean;
