Bound in bytes and in time what a sidecar reads from outside

On the current code a message without end on the control address took 314 MB and more and ended the built sidecar (its process was gone in the test), replies of the store grew it by 402 MB, and connections that said nothing, slow heads, slow bodies and frames of which the rest was missing stayed open beyond 12 s at the control, readiness, metrics, callers' and link ports.

Cause: each entrance read its messages in its own way, and most had no bound. The answer to a health probe ends with its head.

--- a/src/sidecar/control-server.ts
+++ b/src/sidecar/control-server.ts
@@ -1,9 +1,10 @@
 /** HTTP handlers for messages of the local backend server and for readiness checks. */
-import http from 'node:http';
-import {text as readText} from 'node:stream/consumers';
+import type http from 'node:http';
 import {type Result} from 'neverthrow';
 import {type IgnoredMessage, type MessageLog} from './reporting/message-log.ts';
-import {type ServerMessage, type SocketAddress} from './types.ts';
+import {discardMessage, readMessage} from './read-message.ts';
+import {messageLimits} from './http-endpoint.ts';
+import {type ServerMessage} from './types.ts';
 
 export type ControlOptions = {
 	readonly messageLog: Pick<MessageLog, 'recordIgnored'>;
@@ -15,20 +16,6 @@
 	handleMessage(message: ServerMessage, sender: string): boolean;
 };
 
-/** Starts an HTTP server; resolves when it listens. */
-export async function startHttpServer(
-	address: SocketAddress,
-	handle: http.RequestListener,
-): Promise<http.Server> {
-	return new Promise((resolve, reject) => {
-		const server = http.createServer({keepAliveTimeout: 30_000}, handle);
-		server.once('error', reject);
-		server.listen(address, () => {
-			resolve(server);
-		});
-	});
-}
-
 /** Creates the handler for reports and leave messages of the local backend server. */
 export function createControlHandler(options: ControlOptions): http.RequestListener {
 	return (request, response) => {
@@ -46,16 +33,15 @@
 		options.messageLog.recordIgnored({source: 'control', cause, reason, sender});
 	};
 
-	let body: string;
-	try {
-		body = await readText(request);
-	} catch (error) {
-		// The server aborted the request; it sends reports periodically.
-		recordIgnored('unread', (error as Error).message);
+	const body = await readMessage(request, messageLimits);
+	if (body.isErr()) {
+		// The server sends reports periodically.
+		recordIgnored('unread', body.error.message);
+		response.destroy();
 		return;
 	}
 
-	const message = options.decodeMessage(request.url ?? '', body);
+	const message = options.decodeMessage(request.url ?? '', body.value);
 	if (message.isErr()) {
 		recordIgnored('undecodable', message.error.message);
 		sendEmptyJson(response, 400);
@@ -82,7 +68,7 @@
 /** Creates the handler for readiness checks: 200 if the sidecar accepts callers, otherwise 503. */
 export function createReadyHandler(isReady: () => boolean): http.RequestListener {
 	return (request, response) => {
-		request.resume();
+		discardMessage(request, messageLimits);
 		response.writeHead(isReady() ? 200 : 503, {'Content-Length': 0});
 		response.end();
 	};
--- a/src/sidecar/endpoints.ts
+++ b/src/sidecar/endpoints.ts
@@ -1,11 +1,7 @@
 /** The HTTP endpoints beside the callers': messages of the local server, readiness checks and metrics. */
 import type http from 'node:http';
-import {
-	type ControlOptions,
-	createControlHandler,
-	createReadyHandler,
-	startHttpServer,
-} from './control-server.ts';
+import {type ControlOptions, createControlHandler, createReadyHandler} from './control-server.ts';
+import {startHttpServer} from './http-endpoint.ts';
 import {createMetricsHandler, type MetricsSource} from './reporting/metrics-page.ts';
 import {type SidecarSettings} from './types.ts';
 
--- a/src/sidecar/entry/entry-server.ts
+++ b/src/sidecar/entry/entry-server.ts
@@ -11,6 +11,10 @@
 const backlog = 1024;
 /** Bodies up to this size are buffered, so that the request can be retried; longer ones are streamed. */
 const maxBufferedBodyBytes = 256 * 1024;
+/** A body that takes longer is streamed, so that the limits in time of its route apply to it. */
+const maxBufferMs = 3000;
+/** How often the limits in time of connections and heads are checked. */
+const checkIntervalMs = 1000;
 /** Longest request head that the parser reads; the configuration may set a lower limit. */
 const maxHeaderBytes = 64 * 1024;
 /** Status lines for parser errors, by error code; a timeout means that the head did not arrive in time. */
@@ -38,6 +42,7 @@
 		const options = {
 			maxHeaderSize: maxHeaderBytes,
 			requestTimeout: 0,
+			connectionsCheckingInterval: checkIntervalMs,
 			keepAliveTimeout: 15_000,
 			noDelay: true,
 		};
@@ -50,7 +55,9 @@
 			this.ctx.acceptQueue.recordAccept();
 		});
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-			if (socket.writable) {
+			if (socket.bytesRead === 0) {
+				socket.destroy();
+			} else if (socket.writable) {
 				const status = parserStatuses[error.code ?? ''] ?? '400 Bad Request';
 				socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
 			}
@@ -164,19 +171,29 @@
 		chunks.push(chunk);
 		bytes += chunk.length;
 		if (bytes > maxBufferedBodyBytes) {
-			request.off('data', handleData);
-			request.off('end', handleEnd);
-			request.pause();
-			onBody(Buffer.concat(chunks), false);
+			startStream();
 		}
 	};
 
+	const startStream = () => {
+		clearTimeout(timer);
+		request.off('data', handleData);
+		request.off('end', handleEnd);
+		request.pause();
+		onBody(Buffer.concat(chunks), false);
+	};
+
+	const timer = setTimeout(startStream, maxBufferMs);
 	const handleEnd = () => {
+		clearTimeout(timer);
 		onBody(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks), true);
 	};
 
 	request.on('data', handleData);
 	request.on('end', handleEnd);
+	request.on('close', () => {
+		clearTimeout(timer);
+	});
 	request.on('error', () => {
 		// The caller disconnected; the close event of the response ends the call.
 	});
--- a/src/sidecar/link/frame-socket.ts
+++ b/src/sidecar/link/frame-socket.ts
@@ -4,6 +4,8 @@
 
 /** Idle time after which the kernel starts TCP keep-alive probes. */
 const keepAliveDelayMs = 1000;
+/** Time in which a frame that has begun must be whole, while the socket is read. */
+const maxFrameMs = 8000;
 
 export type FrameSocketListener = {
 	handleFrame(frame: Frame): void;
@@ -24,6 +26,9 @@
 	}
 
 	readonly #reader = FrameReader.create();
+	#frameTimer: NodeJS.Timeout | undefined;
+	/** Number of the frame that the timer is for. */
+	#timedFrame = 0;
 
 	private constructor(
 		private readonly socket: net.Socket,
@@ -38,6 +43,8 @@
 			if (!isValid) {
 				socket.destroy();
 			}
+
+			this.#updateFrameTimer();
 		});
 		socket.on('drain', () => {
 			listener.handleDrain?.();
@@ -46,6 +53,7 @@
 			// The close event that follows calls `handleClosed`.
 		});
 		socket.on('close', () => {
+			clearTimeout(this.#frameTimer);
 			listener.handleClosed();
 		});
 	}
@@ -65,9 +73,30 @@
 		} else {
 			this.socket.resume();
 		}
+
+		this.#updateFrameTimer();
 	}
 
 	close(): void {
 		this.socket.destroy();
 	}
+
+	/** Bounds the time of the frame that has begun; none runs between frames or while the socket is paused. */
+	#updateFrameTimer(): void {
+		const {frameCount, isWithinFrame} = this.#reader;
+		const isTimed = isWithinFrame && !this.socket.isPaused() && !this.socket.destroyed;
+		if (isTimed && this.#frameTimer !== undefined && this.#timedFrame === frameCount) {
+			return;
+		}
+
+		clearTimeout(this.#frameTimer);
+		this.#frameTimer = undefined;
+		this.#timedFrame = frameCount;
+		if (isTimed) {
+			this.#frameTimer = setTimeout(() => {
+				this.socket.destroy();
+			}, maxFrameMs);
+			this.#frameTimer.unref();
+		}
+	}
 }
--- a/src/sidecar/link/frames.ts
+++ b/src/sidecar/link/frames.ts
@@ -79,11 +79,22 @@
 	#bytes = 0;
 	/** Bytes needed before there is anything to decode. */
 	#neededBytes = frameHeaderBytes;
+	#frameCount = 0;
 
 	private constructor() {
 		// Instances are created with `create`.
 	}
 
+	/** Number of whole frames so far. */
+	get frameCount(): number {
+		return this.#frameCount;
+	}
+
+	/** Whether a frame has begun that is not whole. */
+	get isWithinFrame(): boolean {
+		return this.#bytes > 0;
+	}
+
 	/**
 	 * Decodes all frames that a chunk completes.
 	 *
@@ -122,6 +133,7 @@
 				body: bytes.subarray(bodyStart, frameEnd),
 			});
 			bytes = bytes.subarray(frameEnd);
+			this.#frameCount++;
 		}
 
 		this.#parts = bytes.length === 0 ? [] : [bytes];
--- a/src/sidecar/link/link-server.ts
+++ b/src/sidecar/link/link-server.ts
@@ -22,6 +22,8 @@
 const takenStepBytes = 64 * 1024;
 /** Length of the accept queue; a full queue delays new connections by seconds. */
 const backlog = 1024;
+/** Entries close links that were idle for a third of this. */
+const maxIdleMs = 60_000;
 
 export type LinkServerOptions = {
 	readonly guard: Guard;
@@ -113,6 +115,11 @@
 				this.#handleClosed();
 			},
 		});
+		socket.setTimeout(maxIdleMs, () => {
+			if (this.#nonce === undefined && this.#unreadHead === undefined) {
+				this.#frames.close();
+			}
+		});
 		this.#frames.send(frameTypes.hello, options.incarnation, Buffer.from(takenFeature));
 	}
 
--- a/src/sidecar/link/link.ts
+++ b/src/sidecar/link/link.ts
@@ -202,6 +202,10 @@
 	}
 
 	#handleHello({head, body}: Frame): void {
+		if (this.#incarnation !== undefined) {
+			throw new Error('a further hello frame');
+		}
+
 		this.#incarnation = head;
 		this.#reportsTaken = Buffer.from(body).toString().split(' ').includes(takenFeature);
 		if (!this.#reportsTaken && this.#state.kind === 'exchange') {
--- a/src/sidecar/reporting/metrics-page.ts
+++ b/src/sidecar/reporting/metrics-page.ts
@@ -1,7 +1,9 @@
 /** Serves the Prometheus metrics page. The metrics library is loaded on the first request. */
 import type http from 'node:http';
 import {type Logger} from '../../reporting/logger.ts';
+import {messageLimits} from '../http-endpoint.ts';
 import {type GuardLoad} from '../link/messages.ts';
+import {discardMessage} from '../read-message.ts';
 import {type Scheduler} from '../scheduling/scheduler.ts';
 import {type MessageLog} from './message-log.ts';
 import {latencyBucketsMs, type RequestLog} from './request-log.ts';
@@ -25,7 +27,7 @@
 export function createMetricsHandler(source: MetricsSource): http.RequestListener {
 	let renderer: Promise<() => Promise<string>> | undefined;
 	return (request, response) => {
-		request.resume();
+		discardMessage(request, messageLimits);
 		renderer ??= createRenderer(source);
 		void sendPage(source.logger, renderer, response);
 	};
