Let no text from a peer end its line of a request's head

The decoder now rejects a request with such a text, like one with a value of another type; the frame loses its connection and is counted.

--- a/src/decoding/value-checks.ts
+++ b/src/decoding/value-checks.ts
@@ -28,6 +28,29 @@
 	return typeof value === 'string' && value.length <= maxNameLength;
 }
 
+/** Whether a text can stand in the line of a head, as a value, without ending it. */
+export function isHeadText(text: string): boolean {
+	return !/[\0\r\n]/v.test(text);
+}
+
+/** Whether a text is the name of a method or a header (RFC 9110, section 5.6.2). */
+export function isHeadToken(text: string): boolean {
+	return /^[!#$%\u0026'*+\-.^_`\|~0-9A-Za-z]+$/v.test(text);
+}
+
+/** Whether a text can stand between the method and the version of a request. */
+export function isRequestTarget(text: string): boolean {
+	return text !== '' && isHeadText(text) && !text.includes(' ');
+}
+
+/** Whether a list holds the names and the values of headers in turn. */
+export function isHeaderList(values: readonly string[]): boolean {
+	return (
+		values.length % 2 === 0 &&
+		values.every((text, index) => (index % 2 === 0 ? isHeadToken(text) : isHeadText(text)))
+	);
+}
+
 /** Whether a value is a whole number from 0 that is exact, such as a version. */
 export function isCount(value: unknown): value is number {
 	return Number.isSafeInteger(value) && (value as number) >= 0;
--- a/src/sidecar/link/codec.ts
+++ b/src/sidecar/link/codec.ts
@@ -7,7 +7,11 @@
 import {
 	isCount,
 	isDurationMs,
+	isHeaderList,
+	isHeadText,
+	isHeadToken,
 	isNumberUpTo,
+	isRequestTarget,
 	type UnknownFields,
 } from '../../decoding/value-checks.ts';
 import {type ServerEnd, serverEnds} from '../quarantine/server-end.ts';
@@ -238,6 +242,16 @@
 		throw new TypeError('a request with a value of the wrong type or out of range');
 	}
 
+	if (
+		!isHeadToken(method) ||
+		!isRequestTarget(path) ||
+		!isHeadText(serverId) ||
+		!isHeadText(callerService) ||
+		!isHeaderList(headers)
+	) {
+		throw new TypeError('a request with a text that would end a line of its head');
+	}
+
 	return {
 		nonce,
 		requestId,
