Bound in bytes the answers that the daemon and the operators' tools read

They now read through http/read-body, which closes the connection of a body that is too long: 4 KiB, 4 MiB, 16 MiB and 32 MiB. The console's requests end after 30 s instead of five minutes.

--- a/src/daemon/control/control-client.ts
+++ b/src/daemon/control/control-client.ts
@@ -8,6 +8,7 @@
 import {decodeGossipResponse} from '../../membership/decode-messages.ts';
 import {type Endpoint, type GossipRequest, type GossipResponse} from '../../membership/messages.ts';
 import {createAgent} from '../../http/pool.ts';
+import {readBodyJson} from '../../http/read-body.ts';
 import {ControlError} from '../errors.ts';
 import {controlPath, type ControlRouter} from './control-router.ts';
 import {type PackedPolicy} from './packed-policy.ts';
@@ -17,6 +18,8 @@
 const connectTimeoutMs = 400;
 const policyFetchTimeoutMs = 3000;
 const maxClients = 64;
+/** A packed policy is the longest response. */
+const maxResponseBytes = 4 * 1024 * 1024;
 
 type FetchInit = {
 	readonly method?: string | undefined;
@@ -103,7 +106,10 @@
 			body: typeof init.body === 'string' ? init.body : null,
 			signal: init.signal ?? null,
 		});
-		return {ok: response.statusCode < 400, json: async () => response.body.json()};
+		return {
+			ok: response.statusCode < 400,
+			json: async () => readBodyJson(response.body, maxResponseBytes),
+		};
 	}
 }
 
--- a/src/daemon/once/kill-messages.ts
+++ b/src/daemon/once/kill-messages.ts
@@ -5,6 +5,7 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Dispatcher} from 'undici';
 import {headerNames} from '../../call/headers.ts';
+import {readBodyJson} from '../../http/read-body.ts';
 import {type KillVerdict} from '../../once/types.ts';
 import {readRequestBody} from '../http/request-body.ts';
 
@@ -12,6 +13,7 @@
 export const killPath = '/primrosevalve/once/kill';
 
 const maxKillRequestBytes = 4096;
+const maxVerdictBytes = 4096;
 const killTimeoutMs = 500;
 const verdicts: ReadonlySet<string> = new Set<KillVerdict>([
 	'neverSent',
@@ -94,7 +96,9 @@
 			body: JSON.stringify(killRequest),
 			signal: AbortSignal.timeout(killTimeoutMs),
 		});
-		const {verdict} = (await answer.body.json()) as {readonly verdict?: unknown};
+		const {verdict} = (await readBodyJson(answer.body, maxVerdictBytes)) as {
+			readonly verdict?: unknown;
+		};
 		return typeof verdict === 'string' && verdicts.has(verdict)
 			? (verdict as KillVerdict)
 			: 'unreachable';
--- a/src/operator/admin/admin-client.ts
+++ b/src/operator/admin/admin-client.ts
@@ -3,6 +3,7 @@
  */
 import {errAsync, okAsync, ResultAsync} from 'neverthrow';
 import {request} from 'undici';
+import {readBodyJson} from '../../http/read-body.ts';
 import {type Member} from '../../membership/types.ts';
 import {OperatorError} from '../errors.ts';
 import {adminKeyHeader, type AdminCounters, type AdminStatus} from './types.ts';
@@ -28,6 +29,8 @@
 const statusOk = 200;
 /** Daemons that are sent a request at the same time. */
 const maxParallelRequests = 50;
+/** The counters of a daemon are the longest answer. */
+const maxAnswerBytes = 16 * 1024 * 1024;
 
 /** Reads the state of daemons and drains them through their administration ports. */
 export class AdminClient {
@@ -152,7 +155,7 @@
 			signal: AbortSignal.timeout(timeoutMs),
 		});
 		if (statusCode === statusOk) {
-			return body.json();
+			return readBodyJson(body, maxAnswerBytes);
 		}
 
 		await body.dump();
--- a/src/operator/forms/console-server.ts
+++ b/src/operator/forms/console-server.ts
@@ -12,6 +12,8 @@
 import {formatSessionCookie, SessionStore, type Session} from './session-store.ts';
 
 const maxBodyBytes = 1_048_576;
+/** Time for a whole request. */
+const maxRequestMs = 30_000;
 /** Form fields that the console itself reads; they are not part of the submitted fields. */
 const reservedFields = new Set(['csrfToken', 'baseVersion', 'changeId', 'key']);
 
@@ -120,7 +122,7 @@
 		this.#options = options;
 		this.#sessions = SessionStore.create(options.key);
 		this.#handler = ConsoleHandler.create(options.store);
-		this.#server = createServer();
+		this.#server = createServer({requestTimeout: maxRequestMs, headersTimeout: maxRequestMs});
 	}
 
 	/** URL to open in a browser. */
--- a/src/store/signed-http-client.ts
+++ b/src/store/signed-http-client.ts
@@ -6,6 +6,7 @@
 import {AwsV4Signer} from 'aws4fetch';
 import {ResultAsync} from 'neverthrow';
 import {createPool, type HttpPool} from '../http/pool.ts';
+import {readBodyBytes} from '../http/read-body.ts';
 import {defineGlobalHeaders} from '../http/web-headers.ts';
 import {PlatformError, type PlatformErrorKind} from './errors.ts';
 import {type PlatformSettings} from './settings.ts';
@@ -14,6 +15,8 @@
 
 const maxConnectionsPerService = 4;
 const keepAliveMs = 30_000;
+/** Longer than any object or page of a table that is written. */
+const maxBodyBytes = 32 * 1024 * 1024;
 
 export type SigningService = 'dynamodb' | 's3';
 
@@ -106,7 +109,7 @@
 			body: request.body ?? null,
 			signal: AbortSignal.timeout(this.settings.timeoutMs),
 		});
-		return {status: response.statusCode, body: new Uint8Array(await response.body.arrayBuffer())};
+		return {status: response.statusCode, body: await readBodyBytes(response.body, maxBodyBytes)};
 	}
 
 	private async signHeaders(request: SignedRequest): Promise<Record<string, string>> {
--- a/platform/testing/byte-flood.ts
+++ b/stand-ins/network/byte-flood.ts
@@ -98,12 +98,13 @@
 	readonly results: FloodResult[] = [];
 	readonly #server: net.Server;
 	readonly #sockets = new Set<net.Socket>();
+	readonly #floods: Array<Promise<void>> = [];
 
 	private constructor(plan: FloodPlan, maxMs: number) {
 		this.#server = net.createServer(socket => {
 			this.#sockets.add(socket);
 			socket.once('data', () => {
-				void this.#flood(socket, plan, maxMs);
+				this.#floods.push(this.#flood(socket, plan, maxMs));
 			});
 			socket.on('error', () => {
 				// The other side may close first.
@@ -115,6 +116,11 @@
 		return {host: '127.0.0.1', port: (this.#server.address() as AddressInfo).port};
 	}
 
+	/** Resolves when the connections so far have ended. */
+	async waitForResults(): Promise<void> {
+		await Promise.all(this.#floods);
+	}
+
 	stop(): void {
 		for (const socket of this.#sockets) {
 			socket.destroy();
