Deny a leave of the local server that another writer has named

A sidecar now denies a leave with an epoch that it has not given out, of a server that it knows and that has confirmed its id; its announcement carries the denied start, and peers drop that leave. The server's own leave counts as before: an announcement that names one denies nothing.

--- a/src/decoding/value-checks.ts
+++ b/src/decoding/value-checks.ts
@@ -89,6 +89,10 @@
 	return isCount(value) && value <= maxTimeMs;
 }
 
+export function isOptionalTimeMs(value: unknown): value is number | undefined {
+	return value === undefined || isTimeMs(value);
+}
+
 /** Whether a value is the address of a socket, by IP number. */
 export function isSocketAddress(
 	value: unknown,
--- a/src/sidecar/discovery/member-codec.ts
+++ b/src/sidecar/discovery/member-codec.ts
@@ -6,7 +6,7 @@
 	isRecord,
 	isSlotCount,
 	isSocketAddress,
-	isTimeMs,
+	isOptionalTimeMs,
 	type UnknownFields,
 } from '../../decoding/value-checks.ts';
 
@@ -46,7 +46,8 @@
 
 	const {instance, link, dataCentre, region, service, serverId, slots, state, epoch} =
 		value as UnknownFields<Member>;
-	const {serverStartMs, leftStartMs, isDraining} = value as UnknownFields<Member>;
+	const {serverStartMs, leftStartMs, deniedLeaveStartMs, isDraining} =
+		value as UnknownFields<Member>;
 	if (
 		!isName(instance) ||
 		!isSocketAddress(link) ||
@@ -57,8 +58,9 @@
 		!isSlotCount(slots) ||
 		!states.has(state) ||
 		!isEpoch(epoch) ||
-		!(serverStartMs === undefined || isTimeMs(serverStartMs)) ||
-		!(leftStartMs === undefined || isTimeMs(leftStartMs)) ||
+		!isOptionalTimeMs(serverStartMs) ||
+		!isOptionalTimeMs(leftStartMs) ||
+		!isOptionalTimeMs(deniedLeaveStartMs) ||
 		!(isDraining === undefined || typeof isDraining === 'boolean')
 	) {
 		return undefined;
@@ -76,6 +78,7 @@
 		epoch,
 		...(serverStartMs !== undefined && {serverStartMs}),
 		...(leftStartMs !== undefined && {leftStartMs}),
+		...(deniedLeaveStartMs !== undefined && {deniedLeaveStartMs}),
 		...(isDraining !== undefined && {isDraining}),
 	};
 }
--- a/src/sidecar/discovery/server-leave.test.ts
+++ b/src/sidecar/discovery/server-leave.test.ts
@@ -15,3 +15,11 @@
 	t.is(mergeLeave(left, {...unknownStart, serverId: 'i-2'}).state, 'ready');
 	t.is(mergeLeave(undefined, unknownStart).state, 'ready');
 });
+
+// A leave that another writer had named kept a server out of use until it started again.
+test('a leave that the instance of the server denies is not kept', t => {
+	const denied = {...testMember, epoch: 3, serverStartMs: 7, deniedLeaveStartMs: 7};
+	t.is(mergeLeave(left, denied).state, 'ready');
+	t.is(mergeLeave(left, {...denied, deniedLeaveStartMs: 6}).state, 'leaving');
+	t.like(mergeLeave(left, {...denied, state: 'leaving', leftStartMs: 7}), {leftStartMs: 7});
+});
--- a/src/sidecar/discovery/server-leave.ts
+++ b/src/sidecar/discovery/server-leave.ts
@@ -1,6 +1,7 @@
 /**
  * Keeps the leave of a server in later announcements of its instance (tombstone). A sidecar that has restarted may
- * announce a server as ready that left before, when the store has lost the leave.
+ * announce a server as ready that left before, when the store has lost the leave. One that knows its server denies a leave
+ * that another writer has named.
  */
 import {type Member} from '../types.ts';
 
@@ -17,7 +18,8 @@
 	}
 
 	const hasStartedAgain = next.serverStartMs !== undefined && next.serverStartMs > leftStartMs;
-	if (hasStartedAgain || next.leftStartMs !== undefined) {
+	const isDenied = next.deniedLeaveStartMs === leftStartMs;
+	if (hasStartedAgain || isDenied || next.leftStartMs !== undefined) {
 		return next;
 	}
 
--- a/src/sidecar/local-member.ts
+++ b/src/sidecar/local-member.ts
@@ -12,7 +12,15 @@
 export function createLocalMember(
 	settings: SidecarSettings,
 	server: LocalServerState,
-	{serverState, isStopping}: {readonly serverState: MemberState; readonly isStopping: boolean},
+	{
+		serverState,
+		isStopping,
+		deniedLeaveStartMs,
+	}: {
+		readonly serverState: MemberState;
+		readonly isStopping: boolean;
+		readonly deniedLeaveStartMs?: number | undefined;
+	},
 ): Omit<Member, 'epoch'> {
 	const {instance, linkAddress: link, dataCentre, region} = settings;
 	const {id: serverId, service, slots, startedAtMs, leavingSinceMs} = server;
@@ -27,6 +35,7 @@
 		state: isStopping ? 'leaving' : serverState,
 		...(startedAtMs !== 0 && {serverStartMs: startedAtMs}),
 		...(leavingSinceMs !== undefined && {leftStartMs: startedAtMs}),
+		...(deniedLeaveStartMs === startedAtMs && leavingSinceMs === undefined && {deniedLeaveStartMs}),
 		...(isStopping && serverState === 'ready' && {isDraining: true}),
 	};
 }
--- a/src/sidecar/local-server-manager.ts
+++ b/src/sidecar/local-server-manager.ts
@@ -17,6 +17,7 @@
 import {type RequestLog} from './reporting/request-log.ts';
 import {type RunQueue} from './scheduling/run-queue.ts';
 import {decodeMember} from './discovery/member-codec.ts';
+import {LeaveRestorer} from './leave-restorer.ts';
 import {createLocalMember} from './local-member.ts';
 import {ServerMessageHandler} from './server-message-handler.ts';
 import {readSuspendedMs} from './suspension-clock.ts';
@@ -66,6 +67,7 @@
 	readonly #announcer: Announcer;
 	readonly #crashDetector: CrashDetector;
 	readonly #messages: ServerMessageHandler;
+	readonly #leaves: LeaveRestorer;
 	#timer: NodeJS.Timeout | undefined;
 	#announcedKey = '';
 	#isStopping = false;
@@ -89,6 +91,11 @@
 		this.#announcer = Announcer.create(settings.instance, table, logger, () => {
 			options.handleAnnounced();
 		});
+		this.#leaves = LeaveRestorer.create({
+			server: this.#server,
+			announcer: this.#announcer,
+			logger,
+		});
 		this.#crashDetector = CrashDetector.create({
 			isListening: async () => probeListening(settings.serverAddress),
 			listRunning: () => this.guard.calls.listRunning().map(({head}) => head.digest),
@@ -144,7 +151,8 @@
 	/** Handles the row of this instance as read from the shared table; undefined when there is none. */
 	handleOwnRow(row: Row | undefined, position: StorePosition): void {
 		const member = row?.value === undefined ? undefined : decodeMember(row.value);
-		this.#restoreLeave(member);
+		this.#leaves.apply(member);
+		this.#reconcile();
 		this.#messages.setFormer(member);
 		this.#announcer.recordRow(row, position);
 	}
@@ -154,7 +162,8 @@
 	 * have announced a later epoch.
 	 */
 	handleOwnMember(member: Member): void {
-		this.#restoreLeave(member);
+		this.#leaves.apply(member);
+		this.#reconcile();
 		const {current} = this.#announcer;
 		if (current !== undefined && member.epoch > current.epoch) {
 			this.#announcer.raiseEpoch(member.epoch);
@@ -168,15 +177,6 @@
 		this.#reconcile();
 	}
 
-	/** Restores a leave that an earlier process of this sidecar acknowledged. */
-	#restoreLeave(member: Member | undefined): void {
-		if (member?.leftStartMs !== undefined && this.#announcer.isOwn(member)) {
-			const start = {id: member.serverId, startedAtMs: member.leftStartMs};
-			this.#server.restoreLeave(start, performance.now());
-			this.#reconcile();
-		}
-	}
-
 	/** Handles the end of the server under the requests with these digests. */
 	#handleCrash(digests: ReadonlySet<string>): void {
 		const {requestLog, quarantine} = this.options;
@@ -250,7 +250,14 @@
 		}
 
 		const serverState = this.#server.readState(performance.now());
-		const current = [state.id, state.service, state.slots, serverState, this.#isStopping].join(' ');
+		const current = [
+			state.id,
+			state.service,
+			state.slots,
+			serverState,
+			this.#isStopping,
+			this.#leaves.deniedStartMs,
+		].join(' ');
 		if (current !== this.#announcedKey) {
 			this.#announcedKey = current;
 			this.#announce();
@@ -271,7 +278,11 @@
 
 		const serverState = this.#server.readState(performance.now());
 		const member = this.#announcer.announce(
-			createLocalMember(this.options.settings, state, {serverState, isStopping: this.#isStopping}),
+			createLocalMember(this.options.settings, state, {
+				serverState,
+				isStopping: this.#isStopping,
+				deniedLeaveStartMs: this.#leaves.deniedStartMs,
+			}),
 		);
 		this.options.directory.apply(member);
 		this.options.handleAnnounced();
--- a/src/sidecar/types.ts
+++ b/src/sidecar/types.ts
@@ -129,6 +129,8 @@
 	readonly serverStartMs?: number | undefined;
 	/** Start of the server, in Unix milliseconds, if the server itself is leaving. */
 	readonly leftStartMs?: number | undefined;
+	/** Start of the server, in Unix milliseconds, if another writer has named a leave of it that the server denies. */
+	readonly deniedLeaveStartMs?: number | undefined;
 	/** Whether only the instance stops: its guard still accepts what it can finish before its end. */
 	readonly isDraining?: boolean | undefined;
 };
