Deny a leave only of a server that goes on to report

Found on reading the change: after a step of the clock, the leave that an earlier process acknowledged can have a later epoch than the announcement of the present one, which had heard a single late report of the server; the leave was then denied, and the server would have got requests after its drain time.

--- a/src/sidecar/guard/local-server-state.ts
+++ b/src/sidecar/guard/local-server-state.ts
@@ -1,6 +1,9 @@
 /** What a sidecar knows of the server beside it. */
 import {type ServerReport, type SocketAddress} from '../types.ts';
 
+/** Two heartbeats or more. */
+export const minEstablishedMs = 1600;
+
 /** What doesn't change between the start of a server and its end. */
 export type ServerFacts = {
 	readonly id: string;
@@ -63,6 +66,11 @@
 	);
 }
 
+/** Whether a server has gone on to report the same facts for longer than another writer's messages are taken for. */
+export function isEstablished({reportedSinceMs, reportedAtMs}: LocalServerState): boolean {
+	return reportedAtMs - reportedSinceMs >= minEstablishedMs;
+}
+
 /** Reads the facts of a report. */
 export function readFacts({id, service, slots, startedAtMs}: ServerReport): ServerFacts {
 	return {id, service, slots, startedAtMs};
--- a/src/sidecar/guard/message-judgement.ts
+++ b/src/sidecar/guard/message-judgement.ts
@@ -7,15 +7,15 @@
 import {type ServerMessage, type ServerReport} from '../types.ts';
 import {
 	hasSameFacts,
+	isEstablished,
 	type LocalServerState,
+	minEstablishedMs,
 	type RivalFacts,
 	type ServerExpectation,
 	type ServerFacts,
 	type ServerWitness,
 } from './local-server-state.ts';
 
-/** Other facts replace those of a reachable server when it has not reported for this long; heartbeats come sooner. */
-const minRivalMs = 1600;
 /** A server that neither reports nor answers for this long may have been replaced. */
 const maxQuietMs = 3000;
 /** Sequences that a server may have skipped between two reports, besides those for the time between them. */
@@ -132,12 +132,13 @@
 			: refuse(`service ${report.service} is not the server's, ${state.service}`);
 	}
 
-	const isEstablished = state.reportedAtMs - state.reportedSinceMs >= minRivalMs;
 	const isFormer = former !== undefined && hasSameFacts(former, report);
 	const isSustained =
-		rival !== undefined && hasSameFacts(rival.facts, report) && nowMs - rival.sinceMs >= minRivalMs;
+		rival !== undefined &&
+		hasSameFacts(rival.facts, report) &&
+		nowMs - rival.sinceMs >= minEstablishedMs;
 	const isStartUnknown = state.startedAtMs === 0;
-	if (isStartUnknown || state.isUnreachable || isSustained || (isFormer && !isEstablished)) {
+	if (isStartUnknown || state.isUnreachable || isSustained || (isFormer && !isEstablished(state))) {
 		return believed;
 	}
 
@@ -223,7 +224,7 @@
 	if (report.service !== expected.readService()) {
 		// Without a server known before, only the settings say which service runs here.
 		const isReplaced = state !== undefined;
-		const isSustained = rival?.facts.id === report.id && nowMs - rival.sinceMs >= minRivalMs;
+		const isSustained = rival?.facts.id === report.id && nowMs - rival.sinceMs >= minEstablishedMs;
 		return isNamed && (isReplaced || isSustained)
 			? believed
 			: refuse(`service ${report.service} is not that of the settings, ${expected.readService()}`);
--- a/src/sidecar/leave-restorer.ts
+++ b/src/sidecar/leave-restorer.ts
@@ -2,6 +2,7 @@
 import {type Logger} from '../reporting/logger.ts';
 import {type Announcer} from './discovery/announcer.ts';
 import {type LocalServer} from './guard/local-server.ts';
+import {isEstablished} from './guard/local-server-state.ts';
 import {type Member} from './types.ts';
 
 export type LeaveRestorerOptions = {
@@ -29,7 +30,10 @@
 		return this.#deniedStartMs;
 	}
 
-	/** Restores a leave that an earlier process of this sidecar acknowledged, and denies one that none of them has. */
+	/**
+	 * Restores a leave that an earlier process of this sidecar acknowledged. One with an epoch that this instance has not
+	 * given out is denied if the server has gone on to report that it is ready.
+	 */
 	apply(member: Member | undefined): void {
 		const startedAtMs = member?.leftStartMs;
 		if (member === undefined || startedAtMs === undefined || startedAtMs === this.#deniedStartMs) {
@@ -38,16 +42,15 @@
 
 		const {server, announcer, logger} = this.options;
 		const {serverId: id, epoch} = member;
-		if (announcer.isOwn(member)) {
-			server.restoreLeave({id, startedAtMs}, performance.now());
-			return;
-		}
-
 		const {state} = server;
 		const isPresent = state?.id === id && state.startedAtMs === startedAtMs;
-		if (isPresent && state.isConfirmed && state.leavingSinceMs === undefined) {
+		const isInUse = isPresent && state.leavingSinceMs === undefined && state.isConfirmed;
+		if (!announcer.isOwn(member) && isInUse && isEstablished(state)) {
 			this.#deniedStartMs = startedAtMs;
 			logger.warn({serverId: id, epoch}, 'denied a leave that another writer has named');
+			return;
 		}
+
+		server.restoreLeave({id, startedAtMs}, performance.now());
 	}
 }
