--- a/src/sidecar/entry/attempt.test.ts
+++ b/src/sidecar/entry/attempt.test.ts
@@ -4,7 +4,7 @@
 import test from 'ava';
 import {createTestGuard, createTestHead, testMember} from '../guard/fixtures.ts';
 import {distances, MemberView} from '../discovery/member-view.ts';
-import {type LinkExchange, type LinkListener} from '../link/link.ts';
+import {type LinkExchange, type LinkListener} from '../link/link-exchange.ts';
 import {type ResumeHead} from '../link/messages.ts';
 import {Attempt} from './attempt.ts';
 
--- a/src/sidecar/entry/attempt.ts
+++ b/src/sidecar/entry/attempt.ts
@@ -7,7 +7,7 @@
 import {type MemberView} from '../discovery/member-view.ts';
 import {type Guard} from '../guard/guard.ts';
 import {type Exchange} from '../link/exchange.ts';
-import {type LinkExchange, type LinkListener} from '../link/link.ts';
+import {type LinkExchange, type LinkListener} from '../link/link-exchange.ts';
 import {
 	type AnswerHead,
 	type CallHead,
--- a/src/sidecar/guard/run-proof-model.test.ts
+++ b/src/sidecar/guard/run-proof-model.test.ts
@@ -9,7 +9,7 @@
 import fc from 'fast-check';
 import {Attempt} from '../entry/attempt.ts';
 import {distances, MemberView} from '../discovery/member-view.ts';
-import {type LinkListener} from '../link/link.ts';
+import {type LinkListener} from '../link/link-exchange.ts';
 import {type CallHead, type ResumeHead} from '../link/messages.ts';
 import {
 	createTestGuard,
--- a/src/sidecar/guard/simulated-link.ts
+++ b/src/sidecar/guard/simulated-link.ts
@@ -1,7 +1,7 @@
 /** Test fixture: a link whose messages a test delivers, cuts off or loses. */
 import {Buffer} from 'node:buffer';
 import {type Exchange, type ExchangeListener} from '../link/exchange.ts';
-import {type LinkExchange, type LinkListener} from '../link/link.ts';
+import {type LinkExchange, type LinkListener} from '../link/link-exchange.ts';
 import {type CallHead, type ResumeHead} from '../link/messages.ts';
 import {testIncarnation} from './fixtures.ts';
 import {type Guard} from './guard.ts';
--- a/src/sidecar/link/fixtures.ts
+++ b/src/sidecar/link/fixtures.ts
@@ -1,7 +1,7 @@
 /** Listeners, reply metadata and free ports for the tests of links. */
 import net from 'node:net';
 import process from 'node:process';
-import {type LinkListener} from './link.ts';
+import {type LinkListener} from './link-exchange.ts';
 import {type GuardPace, type ReplyMetadata} from './messages.ts';
 
 /** Pace of a server without a limit. */
--- a/src/sidecar/link/link-pool.ts
+++ b/src/sidecar/link/link-pool.ts
@@ -1,7 +1,8 @@
 /** Client side of the links between sidecars: one pool of connections per peer, used by the entry. */
 import {IdleConnections} from '../idle-connections.ts';
 import {type SocketAddress} from '../types.ts';
-import {Link, type LinkExchange, type LinkListener, type LinkOwner} from './link.ts';
+import {Link} from './link.ts';
+import {type LinkExchange, type LinkListener, type LinkOwner} from './link-exchange.ts';
 import {type CallHead, type ResumeHead} from './messages.ts';
 
 /** Idle connections kept per peer; connections released beyond this number are closed. */
--- a/src/sidecar/link/link.test.ts
+++ b/src/sidecar/link/link.test.ts
@@ -12,7 +12,7 @@
 import {createTestListener, testMetadata} from './fixtures.ts';
 import {encodeFrame, frameTypes} from './frames.ts';
 import {LinkPool} from './link-pool.ts';
-import {type LinkListener} from './link.ts';
+import {type LinkListener} from './link-exchange.ts';
 
 const refusal = encodeRefusal({reason: 'full', member: undefined}, testMetadata);
 
