Let an odd message change nothing while no configuration tells how to ask the server

A sidecar that knows no configuration, and so no health path, believed a message out of order after half a second: a leave far ahead of the server's own reports took it out of use until long after the configuration was back (503 to callers), and a report with another id replaced a server that had been reporting. Cause: not to be able to ask counted like a server that doesn't answer. Now 'unasked' is an answer of its own: a leave out of order of a server that reports is refused, another id has to go on reporting while the known one has ceased, and a leave that was taken without asking ends as soon as the server says that it is healthy. A server that doesn't answer is taken for replaced under the same condition.

--- a/src/sidecar/guard/local-server-state.ts
+++ b/src/sidecar/guard/local-server-state.ts
@@ -28,6 +28,8 @@
 	readonly leavingSinceMs: number | undefined;
 	/** Whether the server itself has said in an answer that it leaves. */
 	readonly isLeaveAnswered: boolean;
+	/** Whether the leave was taken from a message out of order that the server could not be asked about. */
+	readonly isLeaveDoubtful: boolean;
 	/** Reports since then in which the server says that it is ready. */
 	readonly readyReportCount: number;
 	/** Time for which the process had been suspended by then. */
@@ -52,7 +54,9 @@
 export type ServerWitness =
 	| {readonly kind: 'healthy'; readonly serverId: string}
 	| {readonly kind: 'unhealthy'; readonly serverId: string | undefined}
-	| {readonly kind: 'silent'};
+	| {readonly kind: 'silent'}
+	/** No configuration names the path at which to ask. */
+	| {readonly kind: 'unasked'};
 
 /** One start of a server. */
 export type ServerStart = Pick<ServerFacts, 'id' | 'startedAtMs'>;
--- a/src/sidecar/guard/message-judgement.test.ts
+++ b/src/sidecar/guard/message-judgement.test.ts
@@ -42,53 +42,61 @@
 	);
 }
 
-function sendMessage(server: LocalServer, message: ServerMessage, nowMs: number): void {
-	const witness: ServerWitness = {kind: 'healthy', serverId: 'i-1'};
+function sendMessage(
+	server: LocalServer,
+	{message, witness}: {readonly message: ServerMessage; readonly witness: ServerWitness},
+	nowMs: number,
+): void {
 	if (server.apply(message, nowMs).kind === 'unconfirmed') {
 		server.settle(message, witness, nowMs);
 	}
 }
 
-test("another writer's messages between the reports of a server change nothing", t => {
-	const rounds = fc.array(fc.array(fc.tuple(oddMessages, oddTimes), {maxLength: 4}), {
-		minLength: 1,
-		maxLength: 8,
-	});
-	fc.assert(
-		fc.property(rounds, heartbeats => {
-			const server = LocalServer.create(2500, testExpectation, () => 0);
-			applyConfirmed(server, testReport, 0);
-			let {sequence} = testReport;
-			let nowMs = 0;
-			for (const odd of heartbeats) {
-				for (const [message, times] of odd) {
-					for (const atMs of times.toSorted((a, b) => a - b)) {
-						if (!isLeaveInOrder(message, sequence)) {
-							sendMessage(server, message, nowMs + atMs);
+const witnesses: readonly ServerWitness[] = [{kind: 'healthy', serverId: 'i-1'}, {kind: 'unasked'}];
+
+for (const witness of witnesses) {
+	test(`another writer's messages between the reports of a server change nothing (${witness.kind})`, t => {
+		const rounds = fc.array(fc.array(fc.tuple(oddMessages, oddTimes), {maxLength: 4}), {
+			minLength: 1,
+			maxLength: 8,
+		});
+		fc.assert(
+			fc.property(rounds, heartbeats => {
+				const server = LocalServer.create(2500, testExpectation, () => 0);
+				sendMessage(server, {message: {kind: 'report', report: testReport}, witness}, 0);
+				let {sequence} = testReport;
+				let nowMs = 0;
+				for (const odd of heartbeats) {
+					for (const [message, times] of odd) {
+						for (const atMs of times.toSorted((a, b) => a - b)) {
+							if (!isLeaveInOrder(message, sequence)) {
+								sendMessage(server, {message, witness}, nowMs + atMs);
+							}
 						}
+
+						const {id, service, slots, startedAtMs} = server.state!;
+						t.deepEqual(
+							{id, service, slots, startedAtMs},
+							{id: 'i-1', service: 'shop', slots: 100, startedAtMs: 1000},
+						);
+						t.is(server.readState(nowMs + heartbeatMs), 'ready');
 					}
 
-					const {id, service, slots, startedAtMs} = server.state!;
-					t.deepEqual(
-						{id, service, slots, startedAtMs},
-						{id: 'i-1', service: 'shop', slots: 100, startedAtMs: 1000},
-					);
-					t.is(server.readState(nowMs + heartbeatMs), 'ready');
+					nowMs += heartbeatMs;
+					sequence++;
+					const message = {kind: 'report', report: {...testReport, sequence}} as const;
+					sendMessage(server, {message, witness}, nowMs);
 				}
 
-				nowMs += heartbeatMs;
-				sequence++;
-				sendMessage(server, {kind: 'report', report: {...testReport, sequence}}, nowMs);
-			}
-
-			const leave = {...testReport, sequence: sequence + 1, isLeaving: true};
-			const judgement = server.apply({kind: 'report', report: leave}, nowMs + heartbeatMs);
-			t.is(judgement.kind, 'believed');
-			t.is(server.readState(nowMs + heartbeatMs), 'leaving');
-		}),
-		{seed: 44, numRuns: 2000},
-	);
-});
+				const leave = {...testReport, sequence: sequence + 1, isLeaving: true};
+				const judgement = server.apply({kind: 'report', report: leave}, nowMs + heartbeatMs);
+				t.is(judgement.kind, 'believed');
+				t.is(server.readState(nowMs + heartbeatMs), 'leaving');
+			}),
+			{seed: 44, numRuns: 2000},
+		);
+	});
+}
 
 // A leave that another writer had named in the right order took a server out of use for good.
 test('a server that goes on to report and says that it is healthy returns from a leave', t => {
@@ -136,3 +144,19 @@
 	applyConfirmed(server, testReport, heartbeatMs);
 	t.is(server.state?.slots, 100);
 });
+
+// A leave that another writer had named while nobody could ask the server kept it out of use after that.
+test('a leave that the server could not be asked about ends when it says that it is healthy', t => {
+	const server = LocalServer.create(2500, testExpectation, () => 0);
+	const leave = {kind: 'report', report: {...testReport, isLeaving: true}} as const;
+	sendMessage(server, {message: leave, witness: {kind: 'unasked'}}, 0);
+	t.is(server.readState(0), 'leaving');
+	const report = {...testReport, sequence: testReport.sequence + 1};
+	const message = {kind: 'report', report} as const;
+	sendMessage(server, {message, witness: {kind: 'unasked'}}, heartbeatMs);
+	t.is(server.readState(heartbeatMs), 'leaving');
+	sendMessage(server, {message, witness: {kind: 'unhealthy', serverId: 'i-1'}}, heartbeatMs);
+	t.is(server.readState(heartbeatMs), 'leaving');
+	sendMessage(server, {message, witness: {kind: 'healthy', serverId: 'i-1'}}, heartbeatMs);
+	t.is(server.readState(heartbeatMs), 'ready');
+});
--- a/src/sidecar/guard/message-judgement.ts
+++ b/src/sidecar/guard/message-judgement.ts
@@ -124,8 +124,9 @@
 function judgeOtherFacts(
 	report: ServerReport,
 	state: LocalServerState,
-	{rival, former, expected, nowMs}: JudgementInput,
+	input: JudgementInput,
 ): Judgement {
+	const {former, expected} = input;
 	if (report.service !== state.service) {
 		return report.service === expected.readService()
 			? believed
@@ -133,12 +134,9 @@
 	}
 
 	const isFormer = former !== undefined && hasSameFacts(former, report);
-	const isSustained =
-		rival !== undefined &&
-		hasSameFacts(rival.facts, report) &&
-		nowMs - rival.sinceMs >= minEstablishedMs;
 	const isStartUnknown = state.startedAtMs === 0;
-	if (isStartUnknown || state.isUnreachable || isSustained || (isFormer && !isEstablished(state))) {
+	const isKept = isEstablished(state) || !isFormer;
+	if (isStartUnknown || state.isUnreachable || isSustained(report, input) || !isKept) {
 		return believed;
 	}
 
@@ -156,6 +154,15 @@
 	);
 }
 
+/** Whether reports with these facts have gone on while those of the known server had ceased. */
+function isSustained(report: ServerReport, {rival, nowMs}: JudgementInput): boolean {
+	return (
+		rival !== undefined &&
+		hasSameFacts(rival.facts, report) &&
+		nowMs - rival.sinceMs >= minEstablishedMs
+	);
+}
+
 /** Whether a report can follow those that have arrived: no more were missed than the server has sent since. */
 function isNextReport(report: ServerReport, state: LocalServerState, nowMs: number): boolean {
 	const missed = maxSkippedReports + (nowMs - state.reportedAtMs) / minReportIntervalMs;
@@ -164,11 +171,9 @@
 
 /** Whether a server that has left goes on to report for so long that it may not be leaving. */
 function mayReturn(state: LocalServerState, {drainMs, nowMs}: JudgementInput): boolean {
-	return (
-		!state.isLeaveAnswered &&
-		state.readyReportCount >= minReturnReports &&
-		nowMs - (state.leavingSinceMs ?? nowMs) >= drainMs * returnDrainTimes
-	);
+	const isLongAgo = nowMs - (state.leavingSinceMs ?? nowMs) >= drainMs * returnDrainTimes;
+	const isContradicted = isLongAgo && state.readyReportCount >= minReturnReports;
+	return !state.isLeaveAnswered && (state.isLeaveDoubtful || isContradicted);
 }
 
 /**
@@ -183,7 +188,7 @@
 	input: JudgementInput,
 ): Judgement {
 	const id = message.kind === 'leave' ? message.id : message.report.id;
-	const witnessId = witness.kind === 'silent' ? undefined : witness.serverId;
+	const witnessId = readWitnessId(witness);
 	if (witnessId !== undefined && witnessId !== id) {
 		return refuse(`the server names itself ${witnessId}, not ${id}`);
 	}
@@ -193,24 +198,37 @@
 		return refuse('the server says that it is healthy, so it does not leave');
 	}
 
+	const {state} = input;
+	const isReporting = state?.id === id && state.sequence !== undefined;
+	if (isLeave && witness.kind === 'unasked' && isReporting) {
+		return refuse('the message is out of order, and no configuration tells how to ask the server');
+	}
+
 	if (message.kind === 'leave') {
 		return believed;
 	}
 
-	return input.state?.id === id
-		? judgeKnownServer(message.report, witness, input.state)
+	return state?.id === id
+		? judgeKnownServer(message.report, witness, {...input, state})
 		: judgeOtherServer(message.report, witness, input);
 }
 
+function readWitnessId(witness: ServerWitness): string | undefined {
+	return witness.kind === 'healthy' || witness.kind === 'unhealthy' ? witness.serverId : undefined;
+}
+
 /** Judges a leave, a return or a further start of the known server. */
 function judgeKnownServer(
 	report: ServerReport,
 	witness: ServerWitness,
-	state: LocalServerState,
+	input: JudgementInput & {readonly state: LocalServerState},
 ): Judgement {
-	const isLaterStart = report.startedAtMs > state.startedAtMs;
+	const isLaterStart = report.startedAtMs > input.state.startedAtMs;
+	const isUnanswered = witness.kind === 'silent' || witness.kind === 'unasked';
 	const isBorneOut =
-		report.isLeaving || witness.kind === 'healthy' || (witness.kind === 'silent' && isLaterStart);
+		report.isLeaving ||
+		witness.kind === 'healthy' ||
+		(isUnanswered && isLaterStart && isSustained(report, input));
 	return isBorneOut ? believed : refuse('the server has left and does not say that it is healthy');
 }
 
@@ -218,21 +236,21 @@
 function judgeOtherServer(
 	report: ServerReport,
 	witness: ServerWitness,
-	{state, rival, expected, nowMs}: JudgementInput,
+	input: JudgementInput,
 ): Judgement {
-	const isNamed = witness.kind !== 'silent' && witness.serverId === report.id;
+	const {state, expected, nowMs} = input;
+	const isNamed = readWitnessId(witness) === report.id;
 	if (report.service !== expected.readService()) {
 		// Without a server known before, only the settings say which service runs here.
 		const isReplaced = state !== undefined;
-		const isSustained = rival?.facts.id === report.id && nowMs - rival.sinceMs >= minEstablishedMs;
-		return isNamed && (isReplaced || isSustained)
+		return isNamed && (isReplaced || isSustained(report, input))
 			? believed
 			: refuse(`service ${report.service} is not that of the settings, ${expected.readService()}`);
 	}
 
 	const isDoubtful =
 		state === undefined ||
-		!state.isConfirmed ||
+		(!state.isConfirmed && isSustained(report, input)) ||
 		state.isUnreachable ||
 		nowMs - state.lastMessageAtMs >= maxQuietMs;
 	return isNamed || isDoubtful
--- a/src/sidecar/guard/server-tracker.ts
+++ b/src/sidecar/guard/server-tracker.ts
@@ -72,8 +72,8 @@
 		}
 
 		this.#record(message, judgement, nowMs);
-		if (judgement.kind === 'believed' && witness.kind !== 'silent') {
-			this.#setConfirmed(witness.serverId);
+		if (judgement.kind === 'believed') {
+			this.#recordWitness(message, witness);
 		}
 
 		return judgement;
@@ -216,7 +216,7 @@
 		const state = this.#state!;
 		if (report.isLeaving || this.#hasLeftBefore(report)) {
 			this.setLeaving(nowMs);
-			this.#state = {...this.#state!, readyReportCount: 0};
+			this.#state = {...this.#state!, readyReportCount: 0, isLeaveDoubtful: false};
 		} else if (state.leavingSinceMs !== undefined) {
 			this.#state = {...state, readyReportCount: state.readyReportCount + 1};
 		}
@@ -232,6 +232,7 @@
 			isConfirmed: false,
 			leavingSinceMs: undefined,
 			isLeaveAnswered: false,
+			isLeaveDoubtful: false,
 			readyReportCount: 0,
 			suspendedBeforeMs: 0,
 			isUnreachable: false,
@@ -251,9 +252,23 @@
 		}
 	}
 
-	#setConfirmed(serverId: string | undefined): void {
-		if (this.#state !== undefined && this.#state.id === serverId) {
-			this.#state = {...this.#state, isConfirmed: true};
+	/** Records what the server itself has said of a message that was believed. */
+	#recordWitness(message: ServerMessage, witness: ServerWitness): void {
+		const state = this.#state!;
+		switch (witness.kind) {
+			case 'healthy':
+			case 'unhealthy': {
+				const isConfirmed = state.isConfirmed || state.id === witness.serverId;
+				this.#state = {...state, isConfirmed};
+				break;
+			}
+
+			case 'silent':
+			case 'unasked': {
+				const isLeave = message.kind === 'leave' || message.report.isLeaving;
+				this.#state = {...state, isLeaveDoubtful: isLeave || state.isLeaveDoubtful};
+				break;
+			}
 		}
 	}
 
--- a/src/sidecar/server-verifier.test.ts
+++ b/src/sidecar/server-verifier.test.ts
@@ -55,5 +55,5 @@
 	path = undefined;
 	verifier.submit(unconfirmed, 'shop');
 	await wait(1000);
-	t.deepEqual(settled, ['healthy', 'silent']);
+	t.deepEqual(settled, ['healthy', 'unasked']);
 });
--- a/src/sidecar/server-verifier.ts
+++ b/src/sidecar/server-verifier.ts
@@ -109,7 +109,7 @@
 		this.#settleWhere(
 			({service, arrivedAtMs}) =>
 				arrivedAtMs <= expiredMs && this.options.findHealthPath(service) === undefined,
-			{kind: 'silent'},
+			{kind: 'unasked'},
 		);
 	}
 
