Take no part of an answer from a peer before its head

Cause: the link passed each frame of a reply on, in whatever order. Now a part or an end before the head, or a second head, is an invalid frame: the link is closed and the call fails.

platform/endless-answers.test.ts, 'data frames without end from a peer', failed before and passes.

--- a/src/sidecar/link/link.ts
+++ b/src/sidecar/link/link.ts
@@ -37,6 +37,8 @@
 	#isCancelled = false;
 	/** Whether the last frame of the request's body was sent; a link with a part of it can't carry another request. */
 	#isBodySent = true;
+	/** Whether the head of the answer has arrived, of which parts may follow. */
+	#hasAnswer = false;
 
 	private constructor(
 		address: SocketAddress,
@@ -70,6 +72,7 @@
 
 	open(head: CallHead, body: Uint8Array, listener: LinkListener): this {
 		this.#state = {kind: 'exchange', listener};
+		this.#hasAnswer = false;
 		this.#isCancelled = false;
 		this.#isBodySent = head.isWhole;
 		this.#frames.send(frameTypes.open, encodeCall(head), body);
@@ -78,6 +81,7 @@
 
 	resume(head: ResumeHead, listener: LinkListener): this {
 		this.#state = {kind: 'exchange', listener};
+		this.#hasAnswer = false;
 		this.#frames.send(frameTypes.resume, JSON.stringify(head));
 		return this;
 	}
@@ -187,6 +191,8 @@
 		const reply = decodeReply(frame);
 		switch (reply.kind) {
 			case 'answer': {
+				this.#requireAnswer(false);
+				this.#hasAnswer = true;
 				if (reply.head.isWhole) {
 					this.#release();
 				}
@@ -197,6 +203,7 @@
 			}
 
 			case 'data': {
+				this.#requireAnswer(true);
 				listener.handleData(frame.body);
 				break;
 			}
@@ -207,6 +214,7 @@
 			}
 
 			case 'end': {
+				this.#requireAnswer(true);
 				this.#release();
 				listener.handleEnd();
 				break;
@@ -234,6 +242,13 @@
 		}
 	}
 
+	/** The head of an answer comes once, before its parts. */
+	#requireAnswer(isExpected: boolean): void {
+		if (this.#hasAnswer !== isExpected) {
+			throw new Error(isExpected ? 'a part of an answer before its head' : 'a second answer');
+		}
+	}
+
 	#release(): void {
 		this.#state = {kind: 'idle'};
 		this.#frames.setPaused(false);
