Close a link whose peer doesn't reply to a cancel frame

Found by floods from a peer on built sidecars: a peer that sent 'taken' frames and no reply kept the link of a call that had been given up open, and its frames were read, without a bound in time. Cause: after a cancel frame the link waits for the guard's reply for as long as the connection lasts. It now waits 5 s.

platform/endless-answers.test.ts, 'taken frames without end from a peer', failed before and passes: 57 of 57 floods of that file and of endless-bytes.test.ts hold, as do 137 tests of the link, the entry and the guard.

--- a/src/sidecar/link/link.ts
+++ b/src/sidecar/link/link.ts
@@ -10,6 +10,8 @@
 
 /** Allows for the slowest round trip between regions, 60 ms, and one lost packet, about 200 ms more. */
 const connectTimeoutMs = 500;
+/** A guard replies to a cancel frame at once; a link without that reply can't carry another request. */
+const cancelTimeoutMs = 5000;
 
 type LinkState =
 	| {readonly kind: 'idle'}
@@ -35,6 +37,7 @@
 	#reportsTaken: boolean | undefined;
 	#isConnected = false;
 	#isCancelled = false;
+	#cancelTimer: NodeJS.Timeout | undefined;
 	/** Whether the last frame of the request's body was sent; a link with a part of it can't carry another request. */
 	#isBodySent = true;
 	/** Whether the head of the answer has arrived, of which parts may follow. */
@@ -107,6 +110,10 @@
 			this.#isCancelled = true;
 			this.#frames.setPaused(false);
 			this.#frames.send(frameTypes.cancel, '');
+			this.#cancelTimer = setTimeout(() => {
+				this.close();
+			}, cancelTimeoutMs);
+			this.#cancelTimer.unref();
 		}
 	}
 
@@ -250,6 +257,7 @@
 	}
 
 	#release(): void {
+		clearTimeout(this.#cancelTimer);
 		this.#state = {kind: 'idle'};
 		this.#frames.setPaused(false);
 		if (this.#isBodySent) {
@@ -260,6 +268,7 @@
 	}
 
 	#handleClosed(): void {
+		clearTimeout(this.#cancelTimer);
 		const state = this.#state;
 		this.#state = {kind: 'idle'};
 		this.owner.handleClosed(this);
