--- a/stand-ins/network/byte-flood.ts
+++ b/stand-ins/network/byte-flood.ts
@@ -15,6 +15,8 @@
 export type FloodPlan = {
 	/** What the connection begins with. */
 	readonly begin: string | Uint8Array;
+	/** Creates the beginning of an answer to a request, in place of `begin`. */
+	readonly answer?: (request: string) => string;
 	/** What is sent again and again. */
 	readonly repeat: Uint8Array;
 	readonly pace: FloodPace;
@@ -103,8 +105,9 @@
 	private constructor(plan: FloodPlan, maxMs: number) {
 		this.#server = net.createServer(socket => {
 			this.#sockets.add(socket);
-			socket.once('data', () => {
-				this.#floods.push(this.#flood(socket, plan, maxMs));
+			socket.once('data', request => {
+				const begin = plan.answer?.(request.toString()) ?? plan.begin;
+				this.#floods.push(this.#flood(socket, {...plan, begin}, maxMs));
 			});
 			socket.on('error', () => {
 				// The other side may close first.
