Take other slots of a server that is unreachable only with a later start

Found on reading the change: a server that had just refused a connection, at its limit for instance, counted as restarted, so that another writer's report of the same start with one slot was believed at once. A restart names a later start; other facts of the same start have to go on as those of a reachable server. The new test fails with the check taken out; 360 tests of src/sidecar and of the sidecars' reports, crashes and restores pass.

--- a/src/sidecar/guard/local-server-state.ts
+++ b/src/sidecar/guard/local-server-state.ts
@@ -1,7 +1,7 @@
 /** What a sidecar knows of the server beside it. */
 import {type ServerReport, type SocketAddress} from '../types.ts';
 
-/** Two heartbeats or more. */
+/** Time between the first and a later report, at which these count as the server's own. */
 export const minEstablishedMs = 1600;
 
 /** What doesn't change between the start of a server and its end. */
@@ -30,9 +30,9 @@
 	readonly isLeaveAnswered: boolean;
 	/** Whether the leave was taken from a message out of order that the server could not be asked about. */
 	readonly isLeaveDoubtful: boolean;
-	/** Reports since then in which the server says that it is ready. */
+	/** Reports since the leave in which the server says that it is ready. */
 	readonly readyReportCount: number;
-	/** Time for which the process had been suspended by then. */
+	/** Time for which the process had been suspended when the leave was acknowledged. */
 	readonly suspendedBeforeMs: number;
 	readonly isUnreachable: boolean;
 };
--- a/src/sidecar/guard/message-judgement.test.ts
+++ b/src/sidecar/guard/message-judgement.test.ts
@@ -126,6 +126,19 @@
 	}
 });
 
+// A server that had refused a connection took the slots of another writer's report for its own.
+test('other slots of the same start are not taken while the server is unreachable, a later start is', t => {
+	const server = LocalServer.create(2500, testExpectation, () => 0);
+	applyConfirmed(server, testReport, 0);
+	server.setUnreachable();
+	applyConfirmed(server, {...testReport, slots: 1, sequence: 6}, 100);
+	t.is(server.state?.slots, 100);
+	t.is(server.readState(100), 'down');
+	applyConfirmed(server, {...testReport, slots: 50, sequence: 1, startedAtMs: 2000}, 200);
+	t.is(server.state?.slots, 50);
+	t.is(server.readState(200), 'ready');
+});
+
 test('facts of the first report give way when the server goes on to report others', t => {
 	const server = LocalServer.create(2500, testExpectation, () => 0);
 	applyConfirmed(server, {...testReport, slots: 1, startedAtMs: 1e12, sequence: 1e6}, 0);
--- a/src/sidecar/guard/message-judgement.ts
+++ b/src/sidecar/guard/message-judgement.ts
@@ -135,8 +135,9 @@
 
 	const isFormer = former !== undefined && hasSameFacts(former, report);
 	const isStartUnknown = state.startedAtMs === 0;
-	const isKept = isEstablished(state) || !isFormer;
-	if (isStartUnknown || state.isUnreachable || isSustained(report, input) || !isKept) {
+	const hasRestarted = state.isUnreachable && report.startedAtMs > state.startedAtMs;
+	const isKnownBefore = isFormer && !isEstablished(state);
+	if (isStartUnknown || hasRestarted || isKnownBefore || isSustained(report, input)) {
 		return believed;
 	}
 
