--- a/review/support-2/client.ts
+++ b/review/support-2/client.ts
@@ -13,8 +13,6 @@
 	readonly method?: string;
 	readonly body?: Uint8Array;
 	readonly deadlineMs: number;
-	/** Connections that are kept open; without it, each request opens one. */
-	readonly agent?: http.Agent;
 };
 
 /** What a client got: status 0 without a whole answer. */
@@ -37,7 +35,7 @@
 	record: CaseRecord,
 	options: ClientRequest,
 ): Promise<ClientAnswer> {
-	const {port, hostName, path, method = 'GET', body, deadlineMs, agent} = options;
+	const {port, hostName, path, method = 'GET', body, deadlineMs} = options;
 	const id = (++requestCount).toString(16).padStart(16, '0');
 	const sentAtMs = record.readMs();
 	record.add(`client: ${id} sent to ${port}, ${method} ${path}`);
@@ -59,7 +57,7 @@
 			port,
 			path,
 			method,
-			agent: agent ?? false,
+			agent: false,
 			headers: {
 				host: hostName,
 				'x-attempt-id': id,
--- a/review/support-2/deployment.ts
+++ b/review/support-2/deployment.ts
@@ -1,4 +1,5 @@
 /** A small deployment: the platform's store with a configuration, sidecars, and how a case ends. */
+import {rmSync} from 'node:fs';
 import {mkdtemp, rm} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
@@ -97,6 +98,15 @@
 		this.#closers.push(close);
 	}
 
+	/** Ends all processes at once and removes their files, when the case itself is ended by a signal. */
+	endNow(): void {
+		for (const sidecar of this.sidecars) {
+			sidecar.endNow();
+		}
+
+		rmSync(this.folder, {recursive: true, force: true});
+	}
+
 	async stop(): Promise<void> {
 		for (const close of this.#closers) {
 			close();
@@ -118,6 +128,13 @@
 ): Promise<void> {
 	const record = CaseRecord.create(recordFile);
 	const deployment = await Deployment.start(record);
+	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+		process.on(signal, () => {
+			deployment.endNow();
+			process.exit(exitCodes.failed);
+		});
+	}
+
 	let exitCode: number = exitCodes.failed;
 	try {
 		const verdict = await play(deployment);
--- a/review/support-2/sidecar.ts
+++ b/review/support-2/sidecar.ts
@@ -75,10 +75,6 @@
 		return this.options.name;
 	}
 
-	get processId(): number {
-		return this.#child?.pid ?? 0;
-	}
-
 	/** Starts the process; resolves when it answers on its metrics address. */
 	async start(): Promise<void> {
 		const [program = '', ...args] = readRunCommand();
@@ -100,10 +96,9 @@
 		await waitFor(async () => (await requestStatus(this.ports.ready, '/api/ready')) === 200);
 	}
 
-	/** Sends a signal to the process. */
-	signal(name: 'SIGTERM' | 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
-		this.options.record.add(`sidecar ${this.name}: ${name}`);
-		this.#child?.kill(name);
+	/** Kills the process without waiting for its end. */
+	endNow(): void {
+		this.#child?.kill('SIGKILL');
 	}
 
 	/** Kills the process and waits for its end. */
