--- a/review/support-2/sidecar.ts
+++ b/review/support-2/sidecar.ts
@@ -96,6 +96,12 @@
 		await waitFor(async () => (await requestStatus(this.ports.ready, '/api/ready')) === 200);
 	}
 
+	/** Freezes the process for good, as if its machine had lost power: its connections stay open and silent. */
+	goDark(): void {
+		this.options.record.add(`sidecar ${this.name}: SIGSTOP`);
+		this.#child?.kill('SIGSTOP');
+	}
+
 	/** Kills the process without waiting for its end. */
 	endNow(): void {
 		this.#child?.kill('SIGKILL');
