--- a/review/support-2/deployment.ts
+++ b/review/support-2/deployment.ts
@@ -28,6 +28,8 @@
 	}
 
 	readonly sidecars: SidecarProcess[] = [];
+	/** Parts of the rules that the settings name beside those of the smallest site. */
+	furtherContracts: readonly string[] = [];
 	readonly #closers: Array<() => void> = [];
 
 	private constructor(
@@ -76,9 +78,16 @@
 
 	/** Creates the sidecar of a machine, which is started by its own `start`. */
 	async createSidecar(name: string, service: string): Promise<SidecarProcess> {
-		const {folder, record} = this;
+		const {folder, record, furtherContracts} = this;
 		const storePort = this.store.address.port;
-		const sidecar = await SidecarProcess.create({name, service, folder, storePort, record});
+		const sidecar = await SidecarProcess.create({
+			name,
+			service,
+			folder,
+			storePort,
+			record,
+			furtherContracts,
+		});
 		this.sidecars.push(sidecar);
 		return sidecar;
 	}
--- a/review/support-2/server.ts
+++ b/review/support-2/server.ts
@@ -188,7 +188,8 @@
 		const answer = await this.options.run({id, method, path, body, socket, response});
 		this.#running--;
 		if (answer !== undefined) {
-			response.writeHead(200, createAnswerHeaders(serverId, id, answer));
+			const leaving = this.state === 'ready' ? {} : {'Server-Leaving': '1'};
+			response.writeHead(200, {...createAnswerHeaders(serverId, id, answer), ...leaving});
 			response.end(answer);
 			record.add(`server ${serverId}: ${id} answered with ${answer.length} bytes`);
 		}
--- a/review/support-2/sidecar.ts
+++ b/review/support-2/sidecar.ts
@@ -16,12 +16,26 @@
 /** Bounds of the small deployments, as the settings name them. */
 export const bounds = {drainS: 2.5, recoverS: 15} as const;
 
+/** Parts of the rules in force on the smallest site. */
+const contracts = [
+	'base',
+	'drain',
+	'config',
+	'cost',
+	'retry',
+	'recover',
+	'pressure',
+	'platform',
+] as const;
+
 export type SidecarOptions = {
 	readonly name: string;
 	readonly service: string;
 	readonly folder: string;
 	readonly storePort: number;
 	readonly record: CaseRecord;
+	/** Parts of the rules in force beside those of the smallest site. */
+	readonly furtherContracts: readonly string[];
 };
 
 type PortName = 'caller' | 'ready' | 'control' | 'link' | 'metrics' | 'server';
@@ -153,7 +167,7 @@
 
 /** Formats settings like those that `fleetbench wire` shows, for a small deployment. */
 function formatSettings(
-	{name, service, storePort}: SidecarOptions,
+	{name, service, storePort, furtherContracts}: SidecarOptions,
 	ports: Readonly<Record<PortName, number>>,
 ): string {
 	const local = (port: number) => `${host}:${port}`;
@@ -178,7 +192,7 @@
 		limits: {cpu_share: 0.54, cores: 2, memory_mb: 350, max_fds: 4100, link_mbps: 1000, disk_mb: 0},
 		data_dir: null,
 		heartbeat_s: 1.5,
-		contracts: ['base', 'drain', 'config', 'cost', 'retry', 'recover', 'pressure', 'platform'],
+		contracts: [...contracts, ...furtherContracts],
 		fault_tolerance: {machines: 2, zones: 0, regions: 0},
 		bounds: [
 			'seed_lag_s=3',
